feat: serve a thin version of the whole path as separate processes

Cause: nothing existed; callers need a request served from one end to the other before anything is refined. Change: daemon, operators' command line and stand-ins, with the slices edge, admission, placement, delivery, once, ledger, document, membership, platform and operations. The e2e suite starts each program as a process. Ruled out: a keeper for each engine. One keeper for each service decides with exact counts for all its engines; at today's size this is one decision machine for about 20 engines. docs/design will weigh it. Found on the way: a keeper that had listed engines but no report of them yet refused urgent work (503 in the first second). Such an arrival now waits for the first report within its deadline. Conclusion: the thin path stands; promises and decisions come next.

--- /dev/null
+++ b/events.go
@@ -0,0 +1,91 @@
+package turmericwall
+
+// EventID is the number of a log event; docs/EVENTS.md is the catalogue.
+type EventID int
+
+// The log events. A number is never used again for another meaning.
+const (
+	EventStarted            EventID = 1001
+	EventReady              EventID = 1002
+	EventDrainStarted       EventID = 1003
+	EventDrainEnded         EventID = 1004
+	EventTaskFailed         EventID = 1005
+	EventRequestAccepted    EventID = 2001
+	EventRequestRefused     EventID = 2002
+	EventRequestAnswered    EventID = 2003
+	EventRequestFailed      EventID = 2004
+	EventPlacementGranted   EventID = 3001
+	EventPlacementRefused   EventID = 3002
+	EventKeeperUnreachable  EventID = 3003
+	EventEngineUnreachable  EventID = 3004
+	EventAttemptFailed      EventID = 3005
+	EventAttemptSwept       EventID = 3006
+	EventCancelSent         EventID = 3007
+	EventCancelConfirmed    EventID = 3008
+	EventServiceRouted      EventID = 4001
+	EventClaimTaken         EventID = 4002
+	EventClaimAnswered      EventID = 4003
+	EventClaimSealed        EventID = 4004
+	EventClaimUnknown       EventID = 4005
+	EventDeferrableAccepted EventID = 5001
+	EventDeferrableLeased   EventID = 5002
+	EventDeferrableAnswered EventID = 5003
+	EventDeferrableLost     EventID = 5004
+	EventDocumentApplied    EventID = 6001
+	EventDocumentRejected   EventID = 6002
+	EventDocumentUnreadable EventID = 6003
+	EventPeerLive           EventID = 7001
+	EventPeerLost           EventID = 7002
+	EventVMListUnreadable   EventID = 7003
+	EventVMLeaving          EventID = 7004
+	EventStoreUnavailable   EventID = 8001
+)
+
+var eventNames = map[EventID]string{
+	EventStarted:            "Started",
+	EventReady:              "Ready",
+	EventDrainStarted:       "Drain started",
+	EventDrainEnded:         "Drain ended",
+	EventTaskFailed:         "Task failed",
+	EventRequestAccepted:    "Request accepted",
+	EventRequestRefused:     "Request refused",
+	EventRequestAnswered:    "Request answered",
+	EventRequestFailed:      "Request failed",
+	EventPlacementGranted:   "Placement granted",
+	EventPlacementRefused:   "Placement refused",
+	EventKeeperUnreachable:  "Keeper unreachable",
+	EventEngineUnreachable:  "Engine unreachable",
+	EventAttemptFailed:      "Attempt failed",
+	EventAttemptSwept:       "Attempt swept",
+	EventCancelSent:         "Cancel sent",
+	EventCancelConfirmed:    "Cancel confirmed",
+	EventServiceRouted:      "Service routed",
+	EventClaimTaken:         "Claim taken",
+	EventClaimAnswered:      "Claim answered",
+	EventClaimSealed:        "Claim sealed",
+	EventClaimUnknown:       "Claim unknown",
+	EventDeferrableAccepted: "Deferrable accepted",
+	EventDeferrableLeased:   "Deferrable leased",
+	EventDeferrableAnswered: "Deferrable answered",
+	EventDeferrableLost:     "Deferrable lost",
+	EventDocumentApplied:    "Document applied",
+	EventDocumentRejected:   "Document rejected",
+	EventDocumentUnreadable: "Document unreadable",
+	EventPeerLive:           "Peer live",
+	EventPeerLost:           "Peer lost",
+	EventVMListUnreadable:   "VM list unreadable",
+	EventVMLeaving:          "VM leaving",
+	EventStoreUnavailable:   "Store unavailable",
+}
+
+// String returns the event's message.
+func (e EventID) String() string { return eventNames[e] }
+
+// EventIDs returns all event numbers with their messages, for the catalogue's check.
+func EventIDs() map[EventID]string {
+	all := make(map[EventID]string, len(eventNames))
+	for id, name := range eventNames {
+		all[id] = name
+	}
+	return all
+}
--- /dev/null
+++ b/internal/delivery/twengine/engine.go
@@ -0,0 +1,235 @@
+// Package twengine is the client of the model engines' HTTP interface.
+package twengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// Limits of the calls to engines.
+const (
+	// prefillTimeout is above the longest prompt's compute time and queue.
+	prefillTimeout = 30 * time.Second
+	controlTimeout = time.Second
+	maxReplyBytes  = 8 << 20
+	idleConns      = 64
+	idleTimeout    = 10 * time.Second
+)
+
+// Engines implements turmericwall.Engines.
+type Engines struct {
+	// pooled keeps connections; fresh opens one for each call.
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+// New returns the clients of all engines.
+func New() *Engines {
+	pooled := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout}
+	fresh := &http.Transport{DisableKeepAlives: true}
+	return &Engines{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+}
+
+// Engine returns the client of the engine at the address.
+func (c *Engines) Engine(address string) turmericwall.Engine {
+	return &engine{address: address, clients: c}
+}
+
+type engine struct {
+	address string
+	clients *Engines
+}
+
+type completionRequest struct {
+	Model         string          `json:"model"`
+	Prompt        string          `json:"prompt"`
+	MaxTokens     int             `json:"max_tokens"`
+	Stream        bool            `json:"stream"`
+	StreamOptions *streamOptions  `json:"stream_options,omitempty"`
+	Priority      int             `json:"priority"`
+	Transfer      *transferParams `json:"kv_transfer_params,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage    bool `json:"include_usage"`
+	ContinuousUsage bool `json:"continuous_usage_stats"`
+}
+
+// transferParams is the engines' published way to name an export.
+type transferParams struct {
+	RemoteDecode  bool `json:"do_remote_decode"`
+	RemotePrefill bool `json:"do_remote_prefill"`
+	turmericwall.Export
+}
+
+type prefillReply struct {
+	Transfer transferParams `json:"kv_transfer_params"`
+}
+
+// Prefill computes and exports the prompt's KV cache.
+func (e *engine) Prefill(ctx context.Context, call turmericwall.EngineCall) (turmericwall.Export, error) {
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	body := completionRequest{
+		Model: call.Model, Prompt: call.Prompt, MaxTokens: 1, Priority: call.Priority,
+		Transfer: &transferParams{RemoteDecode: true},
+	}
+	response, err := e.complete(ctx, call.Attempt, body)
+	if err != nil {
+		return turmericwall.Export{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var reply prefillReply
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
+		return turmericwall.Export{}, e.failed(turmericwall.EngineUnreachable, err)
+	}
+	return reply.Transfer.Export, nil
+}
+
+// Decode imports the export and streams the answer.
+func (e *engine) Decode(ctx context.Context, call turmericwall.EngineCall, export turmericwall.Export, sink func(turmericwall.Chunk) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := newWatch(cancel)
+	defer watch.stop()
+	body := completionRequest{
+		Model: call.Model, Prompt: call.Prompt, MaxTokens: call.MaxTokens, Priority: call.Priority, Stream: true,
+		StreamOptions: &streamOptions{IncludeUsage: true, ContinuousUsage: true},
+		Transfer:      &transferParams{RemotePrefill: true, Export: export},
+	}
+	response, err := e.complete(ctx, call.Attempt, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := readChunks(response.Body, watch, sink); err != nil {
+		if sinkFailed(err) {
+			return err
+		}
+		return e.failed(turmericwall.EngineUnreachable, err)
+	}
+	return nil
+}
+
+// Cancel frees what the engine holds for the attempt.
+func (e *engine) Cancel(ctx context.Context, attempt string) error {
+	response, err := e.control(ctx, e.clients.fresh, http.MethodDelete, "/v1/requests?id="+url.QueryEscape(attempt))
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Report returns the engine's last load report.
+func (e *engine) Report(ctx context.Context, fresh bool) (turmericwall.Report, error) {
+	client := e.clients.pooled
+	if fresh {
+		client = e.clients.fresh
+	}
+	var report turmericwall.Report
+	return report, e.read(ctx, client, "/load", &report)
+}
+
+// Events returns the cache events after the sequence number.
+func (e *engine) Events(ctx context.Context, after uint64) (turmericwall.CacheEvents, error) {
+	var events turmericwall.CacheEvents
+	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
+	return events, e.read(ctx, e.clients.pooled, path, &events)
+}
+
+// complete sends a completion call. The body can't be read twice: the transport must not send a call
+// again by itself, since the engine might then hold memory for it twice.
+func (e *engine) complete(ctx context.Context, attempt string, body completionRequest) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode the call of engine %s: %w", e.address, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url("/v1/completions"), io.NopCloser(bytes.NewReader(encoded)))
+	if err != nil {
+		return nil, fmt.Errorf("build the call of engine %s: %w", e.address, err)
+	}
+	request.ContentLength = int64(len(encoded))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", attempt)
+	response, err := e.clients.pooled.Do(request)
+	if err != nil {
+		return nil, e.failed(turmericwall.EngineUnreachable, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, e.failed(reasonOf(response.StatusCode), fmt.Errorf("status %d", response.StatusCode))
+	}
+	return response, nil
+}
+
+func (e *engine) read(ctx context.Context, client *http.Client, path string, target any) error {
+	response, err := e.control(ctx, client, http.MethodGet, path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(target); err != nil {
+		return e.failed(turmericwall.EngineUnreachable, err)
+	}
+	return nil
+}
+
+// control reads the whole answer within its timeout.
+func (e *engine) control(ctx context.Context, client *http.Client, method, path string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, e.url(path), http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("build the call of engine %s: %w", e.address, err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, e.failed(turmericwall.EngineUnreachable, err)
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	_ = response.Body.Close()
+	if err != nil {
+		return nil, e.failed(turmericwall.EngineUnreachable, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+		return nil, e.failed(reasonOf(response.StatusCode), fmt.Errorf("status %d", response.StatusCode))
+	}
+	response.Body = io.NopCloser(bytes.NewReader(content))
+	return response, nil
+}
+
+func (e *engine) url(path string) string { return "http://" + e.address + path }
+
+func (e *engine) failed(reason turmericwall.EngineReason, cause error) error {
+	return turmericwall.NewEngineError(e.address, reason, cause)
+}
+
+func reasonOf(status int) turmericwall.EngineReason {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return turmericwall.EngineFull
+	case http.StatusGone:
+		return turmericwall.EngineExportGone
+	case http.StatusFailedDependency:
+		return turmericwall.EngineTransferFailed
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return turmericwall.EngineUnreachable
+	default:
+		return turmericwall.EngineRefused
+	}
+}
+
+func sinkFailed(err error) bool {
+	var s *sinkError
+	return errors.As(err, &s)
+}
--- /dev/null
+++ b/internal/membership/twpeer/codec.go
@@ -0,0 +1,131 @@
+package twpeer
+
+import (
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// Deadlines cross the wire as what is left of them, since the clocks of two VMs are never compared.
+
+// EncodeArrival returns the arrival's message.
+func EncodeArrival(now time.Time, a turmericwall.Arrival) *PlaceRequest {
+	return &PlaceRequest{
+		Attempt:          a.Attempt,
+		Service:          a.Service,
+		Model:            a.Model,
+		Account:          a.Account,
+		Work:             a.Work,
+		Urgent:           a.Urgent,
+		Worth:            a.Worth,
+		TokenGapMillis:   a.TokenGapMillis,
+		PromptTokens:     int32(a.PromptTokens),
+		MaxTokens:        int32(a.MaxTokens),
+		Blocks:           a.Blocks,
+		FirstTokenMicros: remaining(now, a.FirstTokenDeadline),
+		GiveUpMicros:     remaining(now, a.GiveUpDeadline),
+		Resumed:          a.Resumed,
+		Prefilled:        a.Prefilled,
+		Avoid:            a.Avoid,
+	}
+}
+
+// DecodeArrival returns the message's arrival.
+func DecodeArrival(now time.Time, m *PlaceRequest) turmericwall.Arrival {
+	return turmericwall.Arrival{
+		Attempt:            m.GetAttempt(),
+		Service:            m.GetService(),
+		Model:              m.GetModel(),
+		Account:            m.GetAccount(),
+		Work:               m.GetWork(),
+		Urgent:             m.GetUrgent(),
+		Worth:              m.GetWorth(),
+		TokenGapMillis:     m.GetTokenGapMillis(),
+		PromptTokens:       int(m.GetPromptTokens()),
+		MaxTokens:          int(m.GetMaxTokens()),
+		Blocks:             m.GetBlocks(),
+		FirstTokenDeadline: deadline(now, m.GetFirstTokenMicros()),
+		GiveUpDeadline:     deadline(now, m.GetGiveUpMicros()),
+		Resumed:            m.GetResumed(),
+		Prefilled:          m.GetPrefilled(),
+		Avoid:              m.GetAvoid(),
+	}
+}
+
+// EncodeGrant returns the grant's message.
+func EncodeGrant(now time.Time, g turmericwall.Grant) *PlaceReply {
+	return &PlaceReply{
+		Granted:          true,
+		Prefill:          encodeVM(g.Prefill),
+		Decode:           encodeVM(g.Decode),
+		ReservedMicros:   remaining(now, g.ReservedUntil),
+		CachedTokens:     int32(g.CachedTokens),
+		FirstTokenMicros: remaining(now, g.FirstToken),
+		Reason:           g.Reason,
+		Considered:       int32(g.Considered),
+	}
+}
+
+// EncodeRefusal returns the refusal's message.
+func EncodeRefusal(now time.Time, p *turmericwall.Problem) *PlaceReply {
+	return &PlaceReply{Reason: p.Detail(), RetryMicros: remaining(now, p.RetryAt())}
+}
+
+// DecodeGrant returns the message's grant, or the refusal as a problem.
+func DecodeGrant(now time.Time, attempt string, m *PlaceReply) (turmericwall.Grant, error) {
+	if !m.GetGranted() {
+		return turmericwall.Grant{}, turmericwall.NewProblem(turmericwall.KindOverloaded, m.GetReason(),
+			"come back at the time given").WithRetryAt(deadline(now, m.GetRetryMicros()))
+	}
+	return turmericwall.Grant{
+		Attempt:       attempt,
+		Prefill:       decodeVM(m.GetPrefill()),
+		Decode:        decodeVM(m.GetDecode()),
+		ReservedUntil: deadline(now, m.GetReservedMicros()),
+		CachedTokens:  int(m.GetCachedTokens()),
+		FirstToken:    deadline(now, m.GetFirstTokenMicros()),
+		Reason:        m.GetReason(),
+		Considered:    int(m.GetConsidered()),
+	}, nil
+}
+
+// EncodeEndings returns the endings' message.
+func EncodeEndings(endings []turmericwall.Ending) *FinishRequest {
+	m := &FinishRequest{}
+	for _, e := range endings {
+		m.Endings = append(m.Endings, &Ending{Service: e.Service, Attempt: e.Attempt, FailedEngine: e.FailedEngine})
+	}
+	return m
+}
+
+// DecodeEndings returns the message's endings.
+func DecodeEndings(m *FinishRequest) []turmericwall.Ending {
+	endings := make([]turmericwall.Ending, 0, len(m.GetEndings()))
+	for _, e := range m.GetEndings() {
+		endings = append(endings, turmericwall.Ending{Service: e.GetService(), Attempt: e.GetAttempt(), FailedEngine: e.GetFailedEngine()})
+	}
+	return endings
+}
+
+func encodeVM(vm turmericwall.VM) *Placement {
+	return &Placement{Name: vm.Name, Address: vm.Address, Zone: vm.Zone}
+}
+
+func decodeVM(m *Placement) turmericwall.VM {
+	return turmericwall.VM{Name: m.GetName(), Address: m.GetAddress(), Zone: m.GetZone()}
+}
+
+// remaining is at least one microsecond for a set deadline, since 0 stands for none.
+func remaining(now, deadline time.Time) int64 {
+	if deadline.IsZero() {
+		return 0
+	}
+	return max(1, deadline.Sub(now).Microseconds())
+}
+
+func deadline(now time.Time, micros int64) time.Time {
+	if micros == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(micros) * time.Microsecond)
+}
--- /dev/null
+++ b/internal/placement/twscheduler/dispatch.go
@@ -0,0 +1,305 @@
+package twscheduler
+
+import (
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// verdict is what became of one attempt to place an entry.
+type verdict int
+
+const (
+	verdictPlaced verdict = iota
+	// verdictWait means that no decode place is free now.
+	verdictWait
+	// verdictHopeless means that the deadline can't be met.
+	verdictHopeless
+)
+
+// pair is the best placement found for an arrival.
+type pair struct {
+	prefill    *engine
+	decode     *engine
+	cached     int
+	compute    time.Duration
+	prefillEnd time.Time
+	firstToken time.Time
+	considered int
+	// soonest is when the earliest decode place is expected to be free, if none is free now.
+	soonest time.Time
+}
+
+// dispatch places what it can, the most worthy kinds first.
+func (s *Scheduler) dispatch(now time.Time) {
+	s.serve(now, s.resumed)
+	for {
+		q := s.nextUrgent()
+		if q == nil || !s.serveHead(now, q) {
+			break
+		}
+	}
+	s.giveUp(now)
+	for _, q := range s.queues {
+		if !q.urgent {
+			s.serve(now, q)
+		}
+	}
+}
+
+func (s *Scheduler) serve(now time.Time, q *queue) {
+	for len(q.entries) > 0 && s.serveHead(now, q) {
+		continue
+	}
+}
+
+// nextUrgent returns the urgent kind whose turn it is.
+func (s *Scheduler) nextUrgent() *queue {
+	var next *queue
+	for _, q := range s.queues {
+		if q.urgent && len(q.entries) > 0 && (next == nil || q.virtual < next.virtual) {
+			next = q
+		}
+	}
+	return next
+}
+
+// serveHead places or refuses the head; it returns false when the head has to wait.
+func (s *Scheduler) serveHead(now time.Time, q *queue) bool {
+	a := q.head().arrival
+	best, v := s.place(now, a)
+	switch v {
+	case verdictPlaced:
+		q.pop()
+		q.virtual += s.cost(best, a) / s.weight(best, a)
+		s.grant(now, a, best)
+		return true
+	case verdictHopeless:
+		q.pop()
+		s.refuse(now, a, "the first token can't be met")
+		return true
+	default:
+		return false
+	}
+}
+
+// giveUp refuses at once what can no longer make its deadline, though it still waits for a place.
+func (s *Scheduler) giveUp(now time.Time) {
+	for _, w := range s.resumed.remove(func(w *entry) bool { return overdue(now, w) }) {
+		s.refuse(now, w.arrival, "no decode place became free in time")
+	}
+	for _, q := range s.queues {
+		for _, w := range q.remove(func(w *entry) bool { return overdue(now, w) || tooLate(now, w) }) {
+			s.refuse(now, w.arrival, "no decode place became free in time")
+		}
+	}
+}
+
+func overdue(now time.Time, w *entry) bool {
+	return !w.arrival.GiveUpDeadline.IsZero() && now.After(w.arrival.GiveUpDeadline)
+}
+
+// tooLate tells that even an immediate place would miss the first token.
+func tooLate(now time.Time, w *entry) bool {
+	return !w.latestStart.IsZero() && now.After(w.latestStart)
+}
+
+// place looks for a pair: the prefill engine that is done first, then the decode engine that is the
+// least loaded among those with a free place and reachable in time.
+func (s *Scheduler) place(now time.Time, a turmericwall.Arrival) (pair, verdict) {
+	best, ok := s.bestPrefill(now, a)
+	if !ok {
+		return best, s.unplaced(a)
+	}
+	if !a.Urgent && !a.Resumed && !s.room(now, best) {
+		return best, verdictWait
+	}
+	if !s.bestDecode(now, a, &best) {
+		return best, s.waitOrNot(now, a, best)
+	}
+	if misses(a, best.firstToken) {
+		return best, verdictHopeless
+	}
+	return best, verdictPlaced
+}
+
+// unplaced decides on an arrival for which no engine is usable. An engine that was just listed and gave
+// no report yet may be usable in a moment: a keeper that starts must not refuse what it could serve.
+func (s *Scheduler) unplaced(a turmericwall.Arrival) verdict {
+	if !a.Urgent || a.Resumed {
+		return verdictWait
+	}
+	for _, e := range s.order {
+		if e.reportTaken.IsZero() {
+			return verdictWait
+		}
+	}
+	return verdictHopeless
+}
+
+// waitOrNot refuses at once an urgent arrival for which no place is expected in time.
+func (s *Scheduler) waitOrNot(now time.Time, a turmericwall.Arrival, best pair) verdict {
+	if best.soonest.IsZero() {
+		return s.unplaced(a)
+	}
+	wait := max(0, best.soonest.Sub(now))
+	if misses(a, best.prefillEnd.Add(wait)) {
+		return verdictHopeless
+	}
+	return verdictWait
+}
+
+func misses(a turmericwall.Arrival, firstToken time.Time) bool {
+	return !a.Resumed && !a.FirstTokenDeadline.IsZero() && firstToken.After(a.FirstTokenDeadline)
+}
+
+func (s *Scheduler) bestPrefill(now time.Time, a turmericwall.Arrival) (pair, bool) {
+	if held, ok := s.engines[a.Prefilled]; ok {
+		return pair{prefill: held, cached: a.PromptTokens, prefillEnd: now, considered: 1}, true
+	}
+	var best pair
+	for i := range s.order {
+		e := s.order[(i+s.turn)%len(s.order)]
+		if !e.usable(now, turmericwall.RolePrefill, a.Model) || avoided(a, e) {
+			continue
+		}
+		best.considered++
+		cached := min(e.cachedTokens(now, a.Blocks, s.blockTokens), a.PromptTokens-1)
+		compute := e.prefillTime(a.PromptTokens - cached)
+		end := later(e.busyUntil(a.Urgent), now).Add(compute)
+		if best.prefill == nil || end.Before(best.prefillEnd) {
+			best.prefill, best.cached, best.compute, best.prefillEnd = e, cached, compute, end
+		}
+	}
+	return best, best.prefill != nil
+}
+
+// bestDecode fills in the decode engine; it returns false when no place is free.
+func (s *Scheduler) bestDecode(now time.Time, a turmericwall.Arrival, best *pair) bool {
+	pieces := piecesOf(a.PromptTokens + a.MaxTokens)
+	var bestScore time.Duration
+	for i := range s.order {
+		e := s.order[(i+s.turn)%len(s.order)]
+		if !e.usable(now, turmericwall.RoleDecode, a.Model) || avoided(a, e) {
+			continue
+		}
+		best.considered++
+		if !e.hasPlace(a.TokenGapMillis, pieces) {
+			best.soonest = earlier(best.soonest, e.nextEnd)
+			continue
+		}
+		l := s.links[zonePair{best.prefill.vm.Zone, e.vm.Zone}]
+		arrived := l.transferEnd(best.prefillEnd, a.PromptTokens)
+		score := arrived.Sub(now) + l.cost() + e.step(e.used+1)*decodeWeight
+		if best.decode == nil || score < bestScore {
+			best.decode, bestScore = e, score
+			best.firstToken = arrived.Add(e.step(e.used + 1))
+		}
+	}
+	return best.decode != nil
+}
+
+// decodeWeight weighs a slower step against a slower first token: each token pays the step.
+const decodeWeight = 4
+
+func (e *engine) hasPlace(tokenGapMillis float64, pieces int) bool {
+	return e.used < e.slotLimit(tokenGapMillis) && e.pieces+pieces <= e.report.Pieces
+}
+
+// room tells whether work that may wait leaves enough to urgent work: it gives way before its prefill
+// starts, since stopping it afterwards would throw the prefill away.
+func (s *Scheduler) room(now time.Time, best pair) bool {
+	if best.prefill.busyUntil(false).Sub(now) > deferrableQueue {
+		return false
+	}
+	free, all := 0, 0
+	for _, e := range s.order {
+		if e.report.Role == turmericwall.RoleDecode && now.Before(e.silentDeadline) {
+			all += e.report.Slots
+			free += max(0, e.report.Slots-e.used)
+		}
+	}
+	return float64(free) > deferrableHeadroom*float64(all)
+}
+
+func (s *Scheduler) grant(now time.Time, a turmericwall.Arrival, p pair) {
+	s.turn++
+	decodeTime := p.decode.step(p.decode.report.Slots) * time.Duration(a.MaxTokens)
+	p.prefill.placePrefill(now, p.compute, a.Urgent)
+	p.prefill.remember(a.Blocks)
+	s.links[zonePair{p.prefill.vm.Zone, p.decode.vm.Zone}].book(p.firstToken)
+	reserved := p.firstToken.Add(reservationSlack)
+	p.decode.occupy(&occupant{
+		attempt: a.Attempt,
+		pieces:  piecesOf(a.PromptTokens + a.MaxTokens),
+		end:     p.firstToken.Add(decodeTime),
+		expires: reserved,
+	})
+	s.act(turmericwall.Grant{
+		Attempt:       a.Attempt,
+		Prefill:       p.prefill.vm,
+		Decode:        p.decode.vm,
+		ReservedUntil: reserved,
+		CachedTokens:  p.cached,
+		FirstToken:    p.firstToken,
+		Reason:        reason(p),
+		Considered:    p.considered,
+	})
+}
+
+func reason(p pair) string {
+	if p.cached > 0 {
+		return "prefix held, done first; decode least loaded"
+	}
+	return "done first; decode least loaded"
+}
+
+// refuse answers at once, with the time at which the backlog is expected to leave room.
+func (s *Scheduler) refuse(now time.Time, a turmericwall.Arrival, why string) {
+	s.act(turmericwall.Refusal{Attempt: a.Attempt, Reason: why, RetryAt: now.Add(s.retryAfter(now, a))})
+}
+
+// retryAfter is the time in which as many places become free as arrivals wait, and one more: each of
+// the pool's places turns over once in the mean time that an attempt holds it.
+func (s *Scheduler) retryAfter(now time.Time, a turmericwall.Arrival) time.Duration {
+	places, hold := 0, time.Duration(0)
+	for _, e := range s.order {
+		if e.usable(now, turmericwall.RoleDecode, a.Model) {
+			places += e.report.Slots
+			hold = e.step(e.report.Slots) * time.Duration(a.MaxTokens)
+		}
+	}
+	if places == 0 {
+		return silentAfter
+	}
+	return min(maxRetry, max(minRetry, hold*time.Duration(s.Waiting()+1)/time.Duration(places)))
+}
+
+// cost is the slot time that an attempt takes, in seconds.
+func (s *Scheduler) cost(p pair, a turmericwall.Arrival) float64 {
+	step := p.decode.step(p.decode.report.Slots).Seconds()
+	return step*float64(a.MaxTokens) + p.compute.Seconds()
+}
+
+// weight is the worth of a second of slot time.
+func (s *Scheduler) weight(p pair, a turmericwall.Arrival) float64 {
+	return max(a.Worth, minWorth) / s.cost(p, a)
+}
+
+const minWorth = 0.001
+
+func avoided(a turmericwall.Arrival, e *engine) bool {
+	for _, name := range a.Avoid {
+		if name == e.vm.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/placement/twscheduler/scheduler.go
@@ -0,0 +1,296 @@
+// Package twscheduler decides where prefill and decode run for one service's engines.
+package twscheduler
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// Times of the decisions.
+const (
+	// reservationSlack is how much later than expected an attempt may show up in the engine's report.
+	reservationSlack = 3 * time.Second
+	// releasedFor is how long a finished attempt may still stand in lagging reports.
+	releasedFor = 2 * time.Second
+	// sweepGrace is above the reports' lag: an attempt just granted elsewhere is not looked into.
+	sweepGrace = 3 * time.Second
+	sweepAgain = 5 * time.Second
+	// maxEjectedShare caps how much of the pool failures may take out.
+	maxEjectedShare = 1.0 / 3
+	// deferrableHeadroom is the share of decode places that only urgent work may take.
+	deferrableHeadroom = 0.15
+	// deferrableQueue is how long a prefill queue may be for work that may wait to join it.
+	deferrableQueue  = 100 * time.Millisecond
+	maxReleased      = 1 << 16
+	bytesPerMegabyte = 1e6
+	minRetry         = 250 * time.Millisecond
+	maxRetry         = 30 * time.Second
+)
+
+// Scheduler implements turmericwall.Policy: it reserves a decode place before it starts a prefill.
+//
+// An exported prefill is evicted in under a second and a decode engine is nearly full at the peak; a
+// prefill started without a place is likely to be thrown away.
+type Scheduler struct {
+	blockTokens int
+	links       map[zonePair]*link
+	engines     map[string]*engine
+	order       []*engine
+	queues      []*queue
+	resumed     *queue
+	released    map[string]time.Time
+	turn        int
+	actions     []turmericwall.Action
+}
+
+// Config is what a scheduler knows beforehand.
+type Config struct {
+	// BlockTokens is the number of tokens in one block of an arrival's hashes.
+	BlockTokens int
+}
+
+// New returns a scheduler that knows no engines.
+func New(config Config) *Scheduler {
+	return &Scheduler{
+		blockTokens: config.BlockTokens,
+		links:       make(map[zonePair]*link),
+		engines:     make(map[string]*engine),
+		resumed:     &queue{work: "resumed", urgent: true},
+		released:    make(map[string]time.Time),
+	}
+}
+
+// Step takes one event in and returns what follows from it. The actions are valid until the next step.
+func (s *Scheduler) Step(now time.Time, event turmericwall.Event) []turmericwall.Action {
+	s.actions = s.actions[:0]
+	switch e := event.(type) {
+	case turmericwall.Arrival:
+		s.arrive(now, e)
+	case turmericwall.Finished:
+		s.finish(now, e.Ending)
+	case turmericwall.Reported:
+		s.reported(now, e)
+	case turmericwall.Cached:
+		if known, ok := s.engines[e.Engine]; ok {
+			known.learn(now, e.Events)
+		}
+	case turmericwall.Listed:
+		s.list(e.VMs)
+		s.link(e.Links)
+	case turmericwall.OwnerLost:
+		s.ownerLost(now, e.Incarnation)
+	case turmericwall.Withdrawn:
+		s.withdraw(e.Attempt)
+	case turmericwall.Tick:
+		s.tick(now)
+	}
+	s.dispatch(now)
+	return s.actions
+}
+
+// Waiting counts the arrivals that wait.
+func (s *Scheduler) Waiting() int {
+	waiting := len(s.resumed.entries)
+	for _, q := range s.queues {
+		waiting += len(q.entries)
+	}
+	return waiting
+}
+
+func (s *Scheduler) act(a turmericwall.Action) { s.actions = append(s.actions, a) }
+
+func (s *Scheduler) arrive(now time.Time, a turmericwall.Arrival) {
+	q := s.queueOf(a)
+	if len(q.entries) >= maxQueue {
+		s.refuse(now, a, "the queue is full")
+		return
+	}
+	if len(q.entries) == 0 {
+		q.virtual = max(q.virtual, s.lowestVirtual())
+	}
+	q.push(&entry{arrival: a, latestStart: s.latestStart(now, a)})
+}
+
+func (s *Scheduler) latestStart(now time.Time, a turmericwall.Arrival) time.Time {
+	if a.FirstTokenDeadline.IsZero() || a.Resumed {
+		return time.Time{}
+	}
+	best, _ := s.bestPrefill(now, a)
+	return a.FirstTokenDeadline.Add(-best.compute)
+}
+
+func (s *Scheduler) queueOf(a turmericwall.Arrival) *queue {
+	if a.Resumed {
+		return s.resumed
+	}
+	at := sort.Search(len(s.queues), func(i int) bool { return s.queues[i].work >= a.Work })
+	if at < len(s.queues) && s.queues[at].work == a.Work {
+		return s.queues[at]
+	}
+	q := &queue{work: a.Work, urgent: a.Urgent, virtual: s.lowestVirtual()}
+	s.queues = append(s.queues, nil)
+	copy(s.queues[at+1:], s.queues[at:])
+	s.queues[at] = q
+	return q
+}
+
+func (s *Scheduler) lowestVirtual() float64 {
+	lowest, found := 0.0, false
+	for _, q := range s.queues {
+		if len(q.entries) > 0 && (!found || q.virtual < lowest) {
+			lowest, found = q.virtual, true
+		}
+	}
+	return lowest
+}
+
+func (s *Scheduler) finish(now time.Time, ending turmericwall.Ending) {
+	s.withdraw(ending.Attempt)
+	for _, e := range s.order {
+		e.vacate(ending.Attempt)
+	}
+	if len(s.released) < maxReleased {
+		s.released[ending.Attempt] = now.Add(releasedFor)
+	}
+	if failed, ok := s.engines[ending.FailedEngine]; ok && s.mayEject() {
+		failed.fail(now)
+	}
+}
+
+// mayEject keeps failures of something shared, such as a link, from taking the whole pool out.
+func (s *Scheduler) mayEject() bool {
+	ejected := 0
+	for _, e := range s.order {
+		if e.failures > 0 {
+			ejected++
+		}
+	}
+	return float64(ejected+1) <= maxEjectedShare*float64(len(s.order))
+}
+
+func (s *Scheduler) list(vms []turmericwall.VM) {
+	for _, e := range s.order {
+		e.listed = false
+	}
+	for _, vm := range vms {
+		e, ok := s.engines[vm.Name]
+		if !ok || e.vm.Address != vm.Address {
+			e = newEngine(vm)
+			s.engines[vm.Name] = e
+		}
+		e.vm = vm
+		e.listed = true
+	}
+	s.order = s.order[:0]
+	for name, e := range s.engines {
+		if !e.listed {
+			delete(s.engines, name)
+			continue
+		}
+		s.order = append(s.order, e)
+	}
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].vm.Name < s.order[j].vm.Name })
+}
+
+// link takes the declared links in; a known one keeps its bookings.
+func (s *Scheduler) link(declared []turmericwall.Link) {
+	known := s.links
+	s.links = make(map[zonePair]*link, 2*len(declared))
+	for _, d := range declared {
+		l, ok := known[zonePair{d.From, d.To}]
+		if !ok {
+			l = &link{}
+		}
+		l.bytesPerSecond, l.costMillis = d.MegabytesPerSecond*bytesPerMegabyte, d.Cost
+		s.links[zonePair{d.From, d.To}] = l
+		s.links[zonePair{d.To, d.From}] = l
+	}
+}
+
+func (s *Scheduler) reported(now time.Time, event turmericwall.Reported) {
+	e, ok := s.engines[event.VM.Name]
+	taken := now.Add(-time.Duration(event.Report.AgeMillis) * time.Millisecond)
+	if !ok || taken.Before(e.reportTaken) {
+		return
+	}
+	e.report, e.reportTaken = event.Report, taken
+	e.silentDeadline = now.Add(silentAfter)
+	e.recover(taken)
+	e.rebase(taken)
+	s.reconcile(now, e, taken)
+}
+
+// reconcile holds the engine's list of attempts against the occupants known here.
+func (s *Scheduler) reconcile(now time.Time, e *engine, taken time.Time) {
+	listed := make(map[string]bool, len(e.report.Attempts))
+	for _, attempt := range e.report.Attempts {
+		listed[attempt] = true
+		s.sight(now, e, taken, attempt)
+	}
+	for attempt, o := range e.occupants {
+		if o.reported && !listed[attempt] {
+			e.vacate(attempt)
+		}
+	}
+	e.expire(now)
+}
+
+func (s *Scheduler) sight(now time.Time, e *engine, taken time.Time, attempt string) {
+	if until, ok := s.released[attempt]; ok && taken.Before(until) {
+		return
+	}
+	o, ok := e.occupants[attempt]
+	if !ok {
+		o = &occupant{attempt: attempt, pieces: 1, foreign: true, sweepAt: now.Add(sweepGrace), end: now.Add(sweepGrace)}
+		e.occupy(o)
+	}
+	o.reported = true
+	if o.foreign && !now.Before(o.sweepAt) {
+		o.sweepAt = now.Add(sweepAgain)
+		s.act(turmericwall.Sweep{VM: e.vm, Attempt: attempt})
+	}
+}
+
+// ownerLost frees what the lost daemon reserved; what engines hold for it is looked into at once.
+func (s *Scheduler) ownerLost(now time.Time, incarnation string) {
+	prefix := incarnation + "/"
+	for _, e := range s.order {
+		for attempt, o := range e.occupants {
+			if !strings.HasPrefix(attempt, prefix) {
+				continue
+			}
+			if !o.reported {
+				e.vacate(attempt)
+				continue
+			}
+			o.foreign, o.sweepAt = true, now
+		}
+	}
+	owned := func(w *entry) bool { return strings.HasPrefix(w.arrival.Attempt, prefix) }
+	s.resumed.remove(owned)
+	for _, q := range s.queues {
+		q.remove(owned)
+	}
+}
+
+func (s *Scheduler) withdraw(attempt string) {
+	same := func(w *entry) bool { return w.arrival.Attempt == attempt }
+	s.resumed.remove(same)
+	for _, q := range s.queues {
+		q.remove(same)
+	}
+}
+
+func (s *Scheduler) tick(now time.Time) {
+	for _, e := range s.order {
+		e.expire(now)
+	}
+	for attempt, until := range s.released {
+		if now.After(until.Add(sweepGrace)) {
+			delete(s.released, attempt)
+		}
+	}
+}
--- /dev/null
+++ b/turmericwalld/main.go
@@ -0,0 +1,12 @@
+// Command turmericwalld is the router's daemon: one runs on each entry VM.
+package main
+
+import (
+	"os"
+
+	"github.com/turmericwall/turmericwall/turmericwalld/internal/twcommand"
+)
+
+func main() {
+	os.Exit(twcommand.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/turmericwallstand/e2e/suite_test.go
@@ -0,0 +1,32 @@
+// Package e2e_test runs the programs as separate processes on loopback.
+package e2e_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "separate processes")
+}
+
+var daemonProgram, standProgram string
+
+var _ = SynchronizedBeforeSuite(func() []byte {
+	daemon, err := gexec.Build("github.com/turmericwall/turmericwall/turmericwalld")
+	Expect(err).NotTo(HaveOccurred())
+	stand, err := gexec.Build("github.com/turmericwall/turmericwall/turmericwallstand")
+	Expect(err).NotTo(HaveOccurred())
+	return []byte(daemon + "\n" + stand)
+}, func(paths []byte) {
+	SetDefaultEventuallyTimeout(20 * time.Second)
+	SetDefaultEventuallyPollingInterval(50 * time.Millisecond)
+	daemonProgram, standProgram = splitPaths(paths)
+})
+
+var _ = SynchronizedAfterSuite(func() {}, gexec.CleanupBuildArtifacts)
--- /dev/null
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -0,0 +1,139 @@
+// Package twcommand is the command line of the stand-ins and the load tool.
+package twcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twdemo"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twplatformstand"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twservicestand"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Commands is the command line's grammar.
+type Commands struct {
+	Demo     demo     `cmd:"" help:"Run a whole site in this process and show one request of each kind."`
+	Platform platform `cmd:"" help:"Stand in for the platform's table, object store and VM list."`
+	Engine   engine   `cmd:"" help:"Stand in for a model engine."`
+	Service  service  `cmd:"" help:"Stand in for a plain service."`
+}
+
+type streams struct{ out io.Writer }
+
+// Run runs the command line and returns the exit code.
+func Run(arguments []string, out, errOut io.Writer) int {
+	var commands Commands
+	exited := -1
+	parser, err := kong.New(&commands,
+		kong.Name("turmericwallstand"),
+		kong.Description("Stand-ins, load and measurement for turmericwall. Exit codes: 0 done, 1 failed, 2 wrong flags."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		return fail(errOut, err, exitFailed)
+	}
+	parsed, err := parser.Parse(arguments)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		return fail(errOut, err, exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(&streams{out: out}); err != nil {
+		return fail(errOut, err, exitFailed)
+	}
+	return exitOK
+}
+
+func fail(out io.Writer, err error, code int) int {
+	_, _ = fmt.Fprintln(out, "turmericwallstand:", err)
+	return code
+}
+
+type demo struct {
+	Once    bool   `help:"End after the demonstration instead of waiting for more calls."`
+	Example string `enum:"arriola,sonnenmatt" default:"arriola" help:"Deployment to show."`
+}
+
+// Run shows a whole site.
+func (d *demo) Run(ctx context.Context, s *streams) error {
+	return twdemo.New(twdemo.Config{Example: d.Example, Once: d.Once, Output: s.out}).Run(ctx)
+}
+
+type platform struct {
+	Listen string `default:"127.0.0.1:0" help:"IP:port to listen on."`
+}
+
+// Run serves a platform.
+func (p *platform) Run(ctx context.Context, s *streams) error {
+	return serve(ctx, s, p.Listen, twplatformstand.New())
+}
+
+type service struct {
+	Listen string `default:"127.0.0.1:0" help:"IP:port to listen on."`
+	Name   string `required:"" help:"Name of the VM."`
+}
+
+// Run serves a plain service.
+func (p *service) Run(ctx context.Context, s *streams) error {
+	return serve(ctx, s, p.Listen, twservicestand.New(p.Name))
+}
+
+type engine struct {
+	Listen      string   `default:"127.0.0.1:0" help:"IP:port to listen on."`
+	Name        string   `required:"" help:"Name of the VM."`
+	Role        string   `required:"" enum:"prefill,decode" help:"Role of the engine."`
+	Models      []string `required:"" help:"Models that the engine runs."`
+	Slots       int      `help:"Attempts that decode at a time (20)."`
+	Pieces      int      `help:"Memory in units of 4,096 tokens (64)."`
+	PrefillRate float64  `help:"Prompt tokens a second (10,000)."`
+	StepMillis  float64  `help:"Time between tokens of one attempt alone, in milliseconds (25)."`
+}
+
+// Run serves an engine.
+func (e *engine) Run(ctx context.Context, s *streams) error {
+	return serve(ctx, s, e.Listen, twenginestand.New(twenginestand.Config{
+		Name: e.Name, Role: turmericwall.Role(e.Role), Models: e.Models, Slots: e.Slots, Pieces: e.Pieces,
+		PrefillRate: e.PrefillRate, StepMillis: e.StepMillis,
+	}))
+}
+
+type server interface {
+	Serve(ctx context.Context, listener net.Listener) error
+}
+
+type started struct {
+	Listening string `json:"listening"`
+}
+
+// serve prints where it listens, as a line of JSON, and serves until a signal.
+func serve(ctx context.Context, s *streams, address string, served server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("open the listener, check --listen: %w", err)
+	}
+	if err := json.NewEncoder(s.out).Encode(started{Listening: listener.Addr().String()}); err != nil {
+		return err
+	}
+	return served.Serve(ctx, listener)
+}
--- /dev/null
+++ b/turmericwallstand/internal/twsite/site.go
@@ -0,0 +1,243 @@
+// Package twsite runs a whole site in one process, over real loopback sockets.
+package twsite
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/document/twpublisher"
+	"github.com/turmericwall/turmericwall/internal/membership/twfleet"
+	"github.com/turmericwall/turmericwall/internal/operations/twdaemon"
+	"github.com/turmericwall/turmericwall/internal/operations/twsettings"
+	"github.com/turmericwall/turmericwall/internal/operations/twtask"
+	"github.com/turmericwall/turmericwall/internal/platform/twhttp"
+	"github.com/turmericwall/turmericwall/internal/platform/twtable"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twplatformstand"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twservicestand"
+)
+
+const (
+	anyPort     = "127.0.0.1:0"
+	readyWithin = 15 * time.Second
+	readyCheck  = 50 * time.Millisecond
+	environment = "production"
+)
+
+// Site is a platform, engines, plain services and daemons.
+type Site struct {
+	config    Config
+	tasks     *twtask.Group
+	stop      context.CancelFunc
+	address   string
+	platform  *twplatformstand.Platform
+	engines   []*twenginestand.Engine
+	services  []*twservicestand.Service
+	daemons   []*twdaemon.Daemon
+	vms       []turmericwall.VM
+	nextVM    int
+	endDaemon []context.CancelFunc
+}
+
+// Config says what the site consists of.
+type Config struct {
+	Example  twexample.Example
+	Daemons  int
+	Prefill  int
+	Decode   int
+	Services int
+	// Policy is the placement policy of all daemons.
+	Policy string
+	// Engine is the template of the engines.
+	Engine twenginestand.Config
+	// Log receives the daemons' logs.
+	Log io.Writer
+}
+
+// New starts a site and waits until its daemons are ready.
+func New(ctx context.Context, config Config) (*Site, error) {
+	ctx, stop := context.WithCancel(ctx)
+	s := &Site{config: config, tasks: twtask.New(ctx), stop: stop, platform: twplatformstand.New()}
+	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startServices, s.apply, s.startDaemons, s.awaitReady}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			_ = s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Close stops everything.
+func (s *Site) Close() error {
+	s.stop()
+	return s.tasks.Wait()
+}
+
+// Callers returns the daemons' callers' addresses.
+func (s *Site) Callers() []string {
+	addresses := make([]string, 0, len(s.daemons))
+	for _, d := range s.daemons {
+		addresses = append(addresses, d.CallersAddress())
+	}
+	return addresses
+}
+
+// Operations returns the daemons' operators' addresses.
+func (s *Site) Operations() []string {
+	addresses := make([]string, 0, len(s.daemons))
+	for _, d := range s.daemons {
+		addresses = append(addresses, d.OperationsAddress())
+	}
+	return addresses
+}
+
+// Platform is the address of the platform's service.
+func (s *Site) Platform() string { return s.address }
+
+// Engines returns the engines, prefill first.
+func (s *Site) Engines() []*twenginestand.Engine { return s.engines }
+
+// Services returns the plain services.
+func (s *Site) Services() []*twservicestand.Service { return s.services }
+
+// Table is a client of the site's table.
+func (s *Site) Table() turmericwall.Table {
+	return twtable.New(twhttp.New(twhttp.Config{Address: s.address}))
+}
+
+func (s *Site) startPlatform(context.Context) error {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return fmt.Errorf("open the platform's listener: %w", err)
+	}
+	s.address = "http://" + listener.Addr().String()
+	s.tasks.Start("platform", func(ctx context.Context) error { return s.platform.Serve(ctx, listener) })
+	return nil
+}
+
+func (s *Site) startEngines(context.Context) error {
+	for i := range s.config.Prefill + s.config.Decode {
+		config := s.config.Engine
+		config.Role = turmericwall.RolePrefill
+		if i >= s.config.Prefill {
+			config.Role = turmericwall.RoleDecode
+		}
+		config.Name = fmt.Sprintf("%s-%s-%d", s.config.Example.Engines(), config.Role, i)
+		config.Models = []string{s.config.Example.Model()}
+		if err := s.startEngine(config, s.config.Example.Zone(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEngine(config twenginestand.Config, zone string) error {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return fmt.Errorf("open an engine's listener: %w", err)
+	}
+	engine := twenginestand.New(config)
+	s.engines = append(s.engines, engine)
+	s.list(config.Name, s.config.Example.Engines(), zone, listener)
+	s.tasks.Start(config.Name, func(ctx context.Context) error { return engine.Serve(ctx, listener) })
+	return nil
+}
+
+func (s *Site) startServices(context.Context) error {
+	for i := range s.config.Services {
+		listener, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return fmt.Errorf("open a service's listener: %w", err)
+		}
+		name := fmt.Sprintf("%s-%d", s.config.Example.Plain(), i)
+		service := twservicestand.New(name)
+		s.services = append(s.services, service)
+		s.list(name, s.config.Example.Plain(), s.config.Example.Zone(i), listener)
+		s.tasks.Start(name, func(ctx context.Context) error { return service.Serve(ctx, listener) })
+	}
+	return nil
+}
+
+func (s *Site) apply(ctx context.Context) error {
+	publisher := twpublisher.New(twpublisher.Config{Table: s.Table(), Environment: environment})
+	_, err := publisher.Apply(ctx, 0, twpublisher.Entry{Source: s.config.Example.Document(), At: time.Now().UTC(), Operator: "site"})
+	return err
+}
+
+func (s *Site) startDaemons(ctx context.Context) error {
+	for i := range s.config.Daemons {
+		if err := s.startDaemon(ctx, fmt.Sprintf("entry-%d", i+1), s.config.Example.Zone(i)); err != nil {
+			return err
+		}
+	}
+	s.platform.SetVMs(s.vms)
+	return nil
+}
+
+func (s *Site) startDaemon(ctx context.Context, name, zone string) error {
+	notice := int64(0)
+	daemon, err := twdaemon.New(twdaemon.Config{
+		Settings: twsettings.Settings{
+			Name: name, Environment: environment, Region: s.config.Example.Region(), Zone: zone,
+			Callers: anyPort, Peers: anyPort, Operations: anyPort, Platform: s.address, PlainText: true,
+			DrainMillis: 10_000, NoticeMillis: &notice, MaxBodyBytes: 4 << 20, LogLevel: "info", Policy: s.config.Policy,
+		},
+		Output: s.config.Log, Clock: clockwork.NewRealClock(),
+	})
+	if err != nil {
+		return err
+	}
+	s.daemons = append(s.daemons, daemon)
+	s.vms = append(s.vms, turmericwall.VM{
+		Name: name, Service: twfleet.DaemonService, Region: s.config.Example.Region(), Zone: zone,
+		Address: daemon.PeersAddress(), State: turmericwall.VMLive,
+	})
+	inner, cancel := context.WithCancel(ctx)
+	s.endDaemon = append(s.endDaemon, cancel)
+	s.tasks.Start(name, func(context.Context) error { return daemon.Run(inner) })
+	return nil
+}
+
+func (s *Site) list(name, service, zone string, listener net.Listener) {
+	s.vms = append(s.vms, turmericwall.VM{
+		Name: name, Service: service, Region: s.config.Example.Region(), Zone: zone,
+		Address: listener.Addr().String(), State: turmericwall.VMLive,
+	})
+}
+
+// awaitReady waits for a condition, never for a time: each daemon says that it is ready.
+func (s *Site) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, address := range s.Operations() {
+		for !ready(ctx, address) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("daemon at %s is not ready within %s; read its log", address, readyWithin)
+			}
+			time.Sleep(readyCheck)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
