feat: measure placement policies against baselines under load

Cause: decisions need measurement; no load or comparison tool existed. Change: load (open loop, Poisson, every byte checked), both deployments' mixes, compare with three baselines.

--- a/internal/operations/twdaemon/daemon.go
+++ b/internal/operations/twdaemon/daemon.go
@@ -42,6 +42,9 @@
 	trace    *twtrace.Trace
 	draining atomic.Bool
 	drain    chan struct{}
+	// alive ends when the daemon is killed.
+	alive context.Context
+	kill  context.CancelFunc
 
 	listeners  listeners
 	fleet      *twfleet.Fleet
@@ -90,6 +93,7 @@
 		drain:     make(chan struct{}, 1),
 		listeners: opened,
 	}
+	d.alive, d.kill = context.WithCancel(context.Background())
 	incarnation := config.Settings.Name + ":" + strconv.FormatInt(config.Clock.Now().UnixNano(), incarnationBase)
 	if err := d.build(config, incarnation); err != nil {
 		d.listeners.close()
@@ -107,12 +111,15 @@
 // OperationsAddress is the operators' listener.
 func (d *Daemon) OperationsAddress() string { return d.listeners.operations.Addr().String() }
 
+// Kill ends the daemon without a drain, as the loss of its VM would.
+func (d *Daemon) Kill() { d.kill() }
+
 // Run serves until ctx ends or an operator asks for a drain, then finishes what it has begun.
 func (d *Daemon) Run(ctx context.Context) error {
 	// The base outlives ctx: requests under way need it until they are answered.
-	base := twtask.New(context.WithoutCancel(ctx))
+	base := twtask.New(d.alive)
 	d.startBase(base)
-	front := twtask.New(context.WithoutCancel(ctx))
+	front := twtask.New(d.alive)
 	front.Start("ledger", d.ledger.Run)
 	front.Start("callers", func(ctx context.Context) error { return d.edge.Serve(ctx, d.listeners.callers) })
 	d.recorder.Record(turmericwall.EventStarted).Str("callers", d.CallersAddress()).Str("peers", d.PeersAddress()).
@@ -123,7 +130,9 @@
 	case <-front.Context().Done():
 	case <-base.Context().Done():
 	}
-	d.finish()
+	if d.alive.Err() == nil {
+		d.finish()
+	}
 	front.Stop()
 	err := front.Wait()
 	base.Stop()
--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -10,10 +10,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcompare"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twdemo"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twplatformstand"
@@ -33,6 +35,7 @@
 	Platform platform `cmd:"" help:"Stand in for the platform's table, object store and VM list."`
 	Engine   engine   `cmd:"" help:"Stand in for a model engine."`
 	Service  service  `cmd:"" help:"Stand in for a plain service."`
+	Compare  compare  `cmd:"" help:"Measure placement policies against each other under the same load."`
 }
 
 type streams struct{ out io.Writer }
@@ -99,6 +102,25 @@
 	return serve(ctx, s, p.Listen, twservicestand.New(p.Name))
 }
 
+type compare struct {
+	Deployment string        `enum:"arriola,sonnenmatt" default:"arriola" help:"Mix of work."`
+	Policies   []string      `default:"keeper,roundRobin,leastLoaded,prefixAffinity" help:"Policies to compare."`
+	Levels     []float64     `default:"0.7,1.0,1.3" help:"Offered load, times the capacity."`
+	Seeds      int           `default:"5" help:"Runs of each policy at each level."`
+	Length     time.Duration `default:"12s" help:"How long requests arrive in each run."`
+	Fault      string        `default:"" enum:",engineKilled,zoneCut,storeDown,cancels,slowLinks,daemonKilled" help:"Fault in the middle of each run."`
+	ComeBack   bool          `help:"Send refused requests once more at the time given."`
+	Folder     string        `type:"path" help:"Folder for the runs as JSON and the picture."`
+}
+
+// Run compares.
+func (c *compare) Run(ctx context.Context, s *streams) error {
+	return twcompare.New(twcompare.Config{
+		Deployment: c.Deployment, Policies: c.Policies, Levels: c.Levels, Seeds: c.Seeds, Length: c.Length,
+		Fault: c.Fault, ComeBack: c.ComeBack, Folder: c.Folder, Output: s.out,
+	}).Run(ctx)
+}
+
 type engine struct {
 	Listen      string   `default:"127.0.0.1:0" help:"IP:port to listen on."`
 	Name        string   `required:"" help:"Name of the VM."`
--- a/turmericwallstand/internal/twplatformstand/platform.go
+++ b/turmericwallstand/internal/twplatformstand/platform.go
@@ -260,11 +260,16 @@
 	if err := c.Bind(&faults); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
+	p.SetFaults(faults)
+	return c.NoContent(http.StatusOK)
+}
+
+// SetFaults switches faults.
+func (p *Platform) SetFaults(faults Faults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = faults
 	p.writes, p.reads = limiter(faults.WritesPerSecond), limiter(faults.ReadsPerSecond)
-	return c.NoContent(http.StatusOK)
 }
 
 func limiter(perSecond float64) *rate.Limiter {
--- a/turmericwallstand/internal/twsite/site.go
+++ b/turmericwallstand/internal/twsite/site.go
@@ -43,7 +43,7 @@
 	services  []*twservicestand.Service
 	daemons   []*twdaemon.Daemon
 	vms       []turmericwall.VM
-	nextVM    int
+	endEngine []context.CancelFunc
 	endDaemon []context.CancelFunc
 }
 
@@ -148,7 +148,9 @@
 	engine := twenginestand.New(config)
 	s.engines = append(s.engines, engine)
 	s.list(config.Name, s.config.Example.Engines(), zone, listener)
-	s.tasks.Start(config.Name, func(ctx context.Context) error { return engine.Serve(ctx, listener) })
+	inner, cancel := context.WithCancel(s.tasks.Context())
+	s.endEngine = append(s.endEngine, cancel)
+	s.tasks.Start(config.Name, func(context.Context) error { return engine.Serve(inner, listener) })
 	return nil
 }
 
