fix: be ready only with a list of VMs, and keep places for urgent work that is about to come

Change: readiness needs a list; a daemon that starts while the platform is down gets the list from a peer. Deferrable work counts the places that urgent work needs at its present rate of arrival, not only those in use.

--- a/internal/membership/twexchange/exchange.go
+++ b/internal/membership/twexchange/exchange.go
@@ -173,6 +173,7 @@
 		_ = e.exchangeWith(ctx, address)
 	}
 	e.catchUp(ctx)
+	e.learnVMs(ctx)
 }
 
 func (e *Exchange) advance() {
@@ -254,6 +255,23 @@
 	}
 }
 
+// learnVMs asks a live peer for its list of VMs while this daemon has none: one that starts while the
+// platform is down could otherwise reach no upstream.
+func (e *Exchange) learnVMs(ctx context.Context) {
+	members := e.Members()[1:]
+	if e.fleet.Known() || len(members) == 0 {
+		return
+	}
+	address := members[rand.IntN(len(members))].GetAddress()
+	_ = e.dialer.Call(ctx, address, callTimeout, func(ctx context.Context, peer twpeer.PeerClient) error {
+		reply, err := peer.FetchVMs(ctx, &twpeer.FetchVMsRequest{})
+		if err == nil {
+			e.fleet.Offer(twpeer.DecodeVMs(reply))
+		}
+		return err
+	})
+}
+
 // catchUp fetches the document from the live peer with the highest revision, if that is above this
 // daemon's. It spreads a revision while the platform's service is slow or down.
 func (e *Exchange) catchUp(ctx context.Context) {
--- a/internal/membership/twfleet/fleet.go
+++ b/internal/membership/twfleet/fleet.go
@@ -27,6 +27,7 @@
 	recorder turmericwall.Recorder
 
 	mu      sync.RWMutex
+	known   bool
 	vms     map[string][]turmericwall.VM
 	leaving map[string]bool
 	heard   map[string]time.Time
@@ -69,6 +70,31 @@
 	return upstreams
 }
 
+// Known tells whether a list was read, here or by a peer.
+func (f *Fleet) Known() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.known
+}
+
+// All returns the last list.
+func (f *Fleet) All() []turmericwall.VM {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var all []turmericwall.VM
+	for _, vms := range f.vms {
+		all = append(all, vms...)
+	}
+	return all
+}
+
+// Offer takes a peer's list in while this daemon could not read one itself.
+func (f *Fleet) Offer(list []turmericwall.VM) {
+	if !f.Known() {
+		f.take(list)
+	}
+}
+
 // Leaving returns the names that this daemon's own list marks as leaving, for its heartbeats.
 func (f *Fleet) Leaving() []string {
 	f.mu.RLock()
@@ -114,6 +140,11 @@
 	if err != nil {
 		return err
 	}
+	f.take(list)
+	return nil
+}
+
+func (f *Fleet) take(list []turmericwall.VM) {
 	byService := make(map[string][]turmericwall.VM)
 	leaving := make(map[string]bool)
 	for _, vm := range list {
@@ -123,7 +154,6 @@
 		}
 	}
 	f.replace(byService, leaving)
-	return nil
 }
 
 func (f *Fleet) replace(vms map[string][]turmericwall.VM, leaving map[string]bool) {
@@ -140,5 +170,5 @@
 			delete(f.heard, name)
 		}
 	}
-	f.vms, f.leaving = vms, leaving
+	f.known, f.vms, f.leaving = true, vms, leaving
 }
--- a/internal/membership/twpeer/codec.go
+++ b/internal/membership/twpeer/codec.go
@@ -107,6 +107,29 @@
 	return endings
 }
 
+// EncodeVMs returns the list's message.
+func EncodeVMs(vms []turmericwall.VM) *FetchVMsReply {
+	m := &FetchVMsReply{}
+	for _, vm := range vms {
+		m.Vms = append(m.Vms, &ListedVM{
+			Name: vm.Name, Service: vm.Service, Region: vm.Region, Zone: vm.Zone, Address: vm.Address, State: string(vm.State),
+		})
+	}
+	return m
+}
+
+// DecodeVMs returns the message's list.
+func DecodeVMs(m *FetchVMsReply) []turmericwall.VM {
+	vms := make([]turmericwall.VM, 0, len(m.GetVms()))
+	for _, vm := range m.GetVms() {
+		vms = append(vms, turmericwall.VM{
+			Name: vm.GetName(), Service: vm.GetService(), Region: vm.GetRegion(), Zone: vm.GetZone(),
+			Address: vm.GetAddress(), State: turmericwall.VMState(vm.GetState()),
+		})
+	}
+	return vms
+}
+
 func encodeVM(vm turmericwall.VM) *Placement {
 	return &Placement{Name: vm.Name, Address: vm.Address, Zone: vm.Zone}
 }
--- a/internal/membership/twserver/server.go
+++ b/internal/membership/twserver/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/membership/twexchange"
+	"github.com/turmericwall/turmericwall/internal/membership/twfleet"
 	"github.com/turmericwall/turmericwall/internal/membership/twpeer"
 )
 
@@ -31,6 +32,7 @@
 	Stats       stats.Handler
 	Clock       clockwork.Clock
 	Exchange    *twexchange.Exchange
+	Fleet       *twfleet.Fleet
 	Documents   turmericwall.Documents
 	// Keeper places arrivals at this daemon.
 	Keeper   turmericwall.Placer
@@ -74,6 +76,14 @@
 	return &twpeer.FetchDocumentReply{Revision: document.Revision(), Source: document.Source()}, nil
 }
 
+// FetchVMs returns the last list of VMs read here.
+func (s *Server) FetchVMs(context.Context, *twpeer.FetchVMsRequest) (*twpeer.FetchVMsReply, error) {
+	if !s.config.Fleet.Known() {
+		return nil, status.Error(codes.NotFound, "no list of VMs is known here; ask another peer")
+	}
+	return twpeer.EncodeVMs(s.config.Fleet.All()), nil
+}
+
 // Place grants or refuses an arrival as keeper.
 func (s *Server) Place(ctx context.Context, request *twpeer.PlaceRequest) (*twpeer.PlaceReply, error) {
 	grant, err := s.config.Keeper.Place(ctx, twpeer.DecodeArrival(s.config.Clock.Now(), request))
--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -133,7 +133,7 @@
 		TLS: secured.callers, Clock: d.clock, Recorder: d.recorder, Registry: d.registry,
 	})
 	d.peers = twserver.New(twserver.Config{
-		Credentials: secured.peerServer, Stats: d.dialer.StatsHandler(), Clock: d.clock, Exchange: d.exchange,
+		Credentials: secured.peerServer, Stats: d.dialer.StatsHandler(), Clock: d.clock, Exchange: d.exchange, Fleet: d.fleet,
 		Documents: d.holder, Keeper: d.keeper, Attempts: registry, Holder: d.delivery,
 	})
 	d.operations = twoperations.New(twoperations.Config{
--- a/internal/operations/twdaemon/status.go
+++ b/internal/operations/twdaemon/status.go
@@ -24,7 +24,7 @@
 	}
 	if document, ok := d.holder.Current(); ok {
 		s.Revision, s.Digest = document.Revision(), document.Digest()
-		s.Ready = !s.Draining
+		s.Ready = !s.Draining && d.fleet.Known()
 	}
 	for _, b := range d.exchange.Members()[1:] {
 		s.Peers = append(s.Peers, twoperations.PeerStatus{
--- a/internal/operations/tweventlog/log.go
+++ b/internal/operations/tweventlog/log.go
@@ -38,7 +38,7 @@
 	if err != nil || config.Level == "" {
 		level = zerolog.InfoLevel
 	}
-	logger := zerolog.New(config.Output).Level(level).With().Timestamp().Str("daemon", config.Daemon).Logger()
+	logger := zerolog.New(config.Output).Level(level).Hook(stamp{}).With().Str("daemon", config.Daemon).Logger()
 	return &Log{logger: logger, trace: config.Trace}
 }
 
@@ -47,6 +47,16 @@
 	return &entry{trace: l.trace, event: l.logger.Info().Int("event", int(event)), id: event}
 }
 
+// stamp adds the time, to the millisecond: decisions follow each other within a second.
+type stamp struct{}
+
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// Run adds the time to an event.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("time", time.Now().UTC().Format(timeLayout))
+}
+
 type entry struct {
 	trace   *twtrace.Trace
 	event   *zerolog.Event
--- a/internal/placement/twscheduler/dispatch.go
+++ b/internal/placement/twscheduler/dispatch.go
@@ -207,19 +207,32 @@
 }
 
 // room tells whether work that may wait leaves enough to urgent work: it gives way before its prefill
-// starts, since stopping it afterwards would throw the prefill away.
+// starts, since stopping it afterwards would throw the prefill away. It holds its place for seconds, so
+// what counts is not only the places that are free now, but those that urgent work is about to need.
 func (s *Scheduler) room(now time.Time, best pair) bool {
 	if best.prefill.busyUntil(false).Sub(now) > deferrableQueue {
 		return false
 	}
-	free, all := 0, 0
+	all, urgent, deferrable := 0, 0, 0
 	for _, e := range s.order {
 		if e.report.Role == turmericwall.RoleDecode && now.Before(e.silentDeadline) {
 			all += e.report.Slots
-			free += max(0, e.report.Slots-e.used)
+			deferrable += e.deferrable
+			urgent += e.used - e.deferrable
 		}
 	}
-	return float64(free) > deferrableHeadroom*float64(all)
+	needed := max(float64(urgent), s.urgent.slots(now))
+	return needed+float64(deferrable) < (1-deferrableHeadroom)*float64(all)
+}
+
+// hold is how long an attempt is expected to keep a decode place.
+func (s *Scheduler) hold(tokens int) time.Duration {
+	for _, e := range s.order {
+		if e.report.Role == turmericwall.RoleDecode && e.report.Slots > 0 {
+			return e.step(e.report.Slots) * time.Duration(tokens)
+		}
+	}
+	return 0
 }
 
 func (s *Scheduler) grant(now time.Time, a turmericwall.Arrival, p pair) {
@@ -234,6 +247,7 @@
 		pieces:  piecesOf(a.PromptTokens + a.MaxTokens),
 		end:     p.firstToken.Add(decodeTime),
 		expires: reserved,
+		waited:  !a.Urgent,
 	})
 	s.act(turmericwall.Grant{
 		Attempt:       a.Attempt,
--- a/internal/placement/twscheduler/engine.go
+++ b/internal/placement/twscheduler/engine.go
@@ -34,8 +34,10 @@
 
 	occupants map[string]*occupant
 	used      int
-	pieces    int
-	nextEnd   time.Time
+	// deferrable counts the occupants that could have waited.
+	deferrable int
+	pieces     int
+	nextEnd    time.Time
 
 	placed     []placedPrefill
 	urgentBusy time.Time
@@ -63,6 +65,8 @@
 	// foreign occupants were not granted here; they are looked into after sweepAt.
 	foreign bool
 	sweepAt time.Time
+	// waited occupants are of work that may wait.
+	waited bool
 }
 
 // placedPrefill is prefill work that the last report can't yet show.
@@ -111,13 +115,9 @@
 }
 
 func (e *engine) occupy(o *occupant) {
-	if old, ok := e.occupants[o.attempt]; ok {
-		e.pieces -= old.pieces
-		e.used--
-	}
+	e.vacate(o.attempt)
 	e.occupants[o.attempt] = o
-	e.used++
-	e.pieces += o.pieces
+	e.count(o, 1)
 	if e.nextEnd.IsZero() || o.end.Before(e.nextEnd) {
 		e.nextEnd = o.end
 	}
@@ -129,14 +129,21 @@
 		return false
 	}
 	delete(e.occupants, attempt)
-	e.used--
-	e.pieces -= o.pieces
+	e.count(o, -1)
 	if !o.end.After(e.nextEnd) {
 		e.findNextEnd()
 	}
 	return true
 }
 
+func (e *engine) count(o *occupant, sign int) {
+	e.used += sign
+	e.pieces += sign * o.pieces
+	if o.waited {
+		e.deferrable += sign
+	}
+}
+
 func (e *engine) findNextEnd() {
 	e.nextEnd = time.Time{}
 	for _, o := range e.occupants {
--- a/internal/placement/twscheduler/scheduler.go
+++ b/internal/placement/twscheduler/scheduler.go
@@ -42,6 +42,7 @@
 	queues      []*queue
 	resumed     *queue
 	released    map[string]time.Time
+	urgent      demand
 	turn        int
 	actions     []turmericwall.Action
 }
@@ -103,6 +104,9 @@
 func (s *Scheduler) act(a turmericwall.Action) { s.actions = append(s.actions, a) }
 
 func (s *Scheduler) arrive(now time.Time, a turmericwall.Arrival) {
+	if a.Urgent {
+		s.urgent.arrive(now, s.hold(a.MaxTokens))
+	}
 	q := s.queueOf(a)
 	if len(q.entries) >= maxQueue {
 		s.refuse(now, a, "the queue is full")
--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -111,16 +111,32 @@
 	Fault      string        `default:"" enum:",engineKilled,zoneCut,storeDown,cancels,slowLinks,daemonKilled" help:"Fault in the middle of each run."`
 	ComeBack   bool          `help:"Send refused requests once more at the time given."`
 	Folder     string        `type:"path" help:"Folder for the runs as JSON and the picture."`
+	Log        string        `type:"path" help:"File for the daemons' logs."`
 }
 
 // Run compares.
 func (c *compare) Run(ctx context.Context, s *streams) error {
+	log, err := c.openLog()
+	if err != nil {
+		return err
+	}
 	return twcompare.New(twcompare.Config{
 		Deployment: c.Deployment, Policies: c.Policies, Levels: c.Levels, Seeds: c.Seeds, Length: c.Length,
-		Fault: c.Fault, ComeBack: c.ComeBack, Folder: c.Folder, Output: s.out,
+		Fault: c.Fault, ComeBack: c.ComeBack, Folder: c.Folder, Output: s.out, Log: log,
 	}).Run(ctx)
 }
 
+func (c *compare) openLog() (io.Writer, error) {
+	if c.Log == "" {
+		return io.Discard, nil
+	}
+	log, err := os.Create(c.Log)
+	if err != nil {
+		return nil, fmt.Errorf("open the log, check --log: %w", err)
+	}
+	return log, nil
+}
+
 type engine struct {
 	Listen      string   `default:"127.0.0.1:0" help:"IP:port to listen on."`
 	Name        string   `required:"" help:"Name of the VM."`
--- a/turmericwallstand/internal/twcompare/compare.go
+++ b/turmericwallstand/internal/twcompare/compare.go
@@ -30,6 +30,8 @@
 	// Folder receives the runs as JSON and the picture; empty writes none.
 	Folder string
 	Output io.Writer
+	// Log receives the daemons' logs.
+	Log io.Writer
 }
 
 // New returns a comparison.
--- a/turmericwallstand/internal/twcompare/run.go
+++ b/turmericwallstand/internal/twcompare/run.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
@@ -66,7 +65,7 @@
 		return Run{}, err
 	}
 	site, err := twsite.New(ctx, twsite.Config{
-		Example: example, Daemons: daemons, Prefill: prefill, Decode: decode, Services: services, Policy: policy, Log: io.Discard,
+		Example: example, Daemons: daemons, Prefill: prefill, Decode: decode, Services: services, Policy: policy, Log: c.config.Log,
 		Engine: twenginestand.Config{
 			Slots: slots, Pieces: pieces, PrefillRate: prefillRate, StepMillis: stepMillis, StepPerSlotMillis: stepPerSlot, EventLoss: eventLoss,
 		},
--- a/turmericwallstand/internal/twsite/site.go
+++ b/turmericwallstand/internal/twsite/site.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -175,7 +176,9 @@
 	return err
 }
 
+// startDaemons lists the upstreams first, as a platform does on which daemons come and go.
 func (s *Site) startDaemons(ctx context.Context) error {
+	s.platform.SetVMs(slices.Clone(s.vms))
 	for i := range s.config.Daemons {
 		if err := s.startDaemon(ctx, fmt.Sprintf("entry-%d", i+1), s.config.Example.Zone(i)); err != nil {
 			return err
