Revert "feat: count on decode places that free up while the prompt is computed"

Change: taken back. Conclusion: an idle place of 0.1 s in 3 s is not what limits the pool; a mechanism that brings nothing stays out.

--- a/internal/placement/twscheduler/dispatch.go
+++ b/internal/placement/twscheduler/dispatch.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		best.considered++
-		if !e.hasPlace(a.TokenGapMillis, pieces, best.prefillEnd) {
+		if !e.hasPlace(a.TokenGapMillis, pieces) {
 			best.soonest = earlier(best.soonest, e.nextEnd)
 			continue
 		}
@@ -213,14 +213,8 @@
 // decodeWeight weighs a slower step against a slower first token: each token pays the step.
 const decodeWeight = 4
 
-// hasPlace tells whether a place is free, or expected to be by the time that the prefill has ended: a place
-// that stood reserved while its prompt is computed would decode nothing meanwhile.
-func (e *engine) hasPlace(tokenGapMillis float64, pieces int, prefillEnd time.Time) bool {
-	limit := e.slotLimit(tokenGapMillis)
-	if e.used == limit && !e.nextEnd.After(prefillEnd) {
-		limit++
-	}
-	return e.used < limit && e.pieces+pieces <= e.report.Pieces
+func (e *engine) hasPlace(tokenGapMillis float64, pieces int) bool {
+	return e.used < e.slotLimit(tokenGapMillis) && e.pieces+pieces <= e.report.Pieces
 }
 
 // room tells whether work that may wait leaves enough to urgent work: it gives way before its prefill
