--- a/decisions.go
+++ b/decisions.go
@@ -108,6 +108,8 @@
 	Reason  string
 	// RetryAt is when the backlog is expected to leave room.
 	RetryAt time.Time
+	// Never says that no engine could ever hold the attempt.
+	Never bool
 }
 
 // Sweep asks the driver to find out whether the attempt's owner still wants it, and else to cancel it.
--- a/document.go
+++ b/document.go
@@ -91,8 +91,6 @@
 	Type ServiceType `json:"type"`
 	// Models are the models that the service's engines run.
 	Models []string `json:"models,omitempty"`
-	// ChecksFencing says that the upstreams refuse an order with an old fencing number.
-	ChecksFencing bool `json:"checksFencing,omitempty"`
 	// Calls lists a plain service's calls; one that is not listed is repeatable only if GET or HEAD.
 	Calls []Call `json:"calls,omitempty"`
 	// TimeoutMillis bounds one call to a plain service, in milliseconds.
--- a/internal/edge/twedge/edge.go
+++ b/internal/edge/twedge/edge.go
@@ -3,15 +3,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"crypto/tls"
-	"encoding/hex"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +17,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/admission/twkeyring"
 	"github.com/turmericwall/turmericwall/internal/admission/twlimiter"
 	"github.com/turmericwall/turmericwall/internal/edge/twproblem"
 	"github.com/turmericwall/turmericwall/internal/ledger/twledger"
 	"github.com/turmericwall/turmericwall/internal/once/twclaim"
+	"github.com/turmericwall/turmericwall/internal/operations/twserve"
 )
 
 // Limits towards callers. A slow or stalled caller holds a connection no longer than these.
@@ -46,6 +44,7 @@
 // Edge serves the callers' listener.
 type Edge struct {
 	config   Config
+	keys     *twkeyring.Keyring
 	server   *http.Server
 	inFlight atomic.Int64
 	answered metrics.Counter
@@ -74,6 +73,7 @@
 func New(config Config) *Edge {
 	e := &Edge{
 		config:   config,
+		keys:     twkeyring.New(),
 		answered: metrics.GetOrRegisterCounter("requests.answered", config.Registry),
 		failed:   metrics.GetOrRegisterCounter("requests.failed", config.Registry),
 		first:    metrics.GetOrRegisterTimer("requests.firstToken", config.Registry),
@@ -102,20 +102,7 @@
 	if e.config.TLS != nil {
 		listener = tls.NewListener(listener, e.config.TLS)
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- e.server.Serve(listener) }()
-	select {
-	case err := <-ended:
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done()
-			return nil
-		}
-		return err
-	case <-ctx.Done():
-		_ = e.server.Close()
-		<-ended
-		return nil
-	}
+	return twserve.Until(ctx, e.server, listener)
 }
 
 // Announce asks callers to leave their connections after the next answer.
@@ -160,7 +147,7 @@
 			return turmericwall.NewProblem(turmericwall.KindNotReady, "the daemon knows no configuration yet",
 				"come back in a few seconds").WithRetryAt(e.config.Clock.Now().Add(time.Second))
 		}
-		account, ok := authenticate(document, c.Request().Header.Get(echo.HeaderAuthorization))
+		account, ok := e.keys.Find(document, c.Request().Header.Get(echo.HeaderAuthorization))
 		if !ok {
 			return turmericwall.NewProblem(turmericwall.KindUnauthorized, "the key is missing or unknown",
 				"send Authorization: Bearer with the account's key")
@@ -175,21 +162,6 @@
 	}
 }
 
-// authenticate compares with every account in constant time, so that timing tells nothing about keys.
-func authenticate(document *turmericwall.Document, header string) (turmericwall.Account, bool) {
-	key, ok := strings.CutPrefix(header, "Bearer ")
-	sum := sha256.Sum256([]byte(key))
-	digest := []byte(hex.EncodeToString(sum[:]))
-	var found turmericwall.Account
-	match := 0
-	for _, a := range document.Accounts() {
-		if subtle.ConstantTimeCompare(digest, []byte(a.KeySHA256)) == 1 {
-			found, match = a, 1
-		}
-	}
-	return found, ok && match == 1
-}
-
 // body reads the call's body within its size and time.
 func (e *Edge) body(c echo.Context) ([]byte, error) {
 	controller := http.NewResponseController(c.Response())
--- a/internal/ledger/twledger/work.go
+++ b/internal/ledger/twledger/work.go
@@ -226,7 +226,8 @@
 // terminal tells an answer that would be the same at every try.
 func terminal(err error) bool {
 	var engine *turmericwall.EngineError
-	return errors.As(err, &engine) && engine.Reason() == turmericwall.EngineRefused
+	refused := errors.As(err, &engine) && engine.Reason() == turmericwall.EngineRefused
+	return refused || turmericwall.IsKind(err, turmericwall.KindTooLarge)
 }
 
 // collector gathers a whole answer.
--- a/internal/membership/twpeer/codec.go
+++ b/internal/membership/twpeer/codec.go
@@ -68,14 +68,17 @@
 
 // EncodeRefusal returns the refusal's message.
 func EncodeRefusal(now time.Time, p *turmericwall.Problem) *PlaceReply {
-	return &PlaceReply{Reason: p.Detail(), RetryMicros: remaining(now, p.RetryAt())}
+	return &PlaceReply{
+		Reason: p.Detail(), RetryMicros: remaining(now, p.RetryAt()), Never: p.Kind() == turmericwall.KindTooLarge,
+	}
 }
 
 // DecodeGrant returns the message's grant, or the refusal as a problem.
 func DecodeGrant(now time.Time, attempt string, m *PlaceReply) (turmericwall.Grant, error) {
 	if !m.GetGranted() {
-		return turmericwall.Grant{}, turmericwall.NewProblem(turmericwall.KindOverloaded, m.GetReason(),
-			"come back at the time given").WithRetryAt(deadline(now, m.GetRetryMicros()))
+		return turmericwall.Grant{}, turmericwall.Refused(turmericwall.Refusal{
+			Reason: m.GetReason(), RetryAt: deadline(now, m.GetRetryMicros()), Never: m.GetNever(),
+		})
 	}
 	return turmericwall.Grant{
 		Attempt:       attempt,
--- a/internal/membership/twroster/roster_test.go
+++ b/internal/membership/twroster/roster_test.go
@@ -1,10 +1,12 @@
 package twroster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericwall/turmericwall/internal/membership/twpeer"
 	"github.com/turmericwall/turmericwall/internal/membership/twroster"
@@ -44,3 +46,35 @@
 	g.Expect(r.IsLive(now, "a:2")).To(BeTrue())
 	g.Expect(r.Live(now)).To(HaveLen(1))
 }
+
+// BenchmarkExchange is one side's work for one exchange, with so many live daemons; it also gives the
+// message's size.
+func BenchmarkExchange(b *testing.B) {
+	for _, daemons := range []int{9, 54, 200} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			r := twroster.New(beat("entry-000:dnaoay2lb73k", 0))
+			var beats []*twpeer.Heartbeat
+			for i := range daemons {
+				m := beat(fmt.Sprintf("entry-%03d:dnaoay2lb73k", i+1), 1)
+				m.Address, m.Zone, m.Revision = "10.20.30.40:8081", "zona-norte", 45_000
+				beats = append(beats, m)
+			}
+			r.Merge(start, beats)
+			encoded, err := proto.Marshal(r.Snapshot(start))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				var received twpeer.Heartbeats
+				if err := proto.Unmarshal(encoded, &received); err != nil {
+					b.Fatal(err)
+				}
+				r.Merge(start, received.GetBeats())
+				if _, err := proto.Marshal(r.Beat(start, 1, false, nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes/message")
+		})
+	}
+}
--- a/internal/membership/twserver/server.go
+++ b/internal/membership/twserver/server.go
@@ -91,7 +91,7 @@
 		return twpeer.EncodeGrant(s.config.Clock.Now(), grant), nil
 	}
 	var refused *turmericwall.Problem
-	if errors.As(err, &refused) && refused.Kind() == turmericwall.KindOverloaded {
+	if errors.As(err, &refused) {
 		return twpeer.EncodeRefusal(s.config.Clock.Now(), refused), nil
 	}
 	return nil, status.Error(codes.Unavailable, err.Error())
--- a/internal/operations/twoperations/server.go
+++ b/internal/operations/twoperations/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/turmericwall/turmericwall/internal/operations/twserve"
 	"github.com/turmericwall/turmericwall/internal/operations/twtrace"
 )
 
@@ -76,18 +76,7 @@
 
 // Serve answers operators until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	ended := make(chan error, 1)
-	go func() { ended <- s.server.Serve(listener) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-		_ = s.server.Close()
-		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}
+	return twserve.Until(ctx, s.server, listener)
 }
 
 func (s *Server) ready(c echo.Context) error {
--- a/internal/placement/twkeeper/group.go
+++ b/internal/placement/twkeeper/group.go
@@ -114,8 +114,7 @@
 	case turmericwall.Grant:
 		return a, nil
 	case turmericwall.Refusal:
-		return turmericwall.Grant{}, turmericwall.NewProblem(turmericwall.KindOverloaded, a.Reason,
-			"come back at the time given").WithRetryAt(a.RetryAt)
+		return turmericwall.Grant{}, turmericwall.Refused(a)
 	default:
 		return turmericwall.Grant{}, turmericwall.NewProblem(turmericwall.KindOverloaded, "no decision", "try again")
 	}
--- a/internal/placement/twscheduler/bench_test.go
+++ b/internal/placement/twscheduler/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -52,3 +53,29 @@
 		})
 	}
 }
+
+// BenchmarkEngineView weighs the view of one prefill engine whose prefix table is full.
+func BenchmarkEngineView(b *testing.B) {
+	const engines, blocks = 40, 8192
+	for b.Loop() {
+		before := heap()
+		s := benchScheduler(engines)
+		for i := range engines {
+			var c turmericwall.Cached
+			c.Engine = fmt.Sprintf("e%03d", i)
+			for block := range uint64(blocks) {
+				c.Events.Events = append(c.Events.Events, turmericwall.CacheEvent{Sequence: block + 1, Block: block * 7919})
+			}
+			s.Step(start, c)
+		}
+		b.ReportMetric(float64(heap()-before)/engines/1000, "KB/engine")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/placement/twscheduler/dispatch.go
+++ b/internal/placement/twscheduler/dispatch.go
@@ -15,6 +15,8 @@
 	verdictWait
 	// verdictHopeless means that the deadline can't be met.
 	verdictHopeless
+	// verdictNever means that no engine is large enough.
+	verdictNever
 )
 
 // pair is the best placement found for an arrival.
@@ -30,40 +32,48 @@
 	soonest time.Time
 }
 
-// dispatch places what it can, the most worthy kinds first.
+// dispatch places what it can: what has begun, then urgent work, then work that may wait.
 func (s *Scheduler) dispatch(now time.Time) {
-	s.serve(now, s.resumed)
-	for {
-		q := s.nextUrgent()
-		if q == nil || !s.serveHead(now, q) {
-			break
-		}
-	}
-	s.giveUp(now)
 	for _, q := range s.queues {
-		if !q.urgent {
-			s.serve(now, q)
-		}
+		q.blocked = false
 	}
+	s.serve(now, classResumed)
+	s.serve(now, classUrgent)
+	s.giveUp(now)
+	s.serve(now, classDeferrable)
 }
 
-func (s *Scheduler) serve(now time.Time, q *queue) {
-	for len(q.entries) > 0 && s.serveHead(now, q) {
-		continue
+// serve places the arrivals of a class, the kind of work whose turn it is first. A head that has to wait
+// holds up its own model only: another model's engines may have places.
+func (s *Scheduler) serve(now time.Time, c class) {
+	for {
+		q := s.next(c)
+		if q == nil {
+			return
+		}
+		if !s.serveHead(now, q) {
+			s.block(q.model)
+		}
 	}
 }
 
-// nextUrgent returns the urgent kind whose turn it is.
-func (s *Scheduler) nextUrgent() *queue {
+// next returns the kind of work whose turn it is.
+func (s *Scheduler) next(c class) *queue {
 	var next *queue
 	for _, q := range s.queues {
-		if q.urgent && len(q.entries) > 0 && (next == nil || q.virtual < next.virtual) {
+		if q.class == c && !q.blocked && len(q.entries) > 0 && (next == nil || q.virtual < next.virtual) {
 			next = q
 		}
 	}
 	return next
 }
 
+func (s *Scheduler) block(model string) {
+	for _, q := range s.queues {
+		q.blocked = q.blocked || q.model == model
+	}
+}
+
 // serveHead places or refuses the head; it returns false when the head has to wait.
 func (s *Scheduler) serveHead(now time.Time, q *queue) bool {
 	head := q.head()
@@ -85,6 +95,10 @@
 		q.pop()
 		s.refuse(now, a, "the first token can't be met")
 		return true
+	case verdictNever:
+		q.pop()
+		s.act(turmericwall.Refusal{Attempt: a.Attempt, Reason: "no engine can hold prompt and answer", Never: true})
+		return true
 	default:
 		return false
 	}
@@ -92,9 +106,6 @@
 
 // giveUp refuses at once what can no longer make its deadline, though it still waits for a place.
 func (s *Scheduler) giveUp(now time.Time) {
-	for _, w := range s.resumed.remove(func(w *entry) bool { return overdue(now, w) }) {
-		s.refuse(now, w.arrival, "no decode place became free in time")
-	}
 	for _, q := range s.queues {
 		for _, w := range q.remove(func(w *entry) bool { return overdue(now, w) || tooLate(now, w) }) {
 			s.refuse(now, w.arrival, "no decode place became free in time")
@@ -114,6 +125,9 @@
 // place looks for a pair: the prefill engine that is done first, then the decode engine that is the
 // least loaded among those with a free place and reachable in time.
 func (s *Scheduler) place(now time.Time, a turmericwall.Arrival) (pair, verdict) {
+	if s.tooLarge(a) {
+		return pair{}, verdictNever
+	}
 	best, ok := s.bestPrefill(now, a)
 	if !ok {
 		return best, s.unplaced(a)
@@ -130,6 +144,22 @@
 	return best, verdictPlaced
 }
 
+// tooLarge tells that no decode engine of the model has the memory, even when it is empty: such an arrival
+// would wait for ever.
+func (s *Scheduler) tooLarge(a turmericwall.Arrival) bool {
+	pieces, known := piecesOf(a.PromptTokens+a.MaxTokens), false
+	for _, e := range s.decodes {
+		if !serves(e.report.Models, a.Model) {
+			continue
+		}
+		if e.report.Pieces >= pieces {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // unplaced decides on an arrival for which no engine is usable. An engine that was just listed and gave
 // no report yet may be usable in a moment: a keeper that starts must not refuse what it could serve.
 func (s *Scheduler) unplaced(a turmericwall.Arrival) verdict {
--- a/internal/placement/twscheduler/queue.go
+++ b/internal/placement/twscheduler/queue.go
@@ -10,16 +10,40 @@
 // maxQueue bounds the arrivals of one kind of work that wait at one keeper.
 const maxQueue = 4096
 
-// queue holds the waiting arrivals of one kind of work.
+// class orders the kinds of work.
+type class int
+
+const (
+	// classResumed continues answers that have begun.
+	classResumed class = iota
+	classUrgent
+	classDeferrable
+)
+
+func classOf(a turmericwall.Arrival) class {
+	switch {
+	case a.Resumed:
+		return classResumed
+	case a.Urgent:
+		return classUrgent
+	default:
+		return classDeferrable
+	}
+}
+
+// queue holds the waiting arrivals of one kind of work for one model.
 //
 // Kinds share decode places by weighted fair queueing: each kind's virtual time grows with the slot
 // time it took, divided by its worth for a second of slot time. The kind with the lowest virtual time
 // goes first, so that under overload most places go where they bring most, and no kind starves.
 type queue struct {
 	work    string
-	urgent  bool
+	model   string
+	class   class
 	virtual float64
 	entries []*entry
+	// blocked queues have no place in this round.
+	blocked bool
 }
 
 // entry is one waiting arrival.
--- a/internal/placement/twscheduler/scheduler.go
+++ b/internal/placement/twscheduler/scheduler.go
@@ -68,7 +68,6 @@
 		zones:       newZoneLinks(),
 		engines:     make(map[string]*engine),
 		homes:       make(map[string][]*engine),
-		resumed:     &queue{work: "resumed", urgent: true},
 		released:    make(map[string]time.Time),
 	}
 }
@@ -103,7 +102,7 @@
 
 // Waiting counts the arrivals that wait.
 func (s *Scheduler) Waiting() int {
-	waiting := len(s.resumed.entries)
+	waiting := 0
 	for _, q := range s.queues {
 		waiting += len(q.entries)
 	}
@@ -128,17 +127,14 @@
 }
 
 func (s *Scheduler) queueOf(a turmericwall.Arrival) *queue {
-	if a.Resumed {
-		return s.resumed
-	}
-	at := sort.Search(len(s.queues), func(i int) bool { return s.queues[i].work >= a.Work })
-	if at < len(s.queues) && s.queues[at].work == a.Work {
-		return s.queues[at]
+	c := classOf(a)
+	for _, q := range s.queues {
+		if q.class == c && q.model == a.Model && q.work == a.Work {
+			return q
+		}
 	}
-	q := &queue{work: a.Work, urgent: a.Urgent, virtual: s.lowestVirtual()}
-	s.queues = append(s.queues, nil)
-	copy(s.queues[at+1:], s.queues[at:])
-	s.queues[at] = q
+	q := &queue{work: a.Work, model: a.Model, class: c, virtual: s.lowestVirtual()}
+	s.queues = append(s.queues, q)
 	return q
 }
 
@@ -324,7 +320,6 @@
 		}
 	}
 	owned := func(w *entry) bool { return strings.HasPrefix(w.arrival.Attempt, prefix) }
-	s.resumed.remove(owned)
 	for _, q := range s.queues {
 		q.remove(owned)
 	}
@@ -332,7 +327,6 @@
 
 func (s *Scheduler) withdraw(attempt string) {
 	same := func(w *entry) bool { return w.arrival.Attempt == attempt }
-	s.resumed.remove(same)
 	for _, q := range s.queues {
 		q.remove(same)
 	}
--- a/internal/placement/twscheduler/session_test.go
+++ b/internal/placement/twscheduler/session_test.go
@@ -45,6 +45,7 @@
 	Queued   int      `json:"queued"`
 	Urgent   int      `json:"urgent"`
 	Draining bool     `json:"draining"`
+	Model    string   `json:"model"`
 }
 
 type cached struct {
@@ -66,6 +67,7 @@
 	Resumed   bool     `json:"resumed"`
 	Avoid     []string `json:"avoid"`
 	Prefilled string   `json:"prefilled"`
+	Model     string   `json:"model"`
 }
 
 type ending struct {
@@ -92,6 +94,13 @@
 	perSlot     = 1.2
 )
 
+func orModel(name string) string {
+	if name == "" {
+		return model
+	}
+	return name
+}
+
 func (l line) event() turmericwall.Event {
 	now := at(l.At)
 	switch {
@@ -128,7 +137,7 @@
 	return turmericwall.Reported{
 		VM: turmericwall.VM{Name: r.VM},
 		Report: turmericwall.Report{
-			Role: turmericwall.Role(r.Role), Models: []string{model}, AgeMillis: r.Age, Attempts: r.Attempts, Slots: r.Slots,
+			Role: turmericwall.Role(r.Role), Models: []string{orModel(r.Model)}, AgeMillis: r.Age, Attempts: r.Attempts, Slots: r.Slots,
 			Pieces: pieces, QueuedTokens: r.Queued, UrgentTokens: r.Urgent, Draining: r.Draining, PrefillRate: prefillRate,
 			StepMillis: stepMillis, StepPerSlotMillis: perSlot,
 		},
@@ -137,7 +146,7 @@
 
 func (a *arrival) event(now time.Time) turmericwall.Event {
 	return turmericwall.Arrival{
-		Attempt: a.Attempt, Model: model, Work: a.Work, Urgent: a.Urgent, Worth: a.Worth, PromptTokens: a.Prompt, MaxTokens: a.Max,
+		Attempt: a.Attempt, Model: orModel(a.Model), Work: a.Work, Urgent: a.Urgent, Worth: a.Worth, PromptTokens: a.Prompt, MaxTokens: a.Max,
 		Blocks: a.Blocks, FirstTokenDeadline: deadline(now, a.First), GiveUpDeadline: deadline(now, a.GiveUp),
 		Resumed: a.Resumed, Avoid: a.Avoid, Prefilled: a.Prefilled, TokenGapMillis: 54,
 	}
--- a/internal/platform/twhttp/client.go
+++ b/internal/platform/twhttp/client.go
@@ -42,7 +42,6 @@
 // Reply is one answer of the platform.
 type Reply struct {
 	status int
-	etag   string
 	body   []byte
 }
 
@@ -98,7 +97,7 @@
 	if response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusTooManyRequests {
 		return Reply{}, unavailable(fmt.Errorf("status %d", response.StatusCode))
 	}
-	return Reply{status: response.StatusCode, etag: response.Header.Get("ETag"), body: content}, nil
+	return Reply{status: response.StatusCode, body: content}, nil
 }
 
 func unavailable(cause error) error {
--- a/problem.go
+++ b/problem.go
@@ -57,6 +57,14 @@
 	return &Problem{kind: kind, detail: detail, remedy: remedy, outcome: OutcomeNotRun}
 }
 
+// Refused returns the problem of an attempt that a keeper turned away.
+func Refused(r Refusal) *Problem {
+	if r.Never {
+		return NewProblem(KindTooLarge, r.Reason, "shorten the prompt or ask for fewer tokens")
+	}
+	return NewProblem(KindOverloaded, r.Reason, "come back at the time given").WithRetryAt(r.RetryAt)
+}
+
 // WithOutcome returns a copy with the outcome.
 func (p *Problem) WithOutcome(outcome Outcome) *Problem {
 	c := *p
--- a/turmericwall.go
+++ b/turmericwall.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 )
@@ -154,9 +153,3 @@
 	// Send writes the entry.
 	Send()
 }
-
-// Body is a request body of known length that can be sent once.
-type Body interface {
-	io.Reader
-	Len() int
-}
--- a/turmericwallctl/internal/twcommand/command.go
+++ b/turmericwallctl/internal/twcommand/command.go
@@ -2,31 +2,23 @@
 package twcommand
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"os/user"
-	"syscall"
 	"text/tabwriter"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/document/twpublisher"
+	"github.com/turmericwall/turmericwall/internal/operations/twprogram"
 	"github.com/turmericwall/turmericwall/internal/platform/twhttp"
 	"github.com/turmericwall/turmericwall/internal/platform/twtable"
 )
 
-// Exit codes.
+// Exit codes of its own.
 const (
-	exitOK     = 0
-	exitFailed = 1
-	// exitUsage stands for wrong flags and invalid documents.
-	exitUsage = 2
 	// exitConflict stands for an operator who was second.
 	exitConflict = 3
 	// exitDiffers stands for a diff that found differences, and a status that is not in order.
@@ -72,30 +64,16 @@
 
 // Run runs the command line and returns the exit code.
 func Run(arguments []string, out, errOut io.Writer) int {
-	var commands Commands
-	exited := -1
-	parser, err := kong.New(&commands,
-		kong.Name("turmericwallctl"),
-		kong.Description(description),
-		kong.Writers(out, errOut),
-		kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return fail(errOut, err, exitFailed)
-	}
-	parsed, err := parser.Parse(arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return fail(errOut, err, exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	if err := parsed.Run(&output{out: out, json: commands.JSON}); err != nil {
-		return fail(errOut, err, codeOf(err))
-	}
-	return exitOK
+	commands := &Commands{}
+	return twprogram.New(twprogram.Config{
+		Name:        "turmericwallctl",
+		Description: description,
+		Commands:    commands,
+		Bind:        func() []any { return []any{&output{out: out, json: commands.JSON}} },
+		CodeOf:      codeOf,
+		Out:         out,
+		Err:         errOut,
+	}).Run(arguments)
 }
 
 func (e environmentFlags) publisher() *twpublisher.Publisher {
@@ -141,13 +119,8 @@
 	case turmericwall.IsKind(err, turmericwall.KindConflict):
 		return exitConflict
 	case turmericwall.IsKind(err, turmericwall.KindInvalidDocument), errors.Is(err, os.ErrNotExist):
-		return exitUsage
+		return twprogram.ExitUsage
 	default:
-		return exitFailed
+		return twprogram.ExitFailed
 	}
 }
-
-func fail(out io.Writer, err error, code int) int {
-	_, _ = fmt.Fprintln(out, "turmericwallctl:", err)
-	return code
-}
--- a/turmericwalld/internal/twcommand/command.go
+++ b/turmericwalld/internal/twcommand/command.go
@@ -7,26 +7,16 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
-	"github.com/alecthomas/kong"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/operations/twdaemon"
+	"github.com/turmericwall/turmericwall/internal/operations/twprogram"
 	"github.com/turmericwall/turmericwall/internal/operations/twsettings"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	// exitUsage stands for wrong flags and wrong settings.
-	exitUsage = 2
-)
-
 // Commands is the command line's grammar.
 type Commands struct {
 	Serve   serve   `cmd:"" help:"Serve callers until SIGTERM, then finish what is under way."`
@@ -45,44 +35,27 @@
 type version struct{}
 
 // streams are where commands write.
-type streams struct {
-	out io.Writer
-	err io.Writer
-}
+type streams struct{ out io.Writer }
 
 // Run runs the command line and returns the exit code.
 func Run(arguments []string, out, errOut io.Writer) int {
-	var commands Commands
-	exited := -1
-	parser, err := kong.New(&commands,
-		kong.Name("turmericwalld"),
-		kong.Description("The daemon of turmericwall. Exit codes: 0 done, 1 failed, 2 wrong flags or settings."),
-		kong.Writers(out, errOut),
-		kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return fail(errOut, err, exitFailed)
-	}
-	parsed, err := parser.Parse(arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return fail(errOut, err, exitUsage)
-	}
-	if err := parsed.Run(&streams{out: out, err: errOut}); err != nil {
-		return fail(errOut, err, codeOf(err))
-	}
-	return exitOK
+	return twprogram.New(twprogram.Config{
+		Name:        "turmericwalld",
+		Description: "The daemon of turmericwall. Exit codes: 0 done, 1 failed, 2 wrong flags or settings.",
+		Commands:    &Commands{},
+		Bind:        func() []any { return []any{&streams{out: out}} },
+		CodeOf:      codeOf,
+		Out:         out,
+		Err:         errOut,
+	}).Run(arguments)
 }
 
 // Run serves until a signal; further signals change nothing, since a drain cuts no request.
-func (s *serve) Run(out *streams) error {
+func (s *serve) Run(ctx context.Context, out *streams) error {
 	settings, err := twsettings.Load(s.Settings)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	daemon, err := twdaemon.New(twdaemon.Config{Settings: settings, Output: out.out, Clock: clockwork.NewRealClock()})
 	if err != nil {
 		return err
@@ -109,12 +82,7 @@
 
 func codeOf(err error) int {
 	if turmericwall.IsKind(err, turmericwall.KindInvalidSettings) || errors.Is(err, os.ErrNotExist) {
-		return exitUsage
+		return twprogram.ExitUsage
 	}
-	return exitFailed
-}
-
-func fail(out io.Writer, err error, code int) int {
-	_, _ = fmt.Fprintln(out, "turmericwalld:", err)
-	return code
+	return twprogram.ExitFailed
 }
--- a/turmericwallstand/e2e/answers_test.go
+++ b/turmericwallstand/e2e/answers_test.go
@@ -80,7 +80,7 @@
 		go func() { replies <- s.stream(ctx, s.daemons[0], prompt, 80) }()
 		Eventually(s.held).ShouldNot(BeEmpty())
 		for _, p := range append(s.prefill, s.decode...) {
-			control(p.address, "faults", twenginestand.Faults{SilenceOpen: true, BreakAfterTokens: 30})
+			control(p.address, "faults", twenginestand.Faults{SilenceOpen: true})
 		}
 		var r reply
 		Eventually(replies).WithTimeout(callTimeout).Should(Receive(&r))
--- a/turmericwallstand/e2e/memory_test.go
+++ b/turmericwallstand/e2e/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -61,13 +62,16 @@
 		Eventually(func() int { return s.daemons[0].status().Cancels }).Should(BeZero())
 	})
 
-	// The caller leaves while its long prompt is computed. Nobody will pull the export, and the
-	// engine would compute on. The cancel ends the prefill.
+	// The caller leaves while its long prompt is computed, which takes six seconds. Nobody will pull
+	// the export, and the engine would compute on. The cancel ends the prefill.
 	It("is freed when the caller leaves during prefill", func(ctx SpecContext) {
 		ignoreDisconnects()
 		inner, leave := context.WithCancel(ctx)
 		ended := make(chan reply, 1)
-		go func() { ended <- s.stream(inner, s.daemons[0], strings.Repeat("a long dossier ", 2500), 50) }()
+		go func() {
+			ended <- s.call(inner, s.daemons[0], http.MethodPost, "/v1/completions", http.Header{"X-Work": {"dossier"}},
+				completion{Model: s.example.Model(), Prompt: strings.Repeat("a long dossier ", 16_000), MaxTokens: 50})
+		}()
 		Eventually(func() []string { return s.prefill[0].stats().Held }).ShouldNot(BeEmpty())
 		leave()
 		Eventually(ended).Should(Receive())
--- a/turmericwallstand/e2e/site_test.go
+++ b/turmericwallstand/e2e/site_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"syscall"
 	"time"
 
@@ -24,11 +23,6 @@
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
 )
 
-func splitPaths(paths []byte) (daemon, stand string) {
-	daemon, stand, _ = strings.Cut(string(paths), "\n")
-	return daemon, stand
-}
-
 // process is one started program.
 type process struct {
 	name    string
--- a/turmericwallstand/e2e/suite_test.go
+++ b/turmericwallstand/e2e/suite_test.go
@@ -2,6 +2,7 @@
 package e2e_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -15,18 +16,21 @@
 	RunSpecs(t, "separate processes")
 }
 
-var daemonProgram, standProgram string
+var daemonProgram, standProgram, controlProgram string
 
 var _ = SynchronizedBeforeSuite(func() []byte {
 	daemon, err := gexec.Build("github.com/turmericwall/turmericwall/turmericwalld")
 	Expect(err).NotTo(HaveOccurred())
 	stand, err := gexec.Build("github.com/turmericwall/turmericwall/turmericwallstand")
 	Expect(err).NotTo(HaveOccurred())
-	return []byte(daemon + "\n" + stand)
+	control, err := gexec.Build("github.com/turmericwall/turmericwall/turmericwallctl")
+	Expect(err).NotTo(HaveOccurred())
+	return []byte(strings.Join([]string{daemon, stand, control}, "\n"))
 }, func(paths []byte) {
 	SetDefaultEventuallyTimeout(20 * time.Second)
 	SetDefaultEventuallyPollingInterval(50 * time.Millisecond)
-	daemonProgram, standProgram = splitPaths(paths)
+	programs := strings.Split(string(paths), "\n")
+	daemonProgram, standProgram, controlProgram = programs[0], programs[1], programs[2]
 })
 
 var _ = SynchronizedAfterSuite(func() {}, gexec.CleanupBuildArtifacts)
--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -8,13 +8,10 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twprogram"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcompare"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twdemo"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
@@ -23,13 +20,6 @@
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twservicestand"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // Commands is the command line's grammar.
 type Commands struct {
 	Demo     demo     `cmd:"" help:"Run a whole site in this process and show one request of each kind."`
@@ -44,35 +34,14 @@
 
 // Run runs the command line and returns the exit code.
 func Run(arguments []string, out, errOut io.Writer) int {
-	var commands Commands
-	exited := -1
-	parser, err := kong.New(&commands,
-		kong.Name("turmericwallstand"),
-		kong.Description("Stand-ins, load and measurement for turmericwall. Exit codes: 0 done, 1 failed, 2 wrong flags."),
-		kong.Writers(out, errOut),
-		kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return fail(errOut, err, exitFailed)
-	}
-	parsed, err := parser.Parse(arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return fail(errOut, err, exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	if err := parsed.Run(&streams{out: out}); err != nil {
-		return fail(errOut, err, exitFailed)
-	}
-	return exitOK
-}
-
-func fail(out io.Writer, err error, code int) int {
-	_, _ = fmt.Fprintln(out, "turmericwallstand:", err)
-	return code
+	return twprogram.New(twprogram.Config{
+		Name:        "turmericwallstand",
+		Description: "Stand-ins, load and measurement for turmericwall. Exit codes: 0 done, 1 failed, 2 wrong flags.",
+		Commands:    &Commands{},
+		Bind:        func() []any { return []any{&streams{out: out}} },
+		Out:         out,
+		Err:         errOut,
+	}).Run(arguments)
 }
 
 type demo struct {
--- a/turmericwallstand/internal/twdemo/demo.go
+++ b/turmericwallstand/internal/twdemo/demo.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twsite"
 )
@@ -98,20 +99,13 @@
 	callers []string
 }
 
-type completionCall struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream,omitempty"`
-}
-
 const urgentTokens = 24
 
 // urgent streams an answer while a person waits.
 func (s *session) urgent(ctx context.Context) error {
 	s.demo.say("\n1. urgent: a streamed answer through prefill, transfer and decode")
 	start := time.Now()
-	response, err := s.call(ctx, 0, http.MethodPost, "/v1/completions", nil, completionCall{
+	response, err := s.call(ctx, 0, http.MethodPost, "/v1/completions", nil, twcaller.Completion{
 		Model: s.example.Model(), Prompt: "Which tables are free this afternoon?", MaxTokens: urgentTokens, Stream: true,
 	})
 	if err != nil {
@@ -170,7 +164,7 @@
 	s.demo.say("\n3. deferrable: accepted with 202, answered later")
 	work := map[string]string{"arriola": "dossier", "sonnenmatt": "archive"}[s.example.Name()]
 	header := http.Header{"Prefer": {"respond-async"}, "X-Work": {work}, "Idempotency-Key": {"demo-2"}}
-	response, err := s.call(ctx, 0, http.MethodPost, "/v1/completions", header, completionCall{
+	response, err := s.call(ctx, 0, http.MethodPost, "/v1/completions", header, twcaller.Completion{
 		Model: s.example.Model(), Prompt: strings.Repeat("Tasting note: cane, oak and vanilla. ", 200), MaxTokens: 40,
 	})
 	if err != nil {
@@ -216,19 +210,8 @@
 }
 
 func (s *session) call(ctx context.Context, daemon int, method, path string, header http.Header, body any) (*http.Response, error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[daemon%len(s.callers)]+path, bytes.NewReader(encoded))
-	if err != nil {
-		return nil, err
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	request.Header.Set("Authorization", "Bearer "+s.example.Key())
-	response, err := s.demo.client.Do(request)
+	address := "http://" + s.callers[daemon%len(s.callers)] + path
+	response, err := twcaller.New(s.demo.client, s.example.Key()).Call(ctx, method, address, header, body)
 	if err != nil {
 		return nil, err
 	}
--- a/turmericwallstand/internal/twenginestand/completion.go
+++ b/turmericwallstand/internal/twenginestand/completion.go
@@ -127,6 +127,10 @@
 		if w.brokenAt(i) {
 			return abort(c)
 		}
+		if e.silent(c) {
+			<-ctx.Done()
+			return abort(c)
+		}
 		e.countDecoded()
 		w.token(i, text.next(), i == call.MaxTokens)
 	}
--- a/turmericwallstand/internal/twenginestand/engine.go
+++ b/turmericwallstand/internal/twenginestand/engine.go
@@ -13,6 +13,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twserve"
+	"github.com/turmericwall/turmericwall/internal/operations/twtask"
 )
 
 // Defaults of an engine.
@@ -108,15 +110,17 @@
 
 // Stats is what the engine has done.
 type Stats struct {
-	PrefillTokens  int64    `json:"prefillTokens"`
-	CachedTokens   int64    `json:"cachedTokens"`
-	DecodedTokens  int64    `json:"decodedTokens"`
-	ExportsEvicted int64    `json:"exportsEvicted"`
-	EvictedTokens  int64    `json:"evictedTokens"`
-	Pulled         int64    `json:"pulled"`
-	Started        int64    `json:"started"`
-	Held           []string `json:"held"`
-	PiecesUsed     int      `json:"piecesUsed"`
+	PrefillTokens  int64 `json:"prefillTokens"`
+	CachedTokens   int64 `json:"cachedTokens"`
+	DecodedTokens  int64 `json:"decodedTokens"`
+	ExportsEvicted int64 `json:"exportsEvicted"`
+	EvictedTokens  int64 `json:"evictedTokens"`
+	Pulled         int64 `json:"pulled"`
+	// Asked counts the attempts that came in, Started those that were not refused.
+	Asked      int64    `json:"asked"`
+	Started    int64    `json:"started"`
+	Held       []string `json:"held"`
+	PiecesUsed int      `json:"piecesUsed"`
 }
 
 // hold is what an attempt holds on the engine.
@@ -178,18 +182,11 @@
 
 // Serve answers on the listener until ctx ends.
 func (e *Engine) Serve(ctx context.Context, listener net.Listener) error {
-	ends := make(chan error)
-	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() { ends <- e.runPrefill(inner) }()
-	go func() { ends <- e.runReports(inner) }()
-	go func() { ends <- e.server.Serve(listener) }()
-	<-ctx.Done()
-	_ = e.server.Close()
-	for range 3 {
-		<-ends
-	}
-	return nil
+	tasks := twtask.New(ctx)
+	tasks.Start("prefill", e.runPrefill)
+	tasks.Start("reports", e.runReports)
+	tasks.Start("calls", func(ctx context.Context) error { return twserve.Until(ctx, e.server, listener) })
+	return tasks.Wait()
 }
 
 // Stats returns what the engine has done and holds.
@@ -232,11 +229,7 @@
 // silence holds calls on silent connections until the caller leaves.
 func (e *Engine) silence(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		number, _ := c.Request().Context().Value(connKey{}).(int64)
-		e.mu.Lock()
-		silent := number <= e.faults.silentUpTo
-		e.mu.Unlock()
-		if silent {
+		if e.silent(c) {
 			<-c.Request().Context().Done()
 			return nil
 		}
@@ -244,6 +237,15 @@
 	}
 }
 
+// silent tells whether the call's connection has gone silent; a stream that is under way then stops in the
+// middle, and its caller sees neither a token nor an end.
+func (e *Engine) silent(c echo.Context) bool {
+	number, _ := c.Request().Context().Value(connKey{}).(int64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return number <= e.faults.silentUpTo
+}
+
 func (e *Engine) runReports(ctx context.Context) error {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
@@ -314,6 +316,7 @@
 func (e *Engine) acquire(attempt string, pieces int, cancel context.CancelFunc) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stats.Asked++
 	if _, ok := e.held[attempt]; ok {
 		return http.StatusConflict
 	}
--- a/turmericwallstand/internal/twload/calls.go
+++ b/turmericwallstand/internal/twload/calls.go
@@ -11,17 +11,11 @@
 	"strings"
 	"time"
 
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twmix"
 )
 
-type completionCall struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream,omitempty"`
-}
-
 type chunk struct {
 	Choices []struct {
 		Text string `json:"text"`
@@ -35,8 +29,8 @@
 // sendUrgent streams an answer and checks every byte of it.
 func (l *Load) sendUrgent(ctx context.Context, daemon int, r twmix.Request) Result {
 	start := time.Now()
-	response, err := l.call(ctx, http.MethodPost, l.address(daemon, "/v1/completions"), http.Header{"X-Work": {r.Work}},
-		completionCall{Model: l.config.Example.Model(), Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true})
+	response, err := l.caller.Call(ctx, http.MethodPost, l.address(daemon, "/v1/completions"), http.Header{"X-Work": {r.Work}},
+		twcaller.Completion{Model: l.config.Example.Model(), Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true})
 	if err != nil {
 		return Result{}
 	}
@@ -85,8 +79,8 @@
 
 func (l *Load) sendDeferrable(ctx context.Context, daemon, number int, r twmix.Request) Result {
 	header := http.Header{"X-Work": {r.Work}, "Prefer": {"respond-async"}, "Idempotency-Key": {fmt.Sprintf("load-%d", number)}}
-	response, err := l.call(ctx, http.MethodPost, l.address(daemon, "/v1/completions"), header,
-		completionCall{Model: l.config.Example.Model(), Prompt: r.Prompt, MaxTokens: r.MaxTokens})
+	response, err := l.caller.Call(ctx, http.MethodPost, l.address(daemon, "/v1/completions"), header,
+		twcaller.Completion{Model: l.config.Example.Model(), Prompt: r.Prompt, MaxTokens: r.MaxTokens})
 	if err != nil {
 		return Result{}
 	}
@@ -99,7 +93,7 @@
 
 // fetch asks once for a deferred answer.
 func (l *Load) fetch(ctx context.Context, start time.Time, r *Result) {
-	response, err := l.call(ctx, http.MethodGet, l.address(r.Daemon, r.location), nil, nil)
+	response, err := l.caller.Call(ctx, http.MethodGet, l.address(r.Daemon, r.location), nil, nil)
 	if err != nil {
 		return
 	}
@@ -119,7 +113,7 @@
 	path := map[string]string{"arriola": "/bookings", "sonnenmatt": "/medication"}[l.config.Example.Name()]
 	header := http.Header{"Idempotency-Key": {fmt.Sprintf("load-%d", number)}}
 	start := time.Now()
-	response, err := l.call(ctx, http.MethodPost, l.address(daemon, "/services/"+l.config.Example.Plain()+path), header, number)
+	response, err := l.caller.Call(ctx, http.MethodPost, l.address(daemon, "/services/"+l.config.Example.Plain()+path), header, number)
 	if err != nil {
 		return Result{}
 	}
@@ -129,22 +123,6 @@
 	return Result{Status: response.StatusCode, Whole: whole, Right: whole, FirstToken: time.Since(start)}
 }
 
-func (l *Load) call(ctx context.Context, method, address string, header http.Header, body any) (*http.Response, error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(encoded))
-	if err != nil {
-		return nil, err
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	request.Header.Set("Authorization", "Bearer "+l.config.Example.Key())
-	return l.client.Do(request)
-}
-
 func retryAfter(body io.Reader) time.Duration {
 	var r refusal
 	if json.NewDecoder(body).Decode(&r) != nil {
--- a/turmericwallstand/internal/twload/load.go
+++ b/turmericwallstand/internal/twload/load.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twmix"
 )
@@ -16,6 +17,7 @@
 type Load struct {
 	config Config
 	client *http.Client
+	caller *twcaller.Caller
 
 	mu      sync.Mutex
 	results []Result
@@ -63,7 +65,8 @@
 // New returns a load.
 func New(config Config) *Load {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxConns}
-	return &Load{config: config, client: &http.Client{Transport: transport, Timeout: callTimeout}}
+	client := &http.Client{Transport: transport, Timeout: callTimeout}
+	return &Load{config: config, client: client, caller: twcaller.New(client, config.Example.Key())}
 }
 
 // Run sends everything and returns all results once they are in.
--- a/turmericwallstand/internal/twmeasure/parts.go
+++ b/turmericwallstand/internal/twmeasure/parts.go
@@ -1,9 +1,7 @@
 package twmeasure
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +11,7 @@
 
 	"github.com/turmericwall/turmericwall/internal/document/twparser"
 	"github.com/turmericwall/turmericwall/internal/document/twpublisher"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twsite"
@@ -84,12 +83,7 @@
 
 func metricsOf(ctx context.Context, address string) counters {
 	var c counters
-	response, err := call(ctx, http.MethodGet, "http://"+address+"/metrics", nil, nil)
-	if err != nil {
-		return c
-	}
-	defer func() { _ = response.Body.Close() }()
-	_ = json.NewDecoder(response.Body).Decode(&c)
+	_ = twcaller.New(http.DefaultClient, "").Read(ctx, "http://"+address+"/metrics", &c)
 	return c
 }
 
@@ -153,12 +147,7 @@
 
 func revisionOf(ctx context.Context, address string) int64 {
 	var r revision
-	response, err := call(ctx, http.MethodGet, "http://"+address+"/status", nil, nil)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	_ = json.NewDecoder(response.Body).Decode(&r)
+	_ = twcaller.New(http.DefaultClient, "").Read(ctx, "http://"+address+"/status", &r)
 	return r.Revision
 }
 
@@ -198,6 +187,7 @@
 	count := int(rate * length.Seconds())
 	times := make(chan time.Duration, count)
 	errs := make(chan error, count)
+	caller := twcaller.New(http.DefaultClient, example.Key())
 	start := time.Now()
 	for i := range count {
 		if err := sleep(ctx, time.Until(start.Add(time.Duration(float64(i)/rate*float64(time.Second))))); err != nil {
@@ -205,9 +195,9 @@
 		}
 		go func() {
 			began := time.Now()
-			header := http.Header{"Idempotency-Key": {fmt.Sprintf("m-%d", i)}, "Authorization": {"Bearer " + example.Key()}}
+			header := http.Header{"Idempotency-Key": {fmt.Sprintf("m-%d", i)}}
 			address := site.Callers()[i%len(site.Callers())]
-			response, err := call(ctx, http.MethodPost, "http://"+address+"/services/"+example.Plain()+"/bookings", header, i)
+			response, err := caller.Call(ctx, http.MethodPost, "http://"+address+"/services/"+example.Plain()+"/bookings", header, i)
 			if err == nil {
 				err = response.Body.Close()
 			}
@@ -226,13 +216,6 @@
 	return all[len(all)/2], nil
 }
 
-type completionCall struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream,omitempty"`
-}
-
 // waiting holds streams open that wait for their first token, and weighs the process.
 func (m *Measure) waiting(ctx context.Context) error {
 	example := twexample.Arriola()
@@ -316,8 +299,8 @@
 }
 
 func stream(ctx context.Context, address string, example twexample.Example, prompt string, tokens int) ([]byte, error) {
-	response, err := call(ctx, http.MethodPost, "http://"+address+"/v1/completions", http.Header{"Authorization": {"Bearer " + example.Key()}},
-		completionCall{Model: example.Model(), Prompt: prompt, MaxTokens: tokens, Stream: true})
+	response, err := twcaller.New(http.DefaultClient, example.Key()).Call(ctx, http.MethodPost, "http://"+address+"/v1/completions", nil,
+		twcaller.Completion{Model: example.Model(), Prompt: prompt, MaxTokens: tokens, Stream: true})
 	if err != nil {
 		return nil, err
 	}
@@ -327,18 +310,3 @@
 	}
 	return io.ReadAll(response.Body)
 }
-
-func call(ctx context.Context, method, address string, header http.Header, body any) (*http.Response, error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(encoded))
-	if err != nil {
-		return nil, err
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	return http.DefaultClient.Do(request)
-}
--- a/turmericwallstand/internal/twplatformstand/platform.go
+++ b/turmericwallstand/internal/twplatformstand/platform.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twserve"
 	"github.com/turmericwall/turmericwall/internal/platform/twmemory"
 )
 
@@ -79,16 +80,7 @@
 
 // Serve answers on the listener until ctx ends.
 func (p *Platform) Serve(ctx context.Context, listener net.Listener) error {
-	ended := make(chan error, 1)
-	go func() { ended <- p.server.Serve(listener) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-		_ = p.server.Close()
-		<-ended
-		return nil
-	}
+	return twserve.Until(ctx, p.server, listener)
 }
 
 // SetVMs replaces the VM list; what the list shows follows after its lag.
--- a/turmericwallstand/internal/twservicestand/service.go
+++ b/turmericwallstand/internal/twservicestand/service.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/turmericwall/turmericwall/internal/operations/twserve"
 )
 
 // Service acts once for each call it sees and counts what it did.
@@ -53,16 +55,7 @@
 
 // Serve answers on the listener until ctx ends.
 func (s *Service) Serve(ctx context.Context, listener net.Listener) error {
-	ended := make(chan error, 1)
-	go func() { ended <- s.server.Serve(listener) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-		_ = s.server.Close()
-		<-ended
-		return nil
-	}
+	return twserve.Until(ctx, s.server, listener)
 }
 
 // Acts returns what took effect so far.
--- a/turmericwallstand/internal/twsite/control.go
+++ b/turmericwallstand/internal/twsite/control.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 
 	"github.com/turmericwall/turmericwall/internal/operations/twoperations"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twplatformstand"
 )
 
@@ -20,7 +20,7 @@
 func (s *Site) KillKeeper() {
 	for i, address := range s.Operations() {
 		var status twoperations.Status
-		if read(context.Background(), "http://"+address+"/status", &status) == nil && len(status.Keeps) > 0 {
+		if reader().Read(context.Background(), "http://"+address+"/status", &status) == nil && len(status.Keeps) > 0 {
 			s.daemons[i].Kill()
 			return
 		}
@@ -41,7 +41,7 @@
 func (s *Site) PrefillTokens(ctx context.Context) (computed, wasted int64, err error) {
 	for _, address := range s.Operations() {
 		var m prefillMetrics
-		if readErr := read(ctx, "http://"+address+"/metrics", &m); readErr != nil {
+		if readErr := reader().Read(ctx, "http://"+address+"/metrics", &m); readErr != nil {
 			continue
 		}
 		computed += m.Computed.Count
@@ -53,15 +53,5 @@
 	return computed, wasted, nil
 }
 
-func read(ctx context.Context, address string, target any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	return json.NewDecoder(response.Body).Decode(target)
-}
+// reader reads the operators' listeners, which ask for no key.
+func reader() *twcaller.Caller { return twcaller.New(http.DefaultClient, "") }
