--- a/internal/delivery/twdelivery/retry.go
+++ b/internal/delivery/twdelivery/retry.go
@@ -3,10 +3,17 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/turmericwall/turmericwall"
 )
 
+// How long work that may wait pauses between two questions.
+const (
+	minPause = 100 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+)
+
 // final returns nil when the request is worth another attempt, and else the error for the caller.
 func (r *run) final(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -14,7 +21,7 @@
 	}
 	var refused *turmericwall.Problem
 	if errors.As(err, &refused) {
-		return r.refused(refused)
+		return r.refused(ctx, refused)
 	}
 	var engine *turmericwall.EngineError
 	if !errors.As(err, &engine) {
@@ -41,14 +48,27 @@
 	return nil
 }
 
-// refused passes a keeper's refusal on, but for work that may wait: that asks again.
-func (r *run) refused(refused *turmericwall.Problem) error {
+// refused passes a keeper's refusal on, but for work that may wait: that asks again. It pauses first: a
+// keeper whose queue is full refuses at once, and asking without a pause would keep it busy with refusing.
+func (r *run) refused(ctx context.Context, refused *turmericwall.Problem) error {
 	if refused.Kind() == turmericwall.KindOverloaded && !r.request.Work.Urgent {
-		return nil
+		return r.pause(ctx, refused.RetryAt())
 	}
 	return refused.WithOutcome(r.outcome())
 }
 
+func (r *run) pause(ctx context.Context, until time.Time) error {
+	clock := r.d.config.Clock
+	timer := clock.NewTimer(min(maxPause, max(minPause, until.Sub(clock.Now()))))
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return cancelled(ctx)
+	}
+}
+
 func (r *run) failed(detail, remedy string, cause error) error {
 	return turmericwall.NewProblem(turmericwall.KindUpstreamFailed, detail, remedy).
 		WithOutcome(r.outcome()).
--- a/internal/delivery/twengine/engine.go
+++ b/internal/delivery/twengine/engine.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/turmericwall/turmericwall"
 )
 
@@ -29,15 +31,27 @@
 // Engines implements turmericwall.Engines.
 type Engines struct {
 	// pooled keeps connections; fresh opens one for each call.
-	pooled *http.Client
-	fresh  *http.Client
+	pooled   *http.Client
+	fresh    *http.Client
+	bytesIn  metrics.Counter
+	messages metrics.Counter
+}
+
+// Config says where control traffic is counted.
+type Config struct {
+	Registry metrics.Registry
 }
 
 // New returns the clients of all engines.
-func New() *Engines {
+func New(config Config) *Engines {
 	pooled := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout}
 	fresh := &http.Transport{DisableKeepAlives: true}
-	return &Engines{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	return &Engines{
+		pooled:   &http.Client{Transport: pooled},
+		fresh:    &http.Client{Transport: fresh},
+		bytesIn:  metrics.GetOrRegisterCounter("control.engines.bytesIn", config.Registry),
+		messages: metrics.GetOrRegisterCounter("control.engines.messages", config.Registry),
+	}
 }
 
 // Engine returns the client of the engine at the address.
@@ -204,6 +218,8 @@
 	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
 		return nil, e.failed(reasonOf(response.StatusCode), fmt.Errorf("status %d", response.StatusCode))
 	}
+	e.clients.bytesIn.Inc(int64(len(content)))
+	e.clients.messages.Inc(1)
 	response.Body = io.NopCloser(bytes.NewReader(content))
 	return response, nil
 }
--- a/internal/delivery/twengine/engine_test.go
+++ b/internal/delivery/twengine/engine_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twengine"
@@ -22,7 +23,7 @@
 		_, _ = io.WriteString(w, body)
 	}))
 	t.Cleanup(server.Close)
-	return twengine.New().Engine(strings.TrimPrefix(server.URL, "http://"))
+	return twengine.New(twengine.Config{Registry: metrics.NewRegistry()}).Engine(strings.TrimPrefix(server.URL, "http://"))
 }
 
 func reasonOf(err error) turmericwall.EngineReason {
--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	d.recorder = tweventlog.New(tweventlog.Config{Output: config.Output, Daemon: s.Name, Level: s.LogLevel, Trace: d.trace})
-	client := twhttp.New(twhttp.Config{Address: s.Platform})
+	client := twhttp.New(twhttp.Config{Address: s.Platform, Registry: d.registry})
 	table := twtable.New(client)
 	d.committer = twgroup.New(twgroup.Config{Table: table, Registry: d.registry, Recorder: d.recorder})
 	d.buildMembership(client, table, incarnation, secured)
@@ -95,7 +95,7 @@
 }
 
 func (d *Daemon) buildDelivery(incarnation string) {
-	engines := twengine.New()
+	engines := twengine.New(twengine.Config{Registry: d.registry})
 	d.canceller = twcanceller.New(twcanceller.Config{Engines: engines, Clock: d.clock, Recorder: d.recorder})
 	d.keeper = twkeeper.New(twkeeper.Config{
 		NewPolicy: func() turmericwall.Policy { return twpolicy.New(d.settings.Policy) },
--- a/internal/placement/twpolicy/policy.go
+++ b/internal/placement/twpolicy/policy.go
@@ -8,12 +8,16 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twscheduler"
 )
 
-// Keeper is the name of the shipped policy; the other names are those of the baselines.
-const Keeper = "keeper"
+// Names of the shipped policy, and of the same decisions made by each daemon alone, without a keeper. The
+// other names are those of the baselines.
+const (
+	Keeper = "keeper"
+	Alone  = "alone"
+)
 
 // New returns a policy for one service.
 func New(name string) turmericwall.Policy {
-	if name == Keeper {
+	if name == Keeper || name == Alone {
 		return twscheduler.New(twscheduler.Config{BlockTokens: twblocks.BlockBytes / twblocks.BytesPerToken})
 	}
 	return twbaseline.New(twbaseline.Config{Rule: name})
--- a/internal/platform/twhttp/client.go
+++ b/internal/platform/twhttp/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/turmericwall/turmericwall"
 )
 
@@ -23,20 +25,32 @@
 
 // Client calls the platform's service. Its methods may be used by several goroutines.
 type Client struct {
-	address string
-	http    *http.Client
+	address  string
+	http     *http.Client
+	bytesIn  metrics.Counter
+	messages metrics.Counter
 }
 
 // Config says where the platform's service is.
 type Config struct {
 	// Address is the base URL, such as http://10.0.0.9:7000.
 	Address string
+	// Registry counts what the platform costs; nil counts nothing that anybody sees.
+	Registry metrics.Registry
 }
 
 // New returns a client.
 func New(config Config) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: callTimeout}
-	return &Client{address: strings.TrimSuffix(config.Address, "/"), http: &http.Client{Transport: transport}}
+	if config.Registry == nil {
+		config.Registry = metrics.NewRegistry()
+	}
+	return &Client{
+		address:  strings.TrimSuffix(config.Address, "/"),
+		http:     &http.Client{Transport: transport},
+		bytesIn:  metrics.GetOrRegisterCounter("control.platform.bytesIn", config.Registry),
+		messages: metrics.GetOrRegisterCounter("control.platform.messages", config.Registry),
+	}
 }
 
 // Reply is one answer of the platform.
@@ -94,6 +108,8 @@
 	if err != nil {
 		return Reply{}, unavailable(err)
 	}
+	c.bytesIn.Inc(int64(len(content)))
+	c.messages.Inc(1)
 	if response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusTooManyRequests {
 		return Reply{}, unavailable(fmt.Errorf("status %d", response.StatusCode))
 	}
--- a/turmericwallstand/internal/twmeasure/parts.go
+++ b/turmericwallstand/internal/twmeasure/parts.go
@@ -27,66 +27,6 @@
 	callTimeout = 30 * time.Second
 )
 
-// members watches idle daemons: heartbeats, polling of the platform and of the keeper's engines.
-func (m *Measure) members(ctx context.Context) error {
-	sent := &series{name: "control traffic of a daemon, in and out", unit: "KB/s"}
-	messages := &series{name: "peer messages of a daemon", unit: "1/s"}
-	processor := &series{name: "processor of a daemon", unit: "% of a core"}
-	memory := &series{name: "heap and stacks of a daemon", unit: "MB"}
-	for _, n := range []int{3, 6, 12, 24, 54} {
-		before := heap()
-		site, err := twsite.New(ctx, twsite.Config{Example: twexample.Arriola(), Daemons: n, Policy: policy, Log: io.Discard})
-		if err != nil {
-			return err
-		}
-		if err := sleep(ctx, settle); err != nil {
-			return err
-		}
-		bytesBefore, messagesBefore := controlTraffic(ctx, site)
-		used := processorTime()
-		if err := sleep(ctx, m.config.Length); err != nil {
-			return err
-		}
-		bytesAfter, messagesAfter := controlTraffic(ctx, site)
-		seconds := m.config.Length.Seconds()
-		sent.add(float64(n), (bytesAfter-bytesBefore)/seconds/float64(n)/kilobyte)
-		messages.add(float64(n), (messagesAfter-messagesBefore)/seconds/float64(n))
-		processor.add(float64(n), 100*(processorTime()-used).Seconds()/seconds/float64(n))
-		memory.add(float64(n), (heap()-before)/float64(n)/megabyte)
-		if err := site.Close(); err != nil {
-			return err
-		}
-	}
-	return m.report("members: idle daemons in one process, with the platform's stand-in", "daemons", sent, messages, processor, memory)
-}
-
-type counters struct {
-	BytesIn  counter `json:"control.bytesIn"`
-	BytesOut counter `json:"control.bytesOut"`
-	Messages counter `json:"control.messages"`
-	Writes   counter `json:"platform.writes"`
-	Commits  counter `json:"platform.transactions"`
-}
-
-type counter struct {
-	Count float64 `json:"count"`
-}
-
-func controlTraffic(ctx context.Context, site *twsite.Site) (total, messages float64) {
-	for _, address := range site.Operations() {
-		c := metricsOf(ctx, address)
-		total += c.BytesIn.Count + c.BytesOut.Count
-		messages += c.Messages.Count
-	}
-	return total, messages
-}
-
-func metricsOf(ctx context.Context, address string) counters {
-	var c counters
-	_ = twcaller.New(http.DefaultClient, "").Read(ctx, "http://"+address+"/metrics", &c)
-	return c
-}
-
 // document measures a revision: its parsing, and its way to six daemons.
 func (m *Measure) document(ctx context.Context) error {
 	parse := &series{name: "parse and check", unit: "ms"}
@@ -168,7 +108,10 @@
 		}
 		rows, transactions := 0.0, 0.0
 		for _, address := range site.Operations() {
-			c := metricsOf(ctx, address)
+			c, err := metricsOf(ctx, address)
+			if err != nil {
+				return err
+			}
 			rows += c.Writes.Count
 			transactions += c.Commits.Count
 		}
@@ -216,14 +159,14 @@
 	return all[len(all)/2], nil
 }
 
-// waiting holds streams open that wait for their first token, and weighs the process.
+// waiting holds calls open that may wait for a place, and weighs the process.
 func (m *Measure) waiting(ctx context.Context) error {
 	example := twexample.Arriola()
-	memory := &series{name: "heap and stacks of all ends", unit: "MB"}
+	memory := &series{name: "heap and stacks of callers, daemons and engines", unit: "MB"}
 	for _, n := range []int{1000, 2500, 5000, 10_000} {
 		site, err := twsite.New(ctx, twsite.Config{
 			Example: example, Daemons: 4, Prefill: 1, Decode: 1, Policy: policy, Log: io.Discard,
-			Engine: twenginestand.Config{Slots: 2 * n, Pieces: 4 * n, StepMillis: 60_000},
+			Engine: twenginestand.Config{Slots: 1, Queue: 1},
 		})
 		if err != nil {
 			return err
@@ -232,12 +175,14 @@
 		inner, cancel := context.WithCancel(ctx)
 		ends := make(chan struct{})
 		for i := range n {
+			// The account's limit is 2,000 calls a second.
+			time.Sleep(time.Millisecond)
 			go func() {
-				_, _ = stream(inner, site.Callers()[i%4], example, "wait", 2)
+				_, _ = complete(inner, site.Callers()[i%4], example, "dossier", completionOf(example, "wait", 20_000))
 				ends <- struct{}{}
 			}()
 		}
-		err = awaitHeld(ctx, site, n)
+		err = awaitInFlight(ctx, site, n)
 		memory.add(float64(n), (heap()-before)/megabyte)
 		cancel()
 		for range n {
@@ -250,7 +195,30 @@
 			return err
 		}
 	}
-	return m.report("waiting: streams that wait for their first token; callers, daemons and engines share the process", "requests", memory)
+	return m.report("waiting: calls that wait for a place; callers, daemons and engines share the process", "calls", memory)
+}
+
+type load struct {
+	InFlight int `json:"inFlight"`
+}
+
+func awaitInFlight(ctx context.Context, site *twsite.Site, n int) error {
+	deadline := time.Now().Add(callTimeout)
+	for time.Now().Before(deadline) {
+		all := 0
+		for _, address := range site.Operations() {
+			var l load
+			_ = twcaller.New(http.DefaultClient, "").Read(ctx, "http://"+address+"/status", &l)
+			all += l.InFlight
+		}
+		if all >= n {
+			return nil
+		}
+		if err := sleep(ctx, 100*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("the daemons do not hold %d calls after %s", n, callTimeout)
 }
 
 func awaitHeld(ctx context.Context, site *twsite.Site, n int) error {
@@ -267,7 +235,7 @@
 			return err
 		}
 	}
-	return fmt.Errorf("the engines do not hold %d requests after %s", n, callTimeout)
+	return fmt.Errorf("the engines do not hold %d attempts after %s", n, callTimeout)
 }
 
 // overhead compares the time of one small request through the router with what its engines need alone.
@@ -298,9 +266,17 @@
 	return site.Close()
 }
 
+func completionOf(example twexample.Example, prompt string, tokens int) twcaller.Completion {
+	return twcaller.Completion{Model: example.Model(), Prompt: prompt, MaxTokens: tokens, Stream: true}
+}
+
 func stream(ctx context.Context, address string, example twexample.Example, prompt string, tokens int) ([]byte, error) {
-	response, err := twcaller.New(http.DefaultClient, example.Key()).Call(ctx, http.MethodPost, "http://"+address+"/v1/completions", nil,
-		twcaller.Completion{Model: example.Model(), Prompt: prompt, MaxTokens: tokens, Stream: true})
+	return complete(ctx, address, example, "counter", completionOf(example, prompt, tokens))
+}
+
+func complete(ctx context.Context, address string, example twexample.Example, work string, body twcaller.Completion) ([]byte, error) {
+	response, err := twcaller.New(http.DefaultClient, example.Key()).Call(ctx, http.MethodPost, "http://"+address+"/v1/completions",
+		http.Header{"X-Work": {work}}, body)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/turmericwallstand/internal/twsite/bench_test.go
@@ -0,0 +1,43 @@
+package twsite_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twexample"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twsite"
+)
+
+// BenchmarkRequest is one streamed request of four tokens through a daemon, with caller and engines in the
+// same process: an upper bound of what the daemon needs.
+func BenchmarkRequest(b *testing.B) {
+	example := twexample.Arriola()
+	site, err := twsite.New(b.Context(), twsite.Config{
+		Example: example, Daemons: 1, Prefill: 2, Decode: 2, Policy: "keeper", Log: io.Discard,
+		Engine: twenginestand.Config{Slots: 1000, Pieces: 10_000, Queue: 1000, StepMillis: 0.01, StepPerSlotMillis: 0.0001, PrefillRate: 1e7, LinkMegabytesPerSecond: 1e6},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = site.Close() }()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	caller := twcaller.New(client, example.Key())
+	b.SetParallelism(16)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			response, err := caller.Call(b.Context(), http.MethodPost, "http://"+site.Callers()[0]+"/v1/completions", nil,
+				twcaller.Completion{Model: example.Model(), Prompt: "which tables are free", MaxTokens: 4, Stream: true})
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	})
+}
