fix: draw each policy in its own colour, and let the engine's stand-in die as net/http does

Cause: the picture drew all policies in one colour, since each was added alone; a killed stand-in engine logged writes to a connection it had taken over.

--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -81,6 +81,7 @@
 	Length     time.Duration `default:"12s" help:"How long requests arrive in each run."`
 	Fault      string        `default:"" enum:",engineKilled,zoneCut,storeDown,cancels,slowLinks,daemonKilled" help:"Fault in the middle of each run."`
 	ComeBack   bool          `help:"Send refused requests once more at the time given."`
+	From       string        `type:"path" help:"Tabulate and draw these runs on record again instead of running."`
 	Folder     string        `type:"path" help:"Folder for the runs as JSON and the picture."`
 	Log        string        `type:"path" help:"File for the daemons' logs."`
 }
@@ -93,7 +94,7 @@
 	}
 	return twcompare.New(twcompare.Config{
 		Deployment: c.Deployment, Policies: c.Policies, Levels: c.Levels, Seeds: c.Seeds, Length: c.Length,
-		Fault: c.Fault, ComeBack: c.ComeBack, Folder: c.Folder, Output: s.out, Log: log,
+		Fault: c.Fault, ComeBack: c.ComeBack, From: c.From, Folder: c.Folder, Output: s.out, Log: log,
 	}).Run(ctx)
 }
 
--- a/turmericwallstand/internal/twcompare/compare.go
+++ b/turmericwallstand/internal/twcompare/compare.go
@@ -27,6 +27,8 @@
 	Length   time.Duration
 	Fault    string
 	ComeBack bool
+	// From names runs on record, to tabulate and draw again instead of running.
+	From string
 	// Folder receives the runs as JSON and the picture; empty writes none.
 	Folder string
 	Output io.Writer
@@ -39,23 +41,39 @@
 
 // Run makes all runs and prints the table.
 func (c *Compare) Run(ctx context.Context) error {
+	runs, err := c.runs(ctx)
+	if err != nil {
+		return err
+	}
+	rows := tabulate(runs)
+	if err := c.print(rows); err != nil {
+		return err
+	}
+	return c.write(runs, rows)
+}
+
+// runs makes the runs, or reads those on record.
+func (c *Compare) runs(ctx context.Context) ([]Run, error) {
 	var runs []Run
+	if c.config.From != "" {
+		encoded, err := os.ReadFile(c.config.From)
+		if err != nil {
+			return nil, fmt.Errorf("read the runs on record: %w", err)
+		}
+		return runs, json.Unmarshal(encoded, &runs)
+	}
 	for seed := range c.config.Seeds {
 		for _, level := range c.config.Levels {
 			for _, policy := range c.config.Policies {
 				r, err := c.run(ctx, policy, level, uint64(seed+1))
 				if err != nil {
-					return fmt.Errorf("run %s at %.1f: %w", policy, level, err)
+					return nil, fmt.Errorf("run %s at %.1f: %w", policy, level, err)
 				}
 				runs = append(runs, r)
 			}
 		}
 	}
-	rows := tabulate(runs)
-	if err := c.print(rows); err != nil {
-		return err
-	}
-	return c.write(runs, rows)
+	return runs, nil
 }
 
 // row is the mean over the seeds of one policy at one level.
--- a/turmericwallstand/internal/twcompare/picture.go
+++ b/turmericwallstand/internal/twcompare/picture.go
@@ -30,10 +30,12 @@
 		}
 		lines[r.policy] = append(lines[r.policy], plotter.XY{X: r.level, Y: 100 * r.good})
 	}
+	var series []any
 	for _, policy := range order {
-		if err := plotutil.AddLinePoints(p, policy, lines[policy]); err != nil {
-			return fmt.Errorf("draw %s: %w", policy, err)
-		}
+		series = append(series, policy, lines[policy])
+	}
+	if err := plotutil.AddLinePoints(p, series...); err != nil {
+		return fmt.Errorf("draw the policies: %w", err)
 	}
 	if err := p.Save(pictureWidth, pictureHeight, path); err != nil {
 		return fmt.Errorf("write the picture, check the folder: %w", err)
--- a/turmericwallstand/internal/twenginestand/completion.go
+++ b/turmericwallstand/internal/twenginestand/completion.go
@@ -121,15 +121,15 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return abort(c)
+			abort()
 		case <-timer.C:
 		}
 		if w.brokenAt(i) {
-			return abort(c)
+			abort()
 		}
 		if e.silent(c) {
 			<-ctx.Done()
-			return abort(c)
+			abort()
 		}
 		e.countDecoded()
 		w.token(i, text.next(), i == call.MaxTokens)
@@ -138,14 +138,8 @@
 	return nil
 }
 
-// abort breaks the connection, as an engine does that dies.
-func abort(c echo.Context) error {
-	connection, _, err := c.Response().Hijack()
-	if err != nil {
-		return err
-	}
-	return connection.Close()
-}
+// abort breaks the connection, as an engine does that dies; this is net/http's own way to do so.
+func abort() { panic(http.ErrAbortHandler) }
 
 func (e *Engine) currentFaults() Faults {
 	e.mu.Lock()
