feat: keep the daemons' transactions within what the platform takes

Cause: a claim's two rows each went as a transaction of their own as long as the platform answered quickly: 400 calls a second at six daemons made 800 transactions a second, above the several hundred that it takes. Change: each daemon makes at most its share of 300 transactions a second; what comes meanwhile goes together in the next one. While few come, none waits. Ruled out: a fixed delay before each transaction (it would slow a single booking); one transaction at a time (a slow one would hold up the rest).

--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -52,8 +52,10 @@
 	d.recorder = tweventlog.New(tweventlog.Config{Output: config.Output, Daemon: s.Name, Level: s.LogLevel, Trace: d.trace})
 	client := twhttp.New(twhttp.Config{Address: s.Platform, Registry: d.registry})
 	table := twtable.New(client)
-	d.committer = twgroup.New(twgroup.Config{Table: table, Registry: d.registry, Recorder: d.recorder})
 	d.buildMembership(client, table, incarnation, secured)
+	d.committer = twgroup.New(twgroup.Config{
+		Table: table, Registry: d.registry, Recorder: d.recorder, Daemons: func() int { return len(d.exchange.Keepers()) },
+	})
 	registry := twattempt.New(incarnation)
 	d.buildDelivery(incarnation)
 	d.buildClaims(table, incarnation, registry)
--- a/internal/platform/twgroup/committer.go
+++ b/internal/platform/twgroup/committer.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/turmericwall/turmericwall"
 )
@@ -16,15 +17,23 @@
 	queueSize = 1024
 	// parallel commits keep one slow transaction from holding up the rest.
 	parallel = 4
+	// transactionsPerSecond is what all daemons together make at the most.
+	transactionsPerSecond = 300
+	// burst is how many transactions a quiet daemon may make without waiting.
+	burst = 8
 )
 
 // Committer implements turmericwall.Writer.
 //
-// The platform takes several hundred writes a second in all. Writes that arrive while a transaction
-// is under way wait and go together in the next one.
+// The platform takes several hundred writes a second in all. Each daemon makes at most its share of
+// transactions; writes that arrive meanwhile wait and go together in the next one. While few come, none
+// waits. Without the share a fair day's bookings would each be two transactions, and the platform would
+// refuse some of them.
 type Committer struct {
 	table        turmericwall.Table
 	recorder     turmericwall.Recorder
+	daemons      func() int
+	limiter      *rate.Limiter
 	waiting      chan *pending
 	writes       metrics.Counter
 	transactions metrics.Counter
@@ -35,6 +44,8 @@
 	Table    turmericwall.Table
 	Registry metrics.Registry
 	Recorder turmericwall.Recorder
+	// Daemons counts the daemons that share the platform; nil counts one.
+	Daemons func() int
 }
 
 // pending is one caller's set of writes.
@@ -48,6 +59,8 @@
 	return &Committer{
 		table:        config.Table,
 		recorder:     config.Recorder,
+		daemons:      config.Daemons,
+		limiter:      rate.NewLimiter(transactionsPerSecond, burst),
 		waiting:      make(chan *pending, queueSize),
 		writes:       metrics.GetOrRegisterCounter("platform.writes", config.Registry),
 		transactions: metrics.GetOrRegisterCounter("platform.transactions", config.Registry),
@@ -92,12 +105,23 @@
 		if !ok {
 			return
 		}
+		if c.awaitShare(ctx) != nil {
+			return
+		}
 		var group []*pending
 		group, next = c.gather(first)
 		c.commit(ctx, group)
 	}
 }
 
+// awaitShare waits until this daemon's share allows another transaction.
+func (c *Committer) awaitShare(ctx context.Context) error {
+	if c.daemons != nil {
+		c.limiter.SetLimit(rate.Limit(transactionsPerSecond / float64(max(1, c.daemons()))))
+	}
+	return c.limiter.Wait(ctx)
+}
+
 func (c *Committer) first(ctx context.Context, held *pending) (*pending, bool) {
 	if held != nil {
 		return held, true
--- a/internal/platform/twgroup/committer_test.go
+++ b/internal/platform/twgroup/committer_test.go
@@ -52,6 +52,29 @@
 	g.Expect(rows).To(HaveLen(callers - 1))
 }
 
+// A daemon that shares the platform with many others gets far more writes than it may make transactions.
+// All are durable, in few transactions: the platform is not overrun, and nobody is refused.
+func TestWritesBeyondTheShareGoTogether(t *testing.T) {
+	g := NewWithT(t)
+	registry := metrics.NewRegistry()
+	committer := twgroup.New(twgroup.Config{Table: twmemory.New(), Registry: registry, Daemons: func() int { return 100 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- committer.Run(ctx) }()
+	const callers = 600
+	errs := make(chan error, callers)
+	for i := range callers {
+		go func() { errs <- committer.Write(ctx, turmericwall.Write{Key: fmt.Sprintf("k%03d", i)}) }()
+	}
+	for range callers {
+		g.Expect(<-errs).To(Succeed())
+	}
+	transactions := metrics.GetOrRegisterCounter("platform.transactions", registry).Count()
+	g.Expect(transactions).To(BeNumerically("<=", callers/20))
+	cancel()
+	<-ended
+}
+
 // Two callers race to create the same row. One wins, whether or not they met in one group.
 func TestOneOfTwoRacingWritersWins(t *testing.T) {
 	g := NewWithT(t)
--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -110,7 +110,7 @@
 }
 
 type measure struct {
-	Parts  []string      `default:"members,engines,document,claims,overhead,waiting" help:"Parts to measure."`
+	Parts  []string      `default:"members,engines,placements,document,claims,overhead,waiting" help:"Parts to measure."`
 	Length time.Duration `default:"10s" help:"How long each point is watched."`
 }
 
--- a/turmericwallstand/internal/twmeasure/control.go
+++ b/turmericwallstand/internal/twmeasure/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcaller"
@@ -83,6 +84,59 @@
 	return m.report("engines: one keeper, three quarters of them decode, each with 20 attempts", "engines", reports, calls, steps)
 }
 
+// placements sends requests with prompts of growing length to a daemon that is not the keeper.
+func (m *Measure) placements(ctx context.Context) error {
+	const requests = 100
+	traffic := &series{name: "peer traffic of a placement, its ending included", unit: "bytes"}
+	for _, tokens := range []int{50, 500, 2000, 8000, 16_000} {
+		site, err := twsite.New(ctx, twsite.Config{
+			Example: twexample.Arriola(), Daemons: 3, Prefill: 2, Decode: 4, Policy: policy, Log: io.Discard,
+			Engine: twenginestand.Config{PrefillRate: 1e7, LinkMegabytesPerSecond: 1e6, StepMillis: 1, StepPerSlotMillis: 0.01},
+		})
+		if err != nil {
+			return err
+		}
+		if err := sleep(ctx, settle); err != nil {
+			return err
+		}
+		before := placed(ctx, site)
+		prompt := strings.Repeat("a", tokens*bytesPerToken)
+		for i := range requests {
+			if _, err := stream(ctx, site.Callers()[i%3], twexample.Arriola(), prompt, 1); err != nil {
+				return err
+			}
+		}
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+		// One daemon of three is the keeper and asks itself; each message is counted at both its ends.
+		traffic.add(float64(tokens), (placed(ctx, site)-before)/2/(requests*2/3.0))
+		if err := site.Close(); err != nil {
+			return err
+		}
+	}
+	return m.report("placements: requests through daemons that ask another one", "prompt tokens", traffic)
+}
+
+const bytesPerToken = 4
+
+type placementCounters struct {
+	PlaceIn   counter `json:"control.Place.bytesIn"`
+	PlaceOut  counter `json:"control.Place.bytesOut"`
+	FinishIn  counter `json:"control.Finish.bytesIn"`
+	FinishOut counter `json:"control.Finish.bytesOut"`
+}
+
+func placed(ctx context.Context, site *twsite.Site) float64 {
+	total := 0.0
+	for _, address := range site.Operations() {
+		var c placementCounters
+		_ = twcaller.New(http.DefaultClient, "").Read(ctx, "http://"+address+"/metrics", &c)
+		total += c.PlaceIn.Count + c.PlaceOut.Count + c.FinishIn.Count + c.FinishOut.Count
+	}
+	return total
+}
+
 // fill opens streams that stay, until release is called.
 func fill(ctx context.Context, site *twsite.Site, streams int) (release func(), err error) {
 	inner, cancel := context.WithCancel(ctx)
