--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The daily commands.
 
-.PHONY: build test race lint format generate golden bench demo
+.PHONY: build test race lint format generate golden bench measure demo
 
 build: ## Build all programs into bin/.
 	go build -o bin/ ./turmericwalld ./turmericwallctl ./turmericwallstand
@@ -23,10 +23,13 @@
 	PATH=$$PWD/bin:$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/membership/twpeer/peer.proto
 
 golden: ## Renew the golden files; read the difference before it is committed.
-	UPDATE_GOLDEN=1 go test work
+	go test ./internal/placement/twscheduler ./turmericwallstand/internal/twsite -update
 
 bench: ## Run the benchmarks.
-	go test -run '^$$' -bench . -benchmem work
+	go test -run '^$$' -bench . -benchmem ./internal/... ./turmericwallstand/internal/twsite
+
+measure: ## Measure for docs/CAPACITY.md.
+	go run ./turmericwallstand measure
 
 demo: ## Show a whole site in one process.
 	go run ./turmericwallstand demo
--- a/turmericwallstand/internal/twcompare/compare.go
+++ b/turmericwallstand/internal/twcompare/compare.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if len(runs) == 0 {
+		return fmt.Errorf("no runs: give at least one policy, level and seed")
+	}
 	rows := tabulate(runs)
 	if err := c.print(rows); err != nil {
 		return err
@@ -60,7 +63,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the runs on record: %w", err)
 		}
-		return runs, json.Unmarshal(encoded, &runs)
+		if err := json.Unmarshal(encoded, &runs); err != nil {
+			return nil, fmt.Errorf("decode the runs on record: %w", err)
+		}
+		for i := range runs {
+			c.noteRecovery(&runs[i])
+		}
+		return runs, nil
 	}
 	for seed := range c.config.Seeds {
 		for _, level := range c.config.Levels {
@@ -159,7 +168,7 @@
 
 func (c *Compare) print(rows []row) error {
 	table := tabwriter.NewWriter(c.config.Output, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(table, "deployment %s, fault %q, %s of arrivals, %d seeds\n", c.config.Deployment, c.config.Fault, c.config.Length, c.config.Seeds)
+	_, _ = fmt.Fprintf(table, "deployment %s, fault %q, %s of arrivals, %d seeds\n", c.config.Deployment, c.config.Fault, c.config.Length, rows[0].runs)
 	_, _ = fmt.Fprintln(table, "level\tpolicy\toffered\tgood\t(min-max)\tworth\tworst kind\twasted prefill\tfirst p95 ms\tgap p95 ms\trefused\tfailed\twrong\tdeferrable\trecovery s\tserved on return")
 	for _, r := range rows {
 		_, _ = fmt.Fprintf(table, "%.1f\t%s\t%.0f\t%.1f%%\t%.1f-%.1f\t%.1f%%\t%.0f%%\t%.2f%%\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f%%\t%.1f\t%.0f of %.0f\n",
--- a/turmericwallstand/internal/twcompare/run.go
+++ b/turmericwallstand/internal/twcompare/run.go
@@ -25,7 +25,7 @@
 	// ComputedTokens and WastedTokens are prompt tokens computed, and those of them that brought no answer.
 	ComputedTokens int64 `json:"computedTokens"`
 	WastedTokens   int64 `json:"wastedTokens"`
-	// RecoverySeconds is how long after a fault the goodput was back at nine tenths of that before; -1 is never.
+	// RecoverySeconds is how long after the fault the goodput was back for good; -1 is not within the run.
 	RecoverySeconds int `json:"recoverySeconds"`
 }
 
@@ -96,20 +96,32 @@
 		return err
 	}
 	r.ComputedTokens, r.WastedTokens, err = site.PrefillTokens(ctx)
-	r.RecoverySeconds = recovery(r.Summary.GoodBySecond, int(c.config.Length/time.Second/2), int(c.config.Length/time.Second))
+	c.noteRecovery(r)
 	return err
 }
 
-// recovery compares the seconds after the fault with the mean of the three before it.
+func (c *Compare) noteRecovery(r *Run) {
+	seconds := int(c.config.Length / time.Second)
+	r.RecoverySeconds = recovery(r.Summary.GoodBySecond, seconds/2, seconds)
+}
+
+// recovery is how many seconds after the fault the goodput was last short of four fifths of the mean of the
+// three seconds before it, each second taken with the one before; -1 says that it still was at the end.
 func recovery(good []int, fault, end int) int {
 	if fault < 3 || len(good) < end {
 		return -1
 	}
 	before := float64(good[fault-1]+good[fault-2]+good[fault-3]) / 3
+	short := fault - 1
 	for second := fault; second < end; second++ {
-		if float64(good[second]) >= 0.9*before {
-			return second - fault
+		if float64(good[second]+good[second-1])/2 < recovered*before {
+			short = second
 		}
 	}
-	return -1
+	if short == end-1 {
+		return -1
+	}
+	return short + 1 - fault
 }
+
+const recovered = 0.8
