fix: do not break other calls off when one call to a peer is slow

Cause: read as a newcomer: a peer call that ended by its deadline closed the connection that all calls to that peer share. One slow placement would have broken off every other one under way at that keeper, and sent all of them to the next keeper. Change: the next call dials anew; the old connection is closed ten seconds later. Ruled out: leaving the connection in use (it may be silent for good).

--- a/internal/membership/twdialer/dialer.go
+++ b/internal/membership/twdialer/dialer.go
@@ -17,6 +17,9 @@
 	"github.com/turmericwall/turmericwall/internal/membership/twpeer"
 )
 
+// closeAfter is above the longest call's deadline.
+const closeAfter = 10 * time.Second
+
 // Dialer gives clients of the peer protocol.
 type Dialer struct {
 	credentials credentials.TransportCredentials
@@ -44,7 +47,8 @@
 // Call runs one call to the peer within its deadline.
 //
 // An open connection can go silent for good while new ones work: the symptom is a call that ends by
-// its deadline. Such a connection is closed, so that the next call dials anew.
+// its deadline. The next call then dials anew. The old connection is closed later: if it was only one
+// call that was slow, closing it at once would break all others off that are under way on it.
 func (d *Dialer) Call(ctx context.Context, address string, timeout time.Duration, call func(context.Context, twpeer.PeerClient) error) error {
 	connection, err := d.connection(address)
 	if err != nil {
@@ -97,7 +101,7 @@
 	defer d.mu.Unlock()
 	if d.connections[address] == connection {
 		delete(d.connections, address)
-		_ = connection.Close()
+		time.AfterFunc(closeAfter, func() { _ = connection.Close() })
 	}
 }
 
--- a/internal/placement/twscheduler/scheduler.go
+++ b/internal/placement/twscheduler/scheduler.go
@@ -179,7 +179,12 @@
 	}
 	for _, vm := range vms {
 		e, ok := s.engines[vm.Name]
-		if !ok || e.vm.Address != vm.Address {
+		if ok && e.vm.Address != vm.Address {
+			// A replaced VM has nothing of what the one before it held.
+			s.empty(e)
+			ok = false
+		}
+		if !ok {
 			e = newEngine(vm)
 			s.engines[vm.Name] = e
 		}
@@ -189,9 +194,7 @@
 	s.order = s.order[:0]
 	for name, e := range s.engines {
 		if !e.listed {
-			for attempt := range e.occupants {
-				s.vacate(e, attempt)
-			}
+			s.empty(e)
 			delete(s.engines, name)
 			continue
 		}
@@ -279,6 +282,12 @@
 	s.homes[attempt] = homes
 }
 
+func (s *Scheduler) empty(e *engine) {
+	for attempt := range e.occupants {
+		s.vacate(e, attempt)
+	}
+}
+
 // expire frees reservations whose attempt never came.
 func (s *Scheduler) expire(now time.Time, e *engine) {
 	for attempt, o := range e.occupants {
--- a/internal/placement/twscheduler/session_test.go
+++ b/internal/placement/twscheduler/session_test.go
@@ -34,6 +34,8 @@
 	Name  string `json:"name"`
 	Zone  string `json:"zone"`
 	State string `json:"state"`
+	// Address is the name if it is left out.
+	Address string `json:"address"`
 }
 
 type report struct {
@@ -111,7 +113,11 @@
 			if v.State != "" {
 				state = turmericwall.VMState(v.State)
 			}
-			listed.VMs = append(listed.VMs, turmericwall.VM{Name: v.Name, Zone: v.Zone, Address: v.Name, State: state})
+			address := v.Address
+			if address == "" {
+				address = v.Name
+			}
+			listed.VMs = append(listed.VMs, turmericwall.VM{Name: v.Name, Zone: v.Zone, Address: address, State: state})
 		}
 		return listed
 	case l.Reported != nil:
