fix: count what is missing after a short gap of the store as gone

The feed was silent for a second and its history dropped. The daemons listed all rows (version 71, the entry missing) but kept the entry for two seconds, as after an outage: a keeper whose one feed call timed out, and followers that still remembered an outage of seconds before, because a paused watch never noted that the store is read again. Read times keep the steady clock: a jump of the time of day made a keeper's knowledge look fresh or stale by seconds. Found on the way: a drop of the keeper took the registry's next version and hid the change that came with it from followers. Drops now have positions of their own between two versions. Ruled out: stale lists (the list had the removal), a feed that skips changes (traced: each version after the list came). Each of the three new tests fails with its part of the change taken out.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -141,7 +141,7 @@
 var errPlain = errors.New("connection reset")
 
 func newSite(kind turmericwall.CallKind) *site {
-	s := &site{upstreams: &upstreams{}, placer: &placer{}, view: twupstreams.New(), slack: 50}
+	s := &site{upstreams: &upstreams{}, placer: &placer{}, view: twupstreams.New(twupstreams.Config{}), slack: 50}
 	routes := twroutes.New()
 	routes.Apply(&turmericwall.RoutePlan{
 		Version: 3,
--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -45,9 +45,9 @@
 	Recorder turmericwall.Recorder
 	// Keeping tells that this daemon is the keeper, and its term.
 	Keeping func() (term int64, ok bool)
-	// PlanVersion and UpstreamsVersion are what this daemon knows.
-	PlanVersion      func() int64
-	UpstreamsVersion func() int64
+	// PlanVersion and UpstreamsPosition are how much this daemon knows.
+	PlanVersion       func() int64
+	UpstreamsPosition func() int64
 	// StoreRead is when the store was asked for the last answer that this daemon got.
 	StoreRead func() time.Time
 	// Behind is called when the keeper knows newer state than this daemon.
@@ -98,7 +98,7 @@
 	if term, keeping := c.config.Keeping(); keeping && beat.Term > term && c.config.Outranked != nil {
 		c.config.Outranked()
 	}
-	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsVersion > c.config.UpstreamsVersion() {
+	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsPosition > c.config.UpstreamsPosition() {
 		select {
 		case c.behind <- struct{}{}:
 		default:
@@ -116,7 +116,7 @@
 	heard := c.KeeperHeard()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := time.Duration(c.beat.StoreMillis)*time.Millisecond + time.Since(c.heardAt)
+	age := time.Since(c.heardAt) + time.Duration(c.beat.StoreMillis)*time.Millisecond
 	informed := heard && age < informedSpan
 	if informed != c.informed {
 		c.informed = informed
@@ -130,6 +130,16 @@
 	return informed
 }
 
+// StoreRead is when the keeper asked the store for the last answer that it told of; the zero time before its first beat.
+func (c *Crew) StoreRead() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heardAt.IsZero() {
+		return time.Time{}
+	}
+	return c.heardAt.Add(-time.Duration(c.beat.StoreMillis) * time.Millisecond)
+}
+
 // Keeper returns the live keeper; self tells that it is this daemon.
 func (c *Crew) Keeper() (keeper turmericwall.Member, self, ok bool) {
 	if _, keeping := c.config.Keeping(); keeping {
@@ -264,7 +274,7 @@
 func (c *Crew) beatAll(ctx context.Context, term int64) {
 	beat := turmericwall.Beat{
 		Keeper: c.config.Self, Term: term, Daemons: c.Daemons(),
-		PlanVersion: c.config.PlanVersion(), UpstreamsVersion: c.config.UpstreamsVersion(),
+		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
 		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(),
 	}
 	c.mu.Lock()
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -148,7 +148,7 @@
 	})
 	none := func() int64 { return 0 }
 	d.crew = twcrew.New(twcrew.Config{
-		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsVersion: none,
+		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
 		StoreRead: d.storeRead, Outranked: d.election.Yield,
 		Gone: func(incarnation string) {
 			d.mu.Lock()
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -75,11 +75,11 @@
 	var ended []turmericwall.PlacementEnd
 	var adopted []turmericwall.PlacedRun
 	me := turmericwall.Member{Name: "b", Address: "b:1", Incarnation: "b1"}
-	state := turmericwall.SharedState{Plan: &turmericwall.RoutePlan{Version: 4}, Upstreams: []turmericwall.Upstream{{ID: "u"}}, UpstreamsVersion: 9}
+	state := turmericwall.SharedState{Plan: &turmericwall.RoutePlan{Version: 4}, Upstreams: []turmericwall.Upstream{{ID: "u"}}, UpstreamsPosition: 9}
 	address := serve(t, twpeerhttp.Config{
 		Heard: func(beat turmericwall.Beat) turmericwall.Member { g.Expect(beat.Term).To(BeEquivalentTo(3)); return me },
 		State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
-			g.Expect(ask.UpstreamsVersion).To(BeEquivalentTo(8))
+			g.Expect(ask.UpstreamsPosition).To(BeEquivalentTo(8))
 			return state
 		},
 		Finish: func(end turmericwall.PlacementEnd) { ended = append(ended, end) },
@@ -92,7 +92,7 @@
 	g.Expect([]any{adopted[0].Engine, adopted[0].AgeMillis, adopted[0].Ask.ID}).To(Equal([]any{"d", int64(-40), "1/0"}))
 	got, err := c.Beat(ctx, address, turmericwall.Beat{Term: 3})
 	g.Expect([]any{got, err}).To(Equal([]any{me, nil}))
-	learned, err := c.State(ctx, address, turmericwall.StateAsk{UpstreamsVersion: 8})
+	learned, err := c.State(ctx, address, turmericwall.StateAsk{UpstreamsPosition: 8})
 	g.Expect([]any{learned, err}).To(Equal([]any{state, nil}))
 }
 
--- a/internal/membership/twplanfeed/follower.go
+++ b/internal/membership/twplanfeed/follower.go
@@ -50,6 +50,6 @@
 }
 
 // Regained tells that the row can be read again.
-func (f *Follower) Regained(time.Time) {
+func (f *Follower) Regained(time.Time, time.Time) {
 	f.config.Recorder.Record(turmericwall.EventStoreRegained).Str("table", "plan").Send()
 }
--- a/internal/membership/twupstreamfeed/follower.go
+++ b/internal/membership/twupstreamfeed/follower.go
@@ -56,8 +56,8 @@
 }
 
 // Regained tells that the rows can be read again.
-func (f *Follower) Regained(now time.Time) {
-	f.config.View.Regained(now)
+func (f *Follower) Regained(now, since time.Time) {
+	f.config.View.Regained(now, since)
 	f.config.Recorder.Record(turmericwall.EventStoreRegained).Str("table", "upstreams").
 		Int("version", f.config.View.Version()).Send()
 }
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -13,8 +13,21 @@
 // gone. Upstreams beat every 1.2 s and are back within about two seconds, by the registry's own promise.
 const returnSpan = 2 * time.Second
 
+// A position counts the registry's versions, and between two of them the drops of entries that did not come back.
+//
+// A drop that took the registry's next version would hide the change that comes with it: followers would believe that
+// they know it already, and go on sending calls to an upstream that leaves. Drops leave the registry's versions free.
+const dropsPerVersion = 1 << 10
+
+// Config says what a view works with.
+type Config struct {
+	// LapseMillis is the shortest outage of the registry, in milliseconds, in which entries of living upstreams lapse.
+	LapseMillis float64
+}
+
 // View is what this daemon knows of all upstreams. It has no clock of its own.
 type View struct {
+	config   Config
 	mu       sync.RWMutex
 	entries  map[string]*entry
 	services map[string][]turmericwall.Upstream
@@ -24,17 +37,17 @@
 	away bool
 	// trustedAt is when a missing entry counts as gone again.
 	trustedAt time.Time
-	version   int64
+	position  int64
 	// changed are the newest changes, oldest first, for peers that follow this view.
 	changed []change
-	// base is the version after which all changes are kept.
+	// base is the position after which all changes are kept.
 	base int64
 }
 
-// change is one upstream that was put or removed at a version.
+// change is one upstream that was put or removed at a position.
 type change struct {
-	version int64
-	id      string
+	position int64
+	id       string
 }
 
 // keptChanges is how many changes peers may be behind before they get the whole view: a release replaces some tens
@@ -48,8 +61,8 @@
 }
 
 // New returns a view that knows no upstream.
-func New() *View {
-	return &View{entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream)}
+func New(config Config) *View {
+	return &View{config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream)}
 }
 
 // Lost tells that the registry can't be read.
@@ -59,18 +72,20 @@
 	v.away = true
 }
 
-// Regained tells that the registry answers again.
+// Regained tells that the registry answers again; it was last read at the time since.
 //
 // Entries lapse while the registry is away, though their upstreams live. Dropping them all at its return would
-// refuse every call for the two seconds in which upstreams register again. Missing entries are kept until then.
-func (v *View) Regained(now time.Time) {
+// refuse every call for the two seconds in which upstreams register again. Missing entries are kept until then. After
+// a span in which no living upstream's entry can have lapsed, what is missing has left: kept as well, it got new calls
+// until 2.3 s after it had said so.
+func (v *View) Regained(now, since time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.away {
 		return
 	}
 	v.away = false
-	if v.known {
+	if v.known && float64(now.Sub(since).Milliseconds()) >= v.config.LapseMillis {
 		v.trustedAt = now.Add(returnSpan)
 	}
 }
@@ -79,13 +94,13 @@
 func (v *View) List(now time.Time, version int64, upstreams []turmericwall.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.known && version < v.version {
+	if v.known && version < v.position/dropsPerVersion {
 		return
 	}
-	v.version = version
+	v.position = max(v.position, version*dropsPerVersion)
 	v.known = true
 	v.changed = nil
-	v.base = version
+	v.base = v.position
 	seen := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
 		seen[u.ID] = true
@@ -103,7 +118,7 @@
 func (v *View) Put(version int64, upstream turmericwall.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.note(version, upstream.ID)
+	v.note(version*dropsPerVersion, upstream.ID)
 	v.entries[upstream.ID] = &entry{upstream: upstream}
 	v.rebuild()
 }
@@ -112,7 +127,7 @@
 func (v *View) Remove(now time.Time, version int64, id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.note(version, id)
+	v.note(version*dropsPerVersion, id)
 	v.remove(now, id)
 	v.rebuild()
 }
@@ -133,26 +148,25 @@
 	if len(missing) == 0 {
 		return
 	}
-	// The registry's version is the same, and followers must hear of it: the next version stands for the drop. The
-	// registry is past it within a second, since the keeper's lease is renewed there.
-	version := v.version + 1
+	// The registry's version is the same, and followers must hear of it.
+	position := v.position + 1
 	for _, id := range missing {
 		delete(v.entries, id)
-		v.note(version, id)
+		v.note(position, id)
 	}
 	v.rebuild()
 }
 
-// Since returns what changed after the version; ok is false when that is no longer known.
-func (v *View) Since(version int64) (put []turmericwall.Upstream, removed []string, now int64, ok bool) {
+// Since returns what changed after the position; ok is false when that is no longer known.
+func (v *View) Since(position int64) (put []turmericwall.Upstream, removed []string, now int64, ok bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if version < v.base {
-		return nil, nil, v.version, false
+	if position < v.base {
+		return nil, nil, v.position, false
 	}
 	seen := make(map[string]bool)
 	for _, c := range v.changed {
-		if c.version <= version || seen[c.id] {
+		if c.position <= position || seen[c.id] {
 			continue
 		}
 		seen[c.id] = true
@@ -162,37 +176,37 @@
 		}
 		removed = append(removed, c.id)
 	}
-	return put, removed, v.version, true
+	return put, removed, v.position, true
 }
 
 // Follow takes the changes that a peer saw, which judged itself what is gone.
-func (v *View) Follow(version int64, put []turmericwall.Upstream, removed []string) {
+func (v *View) Follow(position int64, put []turmericwall.Upstream, removed []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if version <= v.version {
+	if position <= v.position {
 		return
 	}
 	for _, u := range put {
-		v.note(version, u.ID)
+		v.note(position, u.ID)
 		v.entries[u.ID] = &entry{upstream: u}
 	}
 	for _, id := range removed {
-		v.note(version, id)
+		v.note(position, id)
 		delete(v.entries, id)
 	}
-	v.version = version
+	v.position = position
 	v.rebuild()
 }
 
 // FollowAll takes the whole view of a peer, which judged itself what is gone.
-func (v *View) FollowAll(version int64, upstreams []turmericwall.Upstream) {
+func (v *View) FollowAll(position int64, upstreams []turmericwall.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.known && version < v.version {
+	if v.known && position < v.position {
 		return
 	}
-	v.version = version
-	v.base = version
+	v.position = position
+	v.base = position
 	v.known = true
 	v.changed = nil
 	v.entries = make(map[string]*entry, len(upstreams))
@@ -213,7 +227,14 @@
 func (v *View) Version() int64 {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.version
+	return v.position / dropsPerVersion
+}
+
+// Position is how far the view has come: peers that follow it ask for what changed since.
+func (v *View) Position() int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.position
 }
 
 // Upstreams returns the service's upstreams, leaving ones included. The slice is shared and never changed.
@@ -244,11 +265,11 @@
 }
 
 // note counts a change and keeps it for followers; the lock is held.
-func (v *View) note(version int64, id string) {
-	v.version = max(v.version, version)
-	v.changed = append(v.changed, change{version: version, id: id})
+func (v *View) note(position int64, id string) {
+	v.position = max(v.position, position)
+	v.changed = append(v.changed, change{position: position, id: id})
 	if len(v.changed) > keptChanges {
-		v.base = v.changed[0].version
+		v.base = v.changed[0].position
 		v.changed = v.changed[1:]
 	}
 }
--- a/internal/membership/twupstreams/view_test.go
+++ b/internal/membership/twupstreams/view_test.go
@@ -26,7 +26,7 @@
 
 func TestRemovedUpstreamIsGoneAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	v := twupstreams.New()
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	v.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
 	v.Remove(start, 6, "a")
 	g.Expect(ids(v)).To(Equal([]string{"b"}))
@@ -37,10 +37,10 @@
 // up to two seconds. Callers must still be served meanwhile; what is missing after that is gone.
 func TestEntriesThatLapseInAnOutageAreKeptUntilTheyCanBeBack(t *testing.T) {
 	g := NewWithT(t)
-	v := twupstreams.New()
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	v.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
 	v.Lost()
-	v.Regained(start)
+	v.Regained(start, start.Add(-5*time.Second))
 	v.List(start, 9, nil)
 	v.Sweep(start.Add(1900 * time.Millisecond))
 	g.Expect(ids(v)).To(Equal([]string{"a", "b"}))
@@ -53,7 +53,7 @@
 // taken for a live one again.
 func TestAnOlderListIsIgnored(t *testing.T) {
 	g := NewWithT(t)
-	v := twupstreams.New()
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	v.List(start, 5, []turmericwall.Upstream{upstream("a", false)})
 	v.Put(8, upstream("a", true))
 	v.List(start, 6, []turmericwall.Upstream{upstream("a", false)})
@@ -64,7 +64,7 @@
 // An upstream restarts under its old id. Work that was placed on the incarnation before must not be sent to this one.
 func TestAnotherIncarnationDoesNotTakeOldWork(t *testing.T) {
 	g := NewWithT(t)
-	v := twupstreams.New()
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	v.Put(1, upstream("a", false))
 	reborn := upstream("a", false)
 	reborn.StartedMillis = 6
@@ -75,24 +75,26 @@
 
 func TestFollowersGetWhatChanged(t *testing.T) {
 	g := NewWithT(t)
-	keeper, follower := twupstreams.New(), twupstreams.New()
+	keeper, follower := twupstreams.New(twupstreams.Config{LapseMillis: 1800}), twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	keeper.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
-	_, _, _, ok := keeper.Since(3)
+	listed := keeper.Position()
+	_, _, _, ok := keeper.Since(listed - 1)
 	g.Expect(ok).To(BeFalse(), "changes before the list are unknown")
-	follower.FollowAll(keeper.Version(), keeper.All())
+	follower.FollowAll(listed, keeper.All())
 	keeper.Put(7, upstream("a", true))
 	keeper.Remove(start, 8, "b")
 	keeper.Put(9, upstream("c", false))
-	put, removed, version, ok := keeper.Since(5)
-	g.Expect([]any{put, removed, version, ok}).To(Equal([]any{[]turmericwall.Upstream{upstream("a", true), upstream("c", false)}, []string{"b"}, int64(9), true}))
-	follower.Follow(version, put, removed)
+	put, removed, position, ok := keeper.Since(listed)
+	g.Expect([]any{put, removed, position, ok}).To(Equal([]any{[]turmericwall.Upstream{upstream("a", true), upstream("c", false)}, []string{"b"}, keeper.Position(), true}))
+	follower.Follow(position, put, removed)
 	g.Expect(follower.All()).To(Equal(keeper.All()))
-	put, removed, _, ok = keeper.Since(9)
+	g.Expect(follower.Version()).To(BeEquivalentTo(9))
+	put, removed, _, ok = keeper.Since(position)
 	g.Expect([]any{len(put), len(removed), ok}).To(Equal([]any{0, 0, true}))
 	for i := range 300 {
 		keeper.Put(int64(10+i), upstream("c", false))
 	}
-	_, _, _, ok = keeper.Since(9)
+	_, _, _, ok = keeper.Since(position)
 	g.Expect(ok).To(BeFalse(), "too far behind")
 }
 
@@ -100,12 +102,47 @@
 // followers must hear of that as of any other change.
 func TestFollowersHearOfWhatWasDroppedAfterAnOutage(t *testing.T) {
 	g := NewWithT(t)
-	keeper := twupstreams.New()
+	keeper := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
 	keeper.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
 	keeper.Lost()
-	keeper.Regained(start)
+	keeper.Regained(start, start.Add(-5*time.Second))
 	keeper.List(start, 6, []turmericwall.Upstream{upstream("a", false)})
+	before := keeper.Position()
 	keeper.Sweep(start.Add(3 * time.Second))
-	put, removed, version, ok := keeper.Since(6)
-	g.Expect([]any{len(put), removed, version, ok}).To(Equal([]any{0, []string{"b"}, int64(7), true}))
+	put, removed, position, ok := keeper.Since(before)
+	g.Expect([]any{len(put), removed, ok}).To(Equal([]any{0, []string{"b"}, true}))
+	g.Expect(position).To(BeNumerically(">", before))
+}
+
+// The keeper drops an upstream after an outage, and its followers hear of it. The registry's very next version says that
+// another upstream leaves. Followers must hear of that too; had the drop taken that version, they would send calls to
+// the leaving upstream until something else changes.
+func TestADropDoesNotHideTheNextChange(t *testing.T) {
+	g := NewWithT(t)
+	keeper, follower := twupstreams.New(twupstreams.Config{LapseMillis: 1800}), twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+	keeper.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
+	keeper.Lost()
+	keeper.Regained(start, start.Add(-5*time.Second))
+	keeper.List(start, 6, []turmericwall.Upstream{upstream("a", false)})
+	keeper.Sweep(start.Add(3 * time.Second))
+	follower.FollowAll(keeper.Position(), keeper.All())
+	keeper.Put(7, upstream("a", true))
+	g.Expect(keeper.Position()).To(BeNumerically(">", follower.Position()))
+	put, removed, position, ok := keeper.Since(follower.Position())
+	g.Expect(ok).To(BeTrue())
+	follower.Follow(position, put, removed)
+	g.Expect(follower.Takes(upstream("a", false).Key())).To(BeFalse())
+}
+
+// Changes of the registry are silent for a second while an upstream's entry is removed, and then the history is gone.
+// The daemon lists all entries anew. No living upstream's entry lapses in a second, so the missing one has left; kept
+// like one that lapsed in an outage, it got calls for two more seconds, past the bound for leaving upstreams.
+func TestAnEntryThatIsMissingAfterAShortGapHasLeft(t *testing.T) {
+	g := NewWithT(t)
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+	v.List(start, 5, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
+	v.Lost()
+	v.Regained(start, start.Add(-1200*time.Millisecond))
+	v.List(start, 9, []turmericwall.Upstream{upstream("a", false)})
+	g.Expect(ids(v)).To(Equal([]string{"a"}))
 }
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -27,8 +27,8 @@
 	Change(now time.Time, snapshot turmericwall.Snapshot)
 	// Lost tells that the store can't be read.
 	Lost(err error)
-	// Regained tells that it can be read again.
-	Regained(now time.Time)
+	// Regained tells that it can be read again; it was last read at the time since.
+	Regained(now, since time.Time)
 }
 
 // Config says what to watch.
@@ -40,6 +40,8 @@
 	Wait time.Duration
 	// Paused tells that another daemon reads the table for this one; nil never pauses.
 	Paused func() bool
+	// ReadElsewhere is when another daemon last read the table for this one; nil tells that none ever did.
+	ReadElsewhere func() time.Time
 }
 
 // Watch follows one table.
@@ -49,8 +51,9 @@
 	listed bool
 	lost   bool
 	pause  time.Duration
-	// readAt is when the last answered read was begun, in Unix nanoseconds.
-	readAt atomic.Int64
+	// readAt is when the last answered read was begun. It keeps its steady clock: the time of day may jump by seconds,
+	// and a keeper that is cut off from the store would seem to read it.
+	readAt atomic.Pointer[time.Time]
 	// failing tells that the last read failed.
 	failing atomic.Bool
 }
@@ -62,15 +65,17 @@
 func (w *Watch) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if w.config.Paused != nil && w.config.Paused() {
-			// What changes meanwhile is learned elsewhere; all rows are read again afterwards.
+			// What changes meanwhile is learned elsewhere; all rows are read again afterwards. An outage that this watch
+			// has seen is over: remembered until it reads again, it would pass for one of the whole time between.
 			w.listed = false
+			w.regain()
 			sleep(ctx, pausedLook)
 			continue
 		}
 		began := time.Now()
 		err := w.step(ctx)
 		if err == nil {
-			w.readAt.Store(began.UnixNano())
+			w.readAt.Store(&began)
 		}
 		if ctx.Err() != nil {
 			break
@@ -84,10 +89,15 @@
 }
 
 // ReadAt is when the last answered read was begun; the zero time before the first.
-func (w *Watch) ReadAt() time.Time { return time.Unix(0, w.readAt.Load()) }
+func (w *Watch) ReadAt() time.Time {
+	if at := w.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
 // Healthy tells that the last read was answered.
-func (w *Watch) Healthy() bool { return w.readAt.Load() != 0 && !w.failing.Load() }
+func (w *Watch) Healthy() bool { return w.readAt.Load() != nil && !w.failing.Load() }
 
 // step reads all rows, or the changes since.
 func (w *Watch) step(ctx context.Context) error {
@@ -137,8 +147,20 @@
 func (w *Watch) regain() {
 	if w.lost {
 		w.lost = false
-		w.config.Follower.Regained(time.Now())
+		w.config.Follower.Regained(time.Now(), w.lastRead())
+	}
+}
+
+// lastRead is when the table was last read, by this watch or for it.
+func (w *Watch) lastRead() time.Time {
+	at := w.ReadAt()
+	if w.config.ReadElsewhere == nil {
+		return at
+	}
+	if elsewhere := w.config.ReadElsewhere(); elsewhere.After(at) {
+		return elsewhere
 	}
+	return at
 }
 
 func sleep(ctx context.Context, span time.Duration) bool {
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,6 +52,7 @@
 type follower struct {
 	mu    sync.Mutex
 	heard []string
+	since time.Time
 }
 
 func (f *follower) note(what string) {
@@ -68,7 +70,19 @@
 func (f *follower) Reset(time.Time, turmericwall.Snapshot)  { f.note("reset") }
 func (f *follower) Change(time.Time, turmericwall.Snapshot) { f.note("change") }
 func (f *follower) Lost(error)                              { f.note("lost") }
-func (f *follower) Regained(time.Time)                      { f.note("regained") }
+
+func (f *follower) Regained(_, since time.Time) {
+	f.note("regained")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.since = since
+}
+
+func (f *follower) lastRead() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since
+}
 
 func run(t *testing.T, f *feed) *follower {
 	t.Helper()
@@ -116,3 +130,27 @@
 	g.Eventually(follow.all, 3*time.Second).Should(Equal([]string{"reset", "lost", "regained", "reset"}))
 	g.Eventually(func() []int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.afters }).Should(Equal([]int64{5, 5}))
 }
+
+// A daemon meets an outage of the store, and then its keeper reads the store for it. Seconds later the keeper falls
+// silent and the daemon reads for itself again. It must not take the whole time between for an outage: entries that were
+// removed meanwhile would be kept as if they had lapsed, and their upstreams would get calls after they left.
+func TestAnOutageIsOverWhenAnotherDaemonReads(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{lists: []turmericwall.Snapshot{at(5, 2)}, changes: []any{errors.New("reset")}}
+	var paused atomic.Bool
+	readElsewhere := time.Now()
+	follow := &follower{}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- twwatch.New(twwatch.Config{
+			Feed: f, Table: "t", Follower: follow, Wait: time.Second, Paused: paused.Load,
+			ReadElsewhere: func() time.Time { return readElsewhere.Add(time.Minute) },
+		}).Run(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	g.Eventually(follow.all).Should(Equal([]string{"reset", "lost"}))
+	paused.Store(true)
+	g.Eventually(follow.all, 3*time.Second).Should(Equal([]string{"reset", "lost", "regained"}))
+	g.Expect(follow.lastRead()).To(Equal(readElsewhere.Add(time.Minute)))
+}
--- a/peering.go
+++ b/peering.go
@@ -10,8 +10,8 @@
 	// Daemons is the number of live daemons.
 	Daemons     int   `json:"daemons"`
 	PlanVersion int64 `json:"planVersion"`
-	// UpstreamsVersion is the version of the view of upstreams.
-	UpstreamsVersion int64 `json:"upstreamsVersion"`
+	// UpstreamsPosition is how far the keeper's view of upstreams has come.
+	UpstreamsPosition int64 `json:"upstreamsPosition"`
 	// StoreMillis is how long ago the keeper asked the store for the last answer that it got.
 	StoreMillis int64 `json:"storeMillis"`
 }
@@ -27,18 +27,18 @@
 
 // StateAsk says what the asking daemon knows already.
 type StateAsk struct {
-	PlanVersion      int64 `json:"planVersion"`
-	UpstreamsVersion int64 `json:"upstreamsVersion"`
+	PlanVersion       int64 `json:"planVersion"`
+	UpstreamsPosition int64 `json:"upstreamsPosition"`
 }
 
 // SharedState is what a daemon that does not read the store itself learns from a peer.
 type SharedState struct {
 	Plan *RoutePlan `json:"plan,omitempty"`
-	// Partial tells that Upstreams and Removed are the changes since the version asked for, and not all.
-	Partial          bool       `json:"partial,omitempty"`
-	Upstreams        []Upstream `json:"upstreams,omitempty"`
-	Removed          []string   `json:"removed,omitempty"`
-	UpstreamsVersion int64      `json:"upstreamsVersion"`
+	// Partial tells that Upstreams and Removed are the changes since the position asked for, and not all.
+	Partial           bool       `json:"partial,omitempty"`
+	Upstreams         []Upstream `json:"upstreams,omitempty"`
+	Removed           []string   `json:"removed,omitempty"`
+	UpstreamsPosition int64      `json:"upstreamsPosition"`
 }
 
 // PlacedRun is a placed call that a daemon tells a new keeper of.
