feat: learn how fast each engine answers

Change: the speed of answers is learned for each engine; a forecast in tokens becomes a span on each engine by its own speed.

--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -218,7 +218,7 @@
 		e.closedUntil = now.Add(millis(500 * float64(e.refusals)))
 	}
 	if end.AnswerMillis > minMeasuredMillis && end.AnswerTokens > 0 {
-		b.answerSpeed = learn(b.answerSpeed, float64(end.AnswerTokens)/float64(end.AnswerMillis))
+		b.answered(end)
 	}
 	if end.PromptRead {
 		b.promptRead(now, end)
@@ -228,6 +228,26 @@
 	}
 }
 
+// answered learns how fast answers grow, of all engines and of the one that had the call.
+func (b *Books) answered(end turmericwall.PlacementEnd) {
+	speed := float64(end.AnswerTokens) / float64(end.AnswerMillis)
+	b.answerSpeed = learn(b.answerSpeed, speed)
+	e, ok := b.engines[b.places[end.ID]]
+	if !ok {
+		return
+	}
+	e.answerSpeed = learn(b.answerSpeedOf(e), speed)
+}
+
+// answerSpeedOf is how fast one answer grows on the engine, in tokens a millisecond. Engines of one service differ by a
+// third; with one speed for all, the slow ones ran out of memory three times as often as the others.
+func (b *Books) answerSpeedOf(e *engine) float64 {
+	if e.answerSpeed > 0 {
+		return e.answerSpeed
+	}
+	return b.answerSpeed
+}
+
 // promptRead notes that the prompt is read and the answer begins.
 func (b *Books) promptRead(now time.Time, end turmericwall.PlacementEnd) {
 	at, ok := b.places[end.ID]
--- a/internal/placement/twbooks/books_test.go
+++ b/internal/placement/twbooks/books_test.go
@@ -381,3 +381,31 @@
 	g.Expect(w.onTime).To(BeNumerically(">", calm+(asked-calm)/3))
 	g.Expect(w.books.Busy()).To(BeFalse())
 }
+
+// One engine answers a third slower than the others, so each of its answers holds its memory a third longer. With one
+// speed for all, the books would expect its memory back too early, and its streams would be thrown out of memory.
+func TestASlowEngineIsExpectedToHoldItsMemoryLonger(t *testing.T) {
+	g := NewWithT(t)
+	b := books(1, 2)
+	now := start
+	for i := range 20 {
+		for _, engine := range []string{"d00", "d01"} {
+			id := fmt.Sprintf("%s-%d", engine, i)
+			b.Adopt(now, turmericwall.PlacedRun{Ask: ask(id, now, 5000, 3000), Engine: engine})
+			took := int64(3000)
+			if engine == "d00" {
+				took = 4500
+			}
+			b.News(now, turmericwall.PlacementEnd{ID: id, AnswerTokens: 3000, AnswerMillis: took})
+		}
+	}
+	for _, engine := range []string{"d00", "d01"} {
+		for i := range 5 {
+			b.Adopt(now, turmericwall.PlacedRun{Ask: ask(fmt.Sprintf("%s+%d", engine, i), now, 5000, 3000), Engine: engine})
+		}
+	}
+	b.Ask(now.Add(time.Second), ask("a", now.Add(time.Second), 5000, 3000))
+	d := b.Decide(now.Add(time.Second))
+	g.Expect(d.Placed).To(HaveLen(1))
+	g.Expect(d.Placed[0].Decode.ID).To(Equal("d01"), "of equal engines the faster one has its memory back first")
+}
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -20,7 +20,7 @@
 	ends   []float64
 	sorted bool
 	// failed are calls that found no place in this step.
-	failed []span
+	failed []forecast
 	// used and all are the memory that the runs will need and that there is.
 	used, all float64
 }
@@ -71,7 +71,7 @@
 	sortByID(st.decodes)
 	for _, e := range st.decodes {
 		if e.projected == nil || now.Sub(e.projected.origin) > projectionSpan {
-			e.projected = e.project(now, b.answerSpeed, b.tuning.LengthQuantile)
+			e.projected = e.project(now, b.answerSpeedOf(e), b.tuning.LengthQuantile)
 		}
 		if e.upstream.Leaving {
 			continue
@@ -79,7 +79,7 @@
 		st.all += float64(b.plan.MemoryTokens)
 		passed := e.projected.passed(now)
 		for _, s := range e.projected.spans {
-			st.used += s.at(s.end, b.answerSpeed)
+			st.used += s.at(s.end, e.projected.speed)
 			st.ends = append(st.ends, math.Max(s.end-passed, 0))
 		}
 	}
@@ -150,7 +150,7 @@
 	r := decode.runs[w.ask.ID]
 	r.reading = false
 	r.firstAt = st.now
-	decode.projected = decode.project(st.now, b.answerSpeed, b.tuning.LengthQuantile)
+	decode.projected = decode.project(st.now, b.answerSpeedOf(decode), b.tuning.LengthQuantile)
 	return placement, true
 }
 
@@ -179,9 +179,9 @@
 		owner: ask.Owner, work: ask.Work, firstAt: readAt.Add(millis(b.tuning.StartMarginMillis)),
 		readBy: reader.upstream.ID, reading: true, placedAt: st.now,
 	}
-	added := b.added(ask, readMillis)
+	added := b.forecast(ask).span(readMillis, decode.projected.speed)
 	decode.projected.add(added.later(decode.projected.passed(st.now)))
-	st.used += added.at(added.end, b.answerSpeed)
+	st.used += added.at(added.end, decode.projected.speed)
 	b.places[ask.ID] = decode.upstream.ID
 	length := expectedLength(ask.Work.HintTokens, ask.Work.MaxTokens, 0, b.tuning.ReserveQuantile)
 	placement := turmericwall.Placement{
@@ -194,9 +194,9 @@
 	return placement
 }
 
-// added is the call as one more run whose first token comes after so many milliseconds.
-func (b *Books) added(ask turmericwall.PlaceAsk, first float64) span {
-	return runSpan(ask.Work.PromptTokens, ask.Work.HintTokens, ask.Work.MaxTokens, 0, first, b.answerSpeed, b.tuning.LengthQuantile)
+// forecast is what the call will need once its prompt is read.
+func (b *Books) forecast(ask turmericwall.PlaceAsk) forecast {
+	return forecastOf(ask.Work, 0, b.tuning.LengthQuantile)
 }
 
 // reader returns the prefill engine that would have read the prompt first, and how long that takes.
@@ -220,8 +220,8 @@
 
 // decoder returns the decode engine whose memory is least filled by the call, of those that fit when fit is set.
 func (b *Books) decoder(st *step, ask turmericwall.PlaceAsk, first float64, fit func(time.Time, *engine, turmericwall.PlaceAsk) bool) *engine {
-	added := b.added(ask, first)
-	if st.hopeless(added) {
+	need := b.forecast(ask)
+	if st.hopeless(need) {
 		return nil
 	}
 	most := b.tuning.MemoryShare * float64(b.plan.MemoryTokens)
@@ -231,7 +231,8 @@
 		if !b.open(st.now, e, ask) || len(e.runs) >= b.slots(e) || (fit != nil && !fit(st.now, e, ask)) {
 			continue
 		}
-		needed := e.projected.peak(added.later(e.projected.passed(st.now)), b.tuning.Deviations)
+		added := need.span(first, e.projected.speed).later(e.projected.passed(st.now))
+		needed := e.projected.peak(added, b.tuning.Deviations)
 		if needed > most {
 			continue
 		}
@@ -243,16 +244,16 @@
 		}
 	}
 	if best == nil && fit == nil && len(ask.Avoid) == 0 {
-		st.failed = append(st.failed, added)
+		st.failed = append(st.failed, need)
 	}
 	return best
 }
 
 // hopeless tells that a call that needs no more memory for no longer found no place in this step. Places only fill up
 // within a step, and at the peak most waiting calls are told apart by this alone.
-func (s *step) hopeless(added span) bool {
+func (s *step) hopeless(need forecast) bool {
 	for _, f := range s.failed {
-		if added.held >= f.held && added.end-added.first >= f.end-f.first {
+		if need.held >= f.held && need.growth >= f.growth {
 			return true
 		}
 	}
@@ -272,7 +273,7 @@
 	if len(e.runs) == 0 || ask.EventGapMillis <= 0 {
 		return true
 	}
-	event := float64(max(b.plan.TokensPerEvent, 1)) / b.answerSpeed
+	event := float64(max(b.plan.TokensPerEvent, 1)) / b.answerSpeedOf(e)
 	speed := b.speed(now, e)
 	most := (b.tuning.GapShare*float64(ask.EventGapMillis) - event) * speed
 	return e.waitingRead(now, speed)+float64(ask.Work.PromptTokens) <= most
--- a/internal/placement/twbooks/engine.go
+++ b/internal/placement/twbooks/engine.go
@@ -51,6 +51,8 @@
 	readTokens, readMillis float64
 	// readSpeed is how fast the engine reads prompts in its role, in tokens a millisecond; 0 while unknown.
 	readSpeed float64
+	// answerSpeed is how fast one answer grows here, in tokens a millisecond; 0 while unknown.
+	answerSpeed float64
 	// readAt is when the engine last finished a prompt.
 	readAt time.Time
 	// closedUntil is when the engine may be tried again after it refused or failed.
--- a/internal/placement/twbooks/projection.go
+++ b/internal/placement/twbooks/projection.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/turmericwall/turmericwall"
 )
 
 // projectionSpan is how long a projection is used while its engine's runs stay the same: a run grows by some hundred
@@ -54,7 +56,7 @@
 	for _, r := range e.runs {
 		made := r.made(now, speed)
 		first := math.Max(0, float64(r.firstAt.Sub(now).Milliseconds()))
-		p.spans = append(p.spans, runSpan(r.work.PromptTokens, r.work.HintTokens, r.work.MaxTokens, made, first, speed, quantile))
+		p.spans = append(p.spans, forecastOf(r.work, made, quantile).span(first, speed))
 	}
 	p.before = make([]need, len(p.spans), len(p.spans)+2)
 	for i, s := range p.spans {
@@ -63,11 +65,19 @@
 	return p
 }
 
-// runSpan is the span of a run that has made tokens already and grows from the moment first on.
-func runSpan(prompt, hint, most int, made, first, speed, quantile float64) span {
-	length := expectedLength(hint, most, made, quantile)
-	deviation := expectedLength(hint, most, made, math.Min(quantile+oneDeviation, 0.99)) - length
-	return span{held: float64(prompt) + made, first: first, end: first + (length-made)/speed, variance: deviation * deviation}
+// forecast is what a run will need, in tokens: what it holds, and how much its answer is expected to grow.
+type forecast struct{ held, growth, variance float64 }
+
+// forecastOf is the forecast of a call that has made tokens already.
+func forecastOf(work turmericwall.ModelWork, made, quantile float64) forecast {
+	length := expectedLength(work.HintTokens, work.MaxTokens, made, quantile)
+	deviation := expectedLength(work.HintTokens, work.MaxTokens, made, math.Min(quantile+oneDeviation, 0.99)) - length
+	return forecast{held: float64(work.PromptTokens) + made, growth: length - made, variance: deviation * deviation}
+}
+
+// span is the run on an engine of this speed, growing from the moment first on.
+func (f forecast) span(first, speed float64) span {
+	return span{held: f.held, first: first, end: first + f.growth/speed, variance: f.variance}
 }
 
 // oneDeviation is the probability between the middle of a distribution and one standard deviation above it.
