fix: pay for a move before its run is stopped, and ask again for one refused

Cause: read while trying to relieve crowded engines. A move stopped the run first and asked the budget of repeated sends afterwards: with the budget used up, the caller lost the whole answer. A move for which no engine had room was never asked for again, so the run was cut with its engine. Both new tests fail on the code before.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -136,6 +136,7 @@
 	outcomes  []twrelay.Outcome
 	stopsAt   time.Time
 	slack     float64
+	retries   *twretries.Budget
 }
 
 var errPlain = errors.New("connection reset")
@@ -169,9 +170,10 @@
 		{ID: "c", Service: "plain", Slots: 4},
 		engine("p1", turmericwall.RolePrefill), engine("d1", turmericwall.RoleDecode), engine("d2", turmericwall.RoleDecode),
 	})
+	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
 	s.relay = twrelay.New(twrelay.Config{
 		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(""), Placer: s.placer,
-		Retries:  twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000}),
+		Retries:  s.retries,
 		Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}), Daemons: func() int { return 1 }, Daemon: "me",
 		Observe: func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
 		StopsAt: func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -264,3 +264,60 @@
 	w, _ = s.serve(context.Background(), "/m/x")
 	g.Expect(w.Code).To(Equal(502))
 }
+
+// The engine leaves while the budget of repeated sends is used up. A run that is stopped then can't go on anywhere: its
+// caller would lose the whole answer. It must stay where it is, since engines serve on for a while.
+func TestARunIsNotStoppedWithoutABudgetToGoOn(t *testing.T) {
+	g := NewWithT(t)
+	s := modelSite(split("d1"), turmericwall.Placement{Decode: engine("d2", turmericwall.RoleDecode)})
+	s.retries.Spend(time.Now(), "engines", 1)
+	for s.retries.Spend(time.Now(), "engines", 1) {
+	}
+	leaving := engine("d1", turmericwall.RoleDecode)
+	leaving.Leaving = true
+	body := &pausing{first: strings.NewReader(events(1, 2)), rest: strings.NewReader(events(3, 5)), release: make(chan struct{}), end: io.EOF}
+	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.Outgoing) (*turmericwall.Answer, error) {
+		s.view.Put(2, leaving)
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: map[string][]string{}, Body: body}, nil
+	}
+	s.upstreams.move = func(turmericwall.Upstream, turmericwall.Upstream) (turmericwall.EngineExport, bool, error) {
+		t.Error("the run was stopped")
+		return turmericwall.EngineExport{}, false, nil
+	}
+	go func() {
+		g.Eventually(func() bool { s.placer.mu.Lock(); defer s.placer.mu.Unlock(); return len(s.placer.asked) > 1 }).Should(BeTrue())
+		close(body.release)
+	}()
+	w, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 5)))
+}
+
+// The engine leaves, and at first no other engine has room. The run goes on where it is and is moved a little later;
+// asked for once only, it would be cut off with its engine.
+func TestARefusedMoveIsAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := modelSite(split("d1"))
+	s.placer.refusal = turmericwall.Refused(turmericwall.Refusal{Attempt: "id1/m1", Reason: "full", RetryAt: time.Now()})
+	leaving := engine("d1", turmericwall.RoleDecode)
+	leaving.Leaving = true
+	reader, writer := io.Pipe()
+	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.Outgoing) (*turmericwall.Answer, error) {
+		s.view.Put(2, leaving)
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: map[string][]string{}, Body: reader}, nil
+	}
+	go func() {
+		for i := 1; i <= 12; i++ {
+			_, _ = io.WriteString(writer, events(i, i))
+			time.Sleep(50 * time.Millisecond)
+		}
+		_ = writer.Close()
+	}()
+	w, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 12)))
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	g.Expect(len(s.placer.asked)).To(BeNumerically(">=", 3), "the first placing and two asks for a move")
+	g.Expect(s.placer.asked[2].ID).To(Equal("id1/m2"))
+}
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -47,7 +47,7 @@
 	a.begun = true
 	a.w.WriteHeader(answer.Status)
 	flush(a.w)
-	s := &streaming{relay: r, attempt: a, engine: p.Decode, end: end, moved: make(chan moved, 1)}
+	s := &streaming{relay: r, attempt: a, engine: p.Decode, placement: p.ID, end: end, moved: make(chan moved, 1)}
 	err := s.copy(ctx, answer.Body)
 	for range maxMoves {
 		if !s.moving || ctx.Err() != nil {
@@ -78,6 +78,11 @@
 	last    time.Time
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent int64
+	// placement is the placement that the stream has now.
+	placement string
+	// asks counts the moves that were asked for; the next one is not asked for before moveAt.
+	asks   int
+	moveAt time.Time
 	// moving tells that the run is being moved to another engine; its outcome comes on moved.
 	moving bool
 	moved  chan moved
