--- a/internal/delivery/twretries/budget.go
+++ b/internal/delivery/twretries/budget.go
@@ -31,11 +31,14 @@
 	mu       sync.Mutex
 	config   Config
 	services map[string]*window
+	// began is the first time that the budget saw. Windows are counted from it by the steady clock: a jump of the time
+	// of day over a window would empty it, and the daemons would repeat twice what is allowed.
+	began time.Time
 }
 
 type window struct {
 	calls, repeats [buckets]int
-	// at is the number of the newest bucket since the epoch.
+	// at is the number of the newest bucket.
 	at int64
 }
 
@@ -80,7 +83,10 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	at := now.UnixMilli() / max(b.config.WindowMillis/buckets, 1)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := now.Sub(b.began).Milliseconds() / max(b.config.WindowMillis/buckets, 1)
 	for steps := 0; w.at < at && steps < buckets; steps++ {
 		w.at++
 		w.calls[w.at%buckets] = 0
