feat: hand the keeper's place over without a gap

A new keeper was heard 0.45 s after it took the lease, and filled engines whose runs it did not know yet (its books showed 47 to 66 in 100 where engines refused for want of memory). Change: a stopping keeper gives the lease up, orders nothing more, and goes on placing and beating until another one is heard; its beats ask the daemon that started last to take the lease, and another one after three beats. A new keeper reads the daemons' rows and beats at once, and decides only after 200 ms, when the others have told it of their calls. Ruled out: a lease that is renewed on SIGTERM (the next holder waits longer).

--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -25,6 +25,8 @@
 	// informedSpan is how old the keeper's knowledge of the store may be: a change must be known within two seconds,
 	// and reading the store anew takes some hundred milliseconds.
 	informedSpan = 1300 * time.Millisecond
+	// maxNominations is how often a daemon is asked to take the lease before another one is: two may be lost.
+	maxNominations = 3
 	// readEvery is the pause between two reads of the daemons' rows by the keeper.
 	readEvery = 4 * time.Second
 	// failedReadEvery is the pause after a read that failed.
@@ -52,6 +54,10 @@
 	StoreRead func() time.Time
 	// Behind is called when the keeper knows newer state than this daemon.
 	Behind func(ctx context.Context, keeper turmericwall.Member)
+	// Stopping tells that this daemon gives the lease up while it is the keeper.
+	Stopping func() bool
+	// Nominated is called when the stopping keeper asks this daemon to take its place.
+	Nominated func()
 	// Outranked is called when another daemon is the keeper of a later term.
 	Outranked func()
 	// Gone is called for an incarnation that is no longer live.
@@ -61,6 +67,7 @@
 // Crew is one daemon's view of the others.
 type Crew struct {
 	config  Config
+	began   time.Time
 	mu      sync.Mutex
 	beat    turmericwall.Beat
 	heardAt time.Time
@@ -69,26 +76,47 @@
 	informed bool
 	// behind wakes the daemon that has to learn what the keeper knows.
 	behind chan struct{}
+	// elected wakes the loop that knows the others, and known the one that beats, when this daemon becomes the keeper.
+	elected, known chan struct{}
 }
 
 type member struct {
 	turmericwall.Member
 	answeredAt time.Time
-	live       bool
-	asked      bool
+	// startedAt is when its incarnation started.
+	startedAt time.Time
+	// nominations counts how often it was asked to take the lease.
+	nominations int
+	live        bool
+	asked       bool
 }
 
 // New returns a crew that knows only this daemon.
 func New(config Config) *Crew {
-	return &Crew{config: config, members: make(map[string]*member), behind: make(chan struct{}, 1)}
+	return &Crew{
+		config: config, began: time.Now(), members: make(map[string]*member), behind: make(chan struct{}, 1),
+		elected: make(chan struct{}, 1), known: make(chan struct{}, 1),
+	}
+}
+
+// Elected tells that this daemon has become the keeper. Until the others hear of it, they place calls with the former
+// one or alone, beside this daemon's: without waiting for the next beat that lasts 40 ms in place of 450.
+func (c *Crew) Elected() { wake(c.elected) }
+
+func wake(waiting chan struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
+	}
 }
 
 // Heard takes a beat and answers who this daemon is.
-func (c *Crew) Heard(beat turmericwall.Beat) turmericwall.Member {
+func (c *Crew) Heard(beat turmericwall.Beat) turmericwall.BeatAnswer {
+	self := turmericwall.BeatAnswer{Member: c.config.Self, UpMillis: time.Since(c.began).Milliseconds()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if beat.Term < c.beat.Term && time.Since(c.heardAt) < heardSpan {
-		return c.config.Self
+		return self
 	}
 	if beat.Keeper != c.beat.Keeper {
 		c.config.Recorder.Record(turmericwall.EventKeeperHeard).Str("keeper", beat.Keeper.Name).Int("term", beat.Term).Send()
@@ -99,12 +127,12 @@
 		c.config.Outranked()
 	}
 	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsPosition > c.config.UpstreamsPosition() {
-		select {
-		case c.behind <- struct{}{}:
-		default:
-		}
+		wake(c.behind)
 	}
-	return c.config.Self
+	if beat.Successor == c.config.Self && c.config.Nominated != nil {
+		c.config.Nominated()
+	}
+	return self
 }
 
 // Informed tells that the keeper lives and reads the store, so that this daemon need not read it.
@@ -175,18 +203,6 @@
 	return max(n, c.beat.Daemons/2)
 }
 
-// Address is where the live daemon of an incarnation serves its peers.
-func (c *Crew) Address(incarnation string) (string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range c.members {
-		if m.live && m.Incarnation == incarnation {
-			return m.Address, true
-		}
-	}
-	return "", false
-}
-
 // Run makes this daemon known, and beats to the others while it is the keeper.
 func (c *Crew) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -202,6 +218,7 @@
 		case <-c.behind:
 			c.catchUp(ctx)
 			continue
+		case <-c.known:
 		case <-tick.C:
 		}
 		term, keeping := c.config.Keeping()
@@ -231,10 +248,12 @@
 			readAt = time.Time{}
 		} else if now := time.Now(); now.After(readAt) {
 			readAt = now.Add(c.read(ctx))
+			wake(c.known)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-c.elected:
 		case <-tick.C:
 		}
 	}
@@ -311,6 +330,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.config.Stopping != nil && c.config.Stopping() {
+		beat.Successor = c.successor()
+	}
 	for _, name := range c.names() {
 		m := c.members[name]
 		if m.live && time.Since(m.answeredAt) > lostSpan {
@@ -324,6 +346,27 @@
 	}
 }
 
+// successor is the live daemon that started last, but for those that were asked and did not take the lease; the lock is
+// held. When daemons are restarted in turn, the one that was restarted last stays the longest: a keeper chosen by chance
+// was stopped again a second or two later, and each time all daemons placed calls alone for two seconds.
+func (c *Crew) successor() turmericwall.Member {
+	var next *member
+	for _, name := range c.names() {
+		m := c.members[name]
+		if !m.live || m.Incarnation == "" || m.nominations >= maxNominations {
+			continue
+		}
+		if next == nil || m.startedAt.After(next.startedAt) {
+			next = m
+		}
+	}
+	if next == nil {
+		return turmericwall.Member{}
+	}
+	next.nominations++
+	return next.Member
+}
+
 func (c *Crew) beatOne(ctx context.Context, name, address string, beat turmericwall.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, beatLimit)
 	defer cancel()
@@ -341,6 +384,10 @@
 	if !m.live {
 		c.config.Recorder.Record(turmericwall.EventPeerLive).Str("peer", name).Str("incarnation", got.Incarnation).Send()
 	}
+	if m.Incarnation != got.Incarnation {
+		m.nominations = 0
+		m.startedAt = time.Now().Add(-time.Duration(got.UpMillis) * time.Millisecond)
+	}
 	m.Incarnation = got.Incarnation
 	m.live = true
 	m.answeredAt = time.Now()
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,13 +105,13 @@
 	cut   map[string]bool
 }
 
-func (n *network) Beat(_ context.Context, address string, beat turmericwall.Beat) (turmericwall.Member, error) {
+func (n *network) Beat(_ context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
 	n.mu.Lock()
 	crew, ok := n.crews[address]
 	cut := n.cut[address] || n.cut[beat.Keeper.Address]
 	n.mu.Unlock()
 	if !ok || cut {
-		return turmericwall.Member{}, errors.New("no path")
+		return turmericwall.BeatAnswer{}, errors.New("no path")
 	}
 	return crew.Heard(beat), nil
 }
@@ -124,7 +125,6 @@
 }
 
 func (n *network) Finish(context.Context, string, []turmericwall.PlacementEnd) error { return nil }
-func (n *network) MoveOff(context.Context, string, []string) error                   { return nil }
 func (n *network) Runs(context.Context, string, []turmericwall.PlacedRun) error      { return nil }
 
 func (n *network) setCut(address string, cut bool) {
@@ -168,11 +168,13 @@
 		Store: s, Self: self, Recorder: log, Apart: time.Second,
 		KeeperHeard: func() bool { return d.crew.Informed() },
 		Ready:       func() bool { d.mu.Lock(); defer d.mu.Unlock(); return !d.stopping },
+		Elected:     func() { d.crew.Elected() },
 	})
 	none := func() int64 { return 0 }
 	d.crew = twcrew.New(twcrew.Config{
 		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
-		StoreRead: d.storeRead, Outranked: d.election.Yield,
+		StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
+		Stopping: func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
 		Gone: func(incarnation string) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -276,19 +278,62 @@
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 }
 
-// The keeper is told to stop. It gives the lease up, so that the next one need not wait for it to fall silent.
+// The keeper is told to stop, as one of many daemons that are restarted in turn. The daemon that started last takes its
+// place, since it stays the longest. All hear a keeper all the while: without one they would place calls alone, and read
+// the store by themselves. The stopping keeper goes on placing until it hears the next one, but orders nothing more.
 func TestAStoppingKeeperHandsOver(t *testing.T) {
 	g := NewWithT(t)
 	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
 	a := start(t, s, n, "a")
 	g.Eventually(keeps(a), patience).Should(BeTrue())
+	c := start(t, s, n, "c")
+	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
-	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
+	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
 	a.mu.Lock()
 	a.stopping = true
 	a.mu.Unlock()
+	var alone atomic.Int64
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			if _, _, ok := c.crew.Keeper(); !ok {
+				alone.Add(1)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	g.Eventually(func() bool { _, ok := a.election.Fence(); return ok }, patience).Should(BeFalse())
 	g.Eventually(keeps(b), patience).Should(BeTrue())
-	g.Expect(keeps(a)()).To(BeFalse())
+	g.Eventually(keeps(a), patience).Should(BeFalse())
+	g.Eventually(hears(c, "b"), patience).Should(BeTrue())
+	stop()
+	<-ended
+	g.Expect(keeps(c)()).To(BeFalse())
+	g.Expect(alone.Load()).To(BeZero())
+}
+
+// The daemon that should take the lease doesn't: it is cut off, and the stopping keeper has not noticed yet. Another one
+// must be asked, or the keeper ends and all wait until the lease falls silent.
+func TestAnotherDaemonIsAskedWhenTheSuccessorFails(t *testing.T) {
+	g := NewWithT(t)
+	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
+	a := start(t, s, n, "a")
+	g.Eventually(keeps(a), patience).Should(BeTrue())
+	c := start(t, s, n, "c")
+	time.Sleep(20 * time.Millisecond)
+	b := start(t, s, n, "b")
+	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
+	b.mu.Lock()
+	b.stopping = true
+	b.mu.Unlock()
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+	g.Eventually(keeps(c), patience).Should(BeTrue())
+	g.Expect(keeps(b)()).To(BeFalse())
 }
 
 // The keeper alone is cut off from the store. It still beats, but what it knows is old and it may not order. Another
--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -38,6 +38,8 @@
 	KeeperHeard func() bool
 	// Ready tells that this daemon knows enough to be the keeper.
 	Ready func() bool
+	// Elected is called when this daemon becomes the keeper; it may be nil.
+	Elected func()
 }
 
 // Election runs one daemon's part in the choice of the keeper.
@@ -45,11 +47,14 @@
 	config Config
 	mu     sync.Mutex
 	lease  *twlease.Lease
+	// released tells that this daemon gave the lease up.
+	released  bool
+	nominated chan struct{}
 }
 
 // New returns an election that has begun nothing.
 func New(config Config) *Election {
-	return &Election{config: config, lease: twlease.New(twlease.Config{Self: config.Self, Apart: config.Apart})}
+	return &Election{config: config, lease: twlease.New(twlease.Config{Self: config.Self, Apart: config.Apart}), nominated: make(chan struct{}, 1)}
 }
 
 // Holds tells that this daemon is the keeper, and the number of its term.
@@ -70,7 +75,15 @@
 func (e *Election) Yield() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease.Released()
+	e.lease.Lost()
+}
+
+// Nominate has this daemon take the lease, because its holder stops.
+func (e *Election) Nominate() {
+	select {
+	case e.nominated <- struct{}{}:
+	default:
+	}
 }
 
 // Run keeps or seeks the lease until ctx ends.
@@ -79,26 +92,29 @@
 	defer tick.Stop()
 	var nextAt twboottime.Moment
 	for {
+		nominated := false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-e.nominated:
+			nominated = true
 		case <-tick.C:
 		}
 		now := twboottime.Now()
-		if now < nextAt {
-			continue
-		}
 		_, holds := e.Holds()
 		if holds && !e.config.Ready() {
 			e.release(ctx)
 			continue
 		}
+		if now < nextAt && !nominated {
+			continue
+		}
 		if holds {
 			nextAt = now.Add(twlease.RenewEvery)
 			e.write(ctx)
 			continue
 		}
-		if e.config.KeeperHeard() || !e.config.Ready() {
+		if (e.config.KeeperHeard() && !nominated) || !e.config.Ready() {
 			continue
 		}
 		nextAt = now.Add(lookEvery)
@@ -108,10 +124,12 @@
 	}
 }
 
-// release gives the lease up, because this daemon stops.
+// release gives the lease up once, because this daemon stops.
 func (e *Election) release(ctx context.Context) {
 	e.mu.Lock()
 	intent, ok := e.lease.Release()
+	ok = ok && !e.released
+	e.released = true
 	e.lease.Released()
 	e.mu.Unlock()
 	if !ok {
@@ -165,5 +183,8 @@
 	if holds := e.lease.Holds(); holds != held {
 		e.config.Recorder.Record(turmericwall.EventKeeperChanged).Str("keeper", e.lease.Holder().Name).
 			Int("term", e.lease.Term()).Int("version", version).Send()
+		if holds && e.config.Elected != nil {
+			e.config.Elected()
+		}
 	}
 }
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -42,8 +42,10 @@
 	seenAt  twboottime.Moment
 	holder  turmericwall.Member
 	// fence is the version at which this daemon took the row; 0 while it does not hold it.
-	fence      int64
-	termEnd    twboottime.Moment
+	fence   int64
+	termEnd twboottime.Moment
+	// released tells that the row was given up: the holder places calls until another one does, and orders nothing.
+	released   bool
 	ordersFrom twboottime.Moment
 }
 
@@ -91,8 +93,11 @@
 	if !l.seen {
 		return Intent{}, false
 	}
-	released := l.holder == turmericwall.Member{}
-	if l.fence == 0 && l.version > 0 && !released && now.Sub(l.seenAt) < silentSpan {
+	if l.released {
+		return Intent{}, false
+	}
+	free := l.holder == turmericwall.Member{}
+	if l.fence == 0 && l.version > 0 && !free && now.Sub(l.seenAt) < silentSpan {
 		return Intent{}, false
 	}
 	fence := l.fence
@@ -118,8 +123,12 @@
 	return Intent{IfVersion: l.version, Value: value}, true
 }
 
-// Released takes the lease as given up, whether or not the write was confirmed: this daemon acts on it no more.
-func (l *Lease) Released() {
+// Released takes the lease as given up, whether or not the write was confirmed: this daemon orders nothing more. It still
+// holds the place of the keeper until another daemon takes it, so that calls need not be placed alone meanwhile.
+func (l *Lease) Released() { l.released = true }
+
+// Lost ends this daemon's part as keeper: another one has a later term.
+func (l *Lease) Lost() {
 	l.fence = 0
 	l.seen = false
 }
@@ -150,7 +159,7 @@
 
 // Fence returns the fencing number for orders; ok is false when this daemon may not order now.
 func (l *Lease) Fence(now twboottime.Moment) (fence int64, ok bool) {
-	if l.fence == 0 || now >= l.termEnd || now < l.ordersFrom {
+	if l.fence == 0 || l.released || now >= l.termEnd || now < l.ordersFrom {
 		return 0, false
 	}
 	return l.fence, true
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -42,8 +42,8 @@
 }
 
 // Beat tells a daemon that this one is the keeper.
-func (c *Client) Beat(ctx context.Context, address string, beat turmericwall.Beat) (turmericwall.Member, error) {
-	var got turmericwall.Member
+func (c *Client) Beat(ctx context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
+	var got turmericwall.BeatAnswer
 	return got, c.call(ctx, address, pathBeat, beat, &got)
 }
 
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -74,10 +74,13 @@
 	g := NewWithT(t)
 	var ended []turmericwall.PlacementEnd
 	var adopted []turmericwall.PlacedRun
-	me := turmericwall.Member{Name: "b", Address: "b:1", Incarnation: "b1"}
+	me := turmericwall.BeatAnswer{Member: turmericwall.Member{Name: "b", Address: "b:1", Incarnation: "b1"}, UpMillis: 7}
 	state := turmericwall.SharedState{Plan: &turmericwall.RoutePlan{Version: 4}, Upstreams: []turmericwall.Upstream{{ID: "u"}}, UpstreamsPosition: 9}
 	address := serve(t, twpeerhttp.Config{
-		Heard: func(beat turmericwall.Beat) turmericwall.Member { g.Expect(beat.Term).To(BeEquivalentTo(3)); return me },
+		Heard: func(beat turmericwall.Beat) turmericwall.BeatAnswer {
+			g.Expect(beat.Term).To(BeEquivalentTo(3))
+			return me
+		},
 		State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
 			g.Expect(ask.UpstreamsPosition).To(BeEquivalentTo(8))
 			return state
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -17,7 +17,7 @@
 
 // Config says who answers the calls.
 type Config struct {
-	Heard  func(turmericwall.Beat) turmericwall.Member
+	Heard  func(turmericwall.Beat) turmericwall.BeatAnswer
 	State  func(turmericwall.StateAsk) turmericwall.SharedState
 	Keeps  func() bool
 	Place  func(context.Context, turmericwall.PlaceAsk) (turmericwall.Placement, error)
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -28,6 +28,9 @@
 	config   Config
 	mu       sync.Mutex
 	services map[string]*desk
+	// kept tells that this daemon was the keeper at the last look, and learnedAt when a new keeper's books are whole.
+	kept      bool
+	learnedAt time.Time
 }
 
 // desk is one service's books and those who wait for a decision.
@@ -150,8 +153,12 @@
 		c.later(crowdPause, service, d)
 		return
 	}
-	d.decidedAt = now
 	c.refresh(now, service, d)
+	if now.Before(c.learnedAt) {
+		c.later(c.learnedAt.Sub(now), service, d)
+		return
+	}
+	d.decidedAt = now
 	outcome := d.books.Decide(now)
 	for _, p := range outcome.Placed {
 		d.tell(p.ID, decision{placement: p})
@@ -178,12 +185,21 @@
 	crowdPause = 8 * time.Millisecond
 )
 
+// learnSpan is how long a new keeper waits before it decides: the others hear of it and tell it of their calls under way
+// within 150 ms. Before, it would fill engines that it takes for empty.
+const learnSpan = 200 * time.Millisecond
+
 // refresh gives the books the newest plan and list of engines.
 func (c *Coordinator) refresh(now time.Time, service string, d *desk) {
 	if plan, ok := c.config.Service(service); ok && plan.Engine != nil {
 		d.books.Plan(*plan.Engine)
 	}
-	d.books.Partial(!c.config.Keeping())
+	keeping := c.config.Keeping()
+	if keeping && !c.kept {
+		c.learnedAt = now.Add(learnSpan)
+	}
+	c.kept = keeping
+	d.books.Partial(!keeping)
 	d.books.List(now, c.engines(service))
 }
 
--- /dev/null
+++ b/internal/placement/twcoordinator/coordinator_test.go
@@ -0,0 +1,75 @@
+package twcoordinator_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twbooks"
+	"github.com/turmericwall/turmericwall/internal/placement/twcoordinator"
+)
+
+func coordinator(keeping *atomic.Bool) *twcoordinator.Coordinator {
+	list := []turmericwall.Upstream{
+		{ID: "d1", Slots: 16, Role: turmericwall.RoleDecode},
+		{ID: "d2", Slots: 16, Role: turmericwall.RoleDecode},
+		{ID: "p1", Slots: 16, Role: turmericwall.RolePrefill},
+	}
+	return twcoordinator.New(twcoordinator.Config{
+		Tuning: twbooks.DefaultTuning(), Upstreams: func(string) []turmericwall.Upstream { return list },
+		Service: func(name string) (turmericwall.ServicePlan, bool) {
+			engine := turmericwall.EnginePlan{Slots: 16, MemoryTokens: 76_000, TokensPerEvent: 50, MaxReservationMillis: 2000}
+			return turmericwall.ServicePlan{Name: name, Engine: &engine}, true
+		},
+		Away: func(string, string) bool { return false }, Keeping: keeping.Load,
+	})
+}
+
+func ask(id string) turmericwall.PlaceAsk {
+	now := time.Now()
+	return turmericwall.PlaceAsk{
+		ID: id, Service: "s", Owner: "o", Work: turmericwall.ModelWork{PromptTokens: 5000, HintTokens: 3000, MaxTokens: 6500},
+		TargetDeadline: now.Add(2 * time.Second), GiveUpDeadline: now.Add(9 * time.Second), CallerDeadline: now.Add(9 * time.Second),
+		EventGapMillis: 300,
+	}
+}
+
+// A daemon becomes the keeper while the engines are busy. Its first calls come before the others have told it of theirs.
+// Placed at once, they would go to an engine that only looks empty, and its memory would run out.
+func TestANewKeeperHearsOfTheOthersCallsBeforeItPlaces(t *testing.T) {
+	g := NewWithT(t)
+	var keeping atomic.Bool
+	c := coordinator(&keeping)
+	keeping.Store(true)
+	placed := make(chan turmericwall.Placement, 1)
+	go func() {
+		placement, err := c.Place(context.Background(), ask("mine"))
+		if err == nil {
+			placed <- placement
+		}
+	}()
+	g.Eventually(func() int { return c.Waiting("s") }, time.Second, time.Millisecond).Should(Equal(1))
+	for i := range 6 {
+		c.Adopt(turmericwall.PlacedRun{Ask: ask(fmt.Sprint("theirs", i)), Engine: "d1"})
+	}
+	var placement turmericwall.Placement
+	g.Eventually(placed, 3*time.Second).Should(Receive(&placement))
+	g.Expect(placement.Decode.ID).To(Equal("d2"))
+}
+
+// A daemon without a keeper decides alone, and there is nobody to wait for.
+func TestADaemonThatDecidesAlonePlacesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	var keeping atomic.Bool
+	c := coordinator(&keeping)
+	placement, err := c.Place(context.Background(), ask("mine"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(placement.Prefill.ID).To(Equal("p1"))
+	c.Finish(turmericwall.PlacementEnd{ID: "mine", Service: "s"})
+	g.Expect(c.Busy("s")).To(BeFalse())
+}
--- a/peering.go
+++ b/peering.go
@@ -14,6 +14,15 @@
 	UpstreamsPosition int64 `json:"upstreamsPosition"`
 	// StoreMillis is how long ago the keeper asked the store for the last answer that it got.
 	StoreMillis int64 `json:"storeMillis"`
+	// Successor is the daemon that a stopping keeper asks to take the lease; its name is empty else.
+	Successor Member `json:"successor"`
+}
+
+// BeatAnswer is what a daemon answers to a beat.
+type BeatAnswer struct {
+	Member
+	// UpMillis is how long ago the daemon started.
+	UpMillis int64 `json:"upMillis"`
 }
 
 // Member is one incarnation of a daemon.
@@ -52,7 +61,7 @@
 
 // PeerClient calls one other daemon.
 type PeerClient interface {
-	Beat(ctx context.Context, address string, beat Beat) (Member, error)
+	Beat(ctx context.Context, address string, beat Beat) (BeatAnswer, error)
 	State(ctx context.Context, address string, ask StateAsk) (SharedState, error)
 	Place(ctx context.Context, address string, ask PlaceAsk) (Placement, error)
 	Finish(ctx context.Context, address string, ends []PlacementEnd) error
