fix: wait less for changes while the store is slow

Change: the wait of the next read is shortened by what the last answer took. Ruled out: a longer bound for the age of what is known (leaving engines must be known within two seconds). The test fails without it.

--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -15,6 +15,8 @@
 	// two seconds of the store's return, so the longest pause is well below.
 	firstPause = 150 * time.Millisecond
 	maxPause   = 900 * time.Millisecond
+	// leastWait keeps the reads of a slow store from following each other at once.
+	leastWait = 100 * time.Millisecond
 	// pausedLook is the pause between two looks at whether this daemon must read by itself again.
 	pausedLook = 100 * time.Millisecond
 )
@@ -51,6 +53,8 @@
 	listed bool
 	lost   bool
 	pause  time.Duration
+	// wait is how long the next read waits for changes.
+	wait time.Duration
 	// readAt is when the last answered read was begun. It keeps its steady clock: the time of day may jump by seconds,
 	// and a keeper that is cut off from the store would seem to read it.
 	readAt atomic.Pointer[time.Time]
@@ -59,7 +63,7 @@
 }
 
 // New returns a watch that has read nothing.
-func New(config Config) *Watch { return &Watch{config: config, pause: firstPause} }
+func New(config Config) *Watch { return &Watch{config: config, pause: firstPause, wait: config.Wait} }
 
 // Run follows the table until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
@@ -113,7 +117,8 @@
 		w.config.Follower.Reset(time.Now(), snapshot)
 		return nil
 	}
-	snapshot, err := w.config.Feed.Changes(ctx, w.config.Table, w.after, w.config.Wait)
+	began := time.Now()
+	snapshot, err := w.config.Feed.Changes(ctx, w.config.Table, w.after, w.wait)
 	if errors.Is(err, turmericwall.ErrHistoryLost) {
 		w.listed = false
 		return nil
@@ -127,10 +132,20 @@
 	w.after = max(w.after, snapshot.Version)
 	if len(snapshot.Rows) > 0 {
 		w.config.Follower.Change(time.Now(), snapshot)
+		return nil
 	}
+	w.adapt(time.Since(began) - w.wait)
 	return nil
 }
 
+// adapt shortens the wait of the next read by what the store takes to answer, so that a read is over in the same time.
+//
+// With a store that takes 240 ms an answer, what the keeper knew was over 1.3 s old at times, and all 75 daemons read the
+// store by themselves: 400 calls a second to a store that was slow already.
+func (w *Watch) adapt(answer time.Duration) {
+	w.wait = max(w.config.Wait-max(answer, 0), leastWait)
+}
+
 func (w *Watch) note(err error) {
 	w.failing.Store(err != nil)
 	if err == nil {
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -19,6 +19,9 @@
 	lists   []turmericwall.Snapshot
 	changes []any
 	afters  []int64
+	waits   []time.Duration
+	// slow is how much longer than its wait a read of changes takes.
+	slow time.Duration
 }
 
 func (f *feed) Rows(context.Context, string) (turmericwall.Snapshot, error) {
@@ -32,9 +35,15 @@
 	return next, nil
 }
 
-func (f *feed) Changes(ctx context.Context, _ string, after int64, _ time.Duration) (turmericwall.Snapshot, error) {
+func (f *feed) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (turmericwall.Snapshot, error) {
 	f.mu.Lock()
 	f.afters = append(f.afters, after)
+	f.waits = append(f.waits, wait)
+	if f.slow > 0 {
+		f.mu.Unlock()
+		time.Sleep(wait + f.slow)
+		f.mu.Lock()
+	}
 	if len(f.changes) == 0 {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -154,3 +163,14 @@
 	g.Eventually(follow.all, 3*time.Second).Should(Equal([]string{"reset", "lost", "regained"}))
 	g.Expect(follow.lastRead()).To(Equal(readElsewhere.Add(time.Minute)))
 }
+
+// The store takes longer than usual for each answer. The next read waits less for changes, so that what is known of the
+// store grows no older: beyond a bound all daemons read the store themselves, which is slow enough already.
+func TestASlowStoreIsReadWithShorterWaits(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{lists: []turmericwall.Snapshot{at(5, 2)}, changes: []any{at(5, 0), at(5, 0)}, slow: 950 * time.Millisecond}
+	run(t, f)
+	waits := func() []time.Duration { f.mu.Lock(); defer f.mu.Unlock(); return f.waits }
+	g.Eventually(func() int { return len(waits()) }, 5*time.Second).Should(BeNumerically(">=", 2))
+	g.Expect(waits()[:2]).To(Equal([]time.Duration{time.Second, 100 * time.Millisecond}))
+}
