feat: work out what a scheduler that knew all could have served on time

Cause: nobody could tell how much of the worth missed at the peak was the placing's fault. Change: turmericwallstand bound reads the logs of a run: calls with prompts, lengths and arrivals, joined over a caller's attempts. They are filled by worth per memory and time into the pooled memory and reading of the engines; then the answers that lose no packet on their two links are counted. Ruled out: placing as the main loss on calm seconds: there one event in 600 comes 200 ms late on each link (28,596 events of engines in the daemon's zone, 31,866 of other zones: 0.0020 and 0.0016 had a gap of 225 to 275 ms). It is a greedy filling, no proven bound; a lost packet counts as late.

--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/operations/twprogram"
+	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twbound"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twcompare"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twdemo"
 	"github.com/turmericwall/turmericwall/turmericwallstand/internal/twenginestand"
@@ -28,6 +29,7 @@
 	Service  service  `cmd:"" help:"Stand in for a plain service."`
 	Measure  measure  `cmd:"" help:"Measure how a daemon's cost grows, for docs/CAPACITY.md."`
 	Compare  compare  `cmd:"" help:"Measure placement policies against each other under the same load."`
+	Bound    bound    `cmd:"" help:"Work out from a run's logs what a scheduler that knew all in advance could have served on time."`
 }
 
 type streams struct{ out io.Writer }
@@ -119,6 +121,41 @@
 	return twmeasure.New(twmeasure.Config{Parts: m.Parts, Length: m.Length, Output: s.out}).Run(ctx)
 }
 
+type bound struct {
+	Log         string  `type:"path" default:"-" help:"Logs of all daemons; - reads standard input."`
+	Decodes     int     `required:"" help:"Engines that answer."`
+	Prefills    int     `required:"" help:"Engines that read prompts."`
+	Memory      float64 `required:"" help:"One engine's memory in tokens."`
+	ReadSpeed   float64 `required:"" help:"Prompt tokens that an engine reads in a millisecond."`
+	AnswerSpeed float64 `required:"" help:"Tokens by which one answer grows in a millisecond."`
+	Target      float64 `default:"1000" help:"Milliseconds until the first event is due."`
+	EventTokens int     `default:"50" help:"Tokens of one event."`
+	Loss        float64 `default:"0" help:"Share of packets that are lost, where a lost one makes its answer late."`
+}
+
+// Run works the bound out.
+func (b *bound) Run(s *streams) error {
+	logs := os.Stdin
+	if b.Log != "-" {
+		file, err := os.Open(b.Log)
+		if err != nil {
+			return fmt.Errorf("open the log: %w; name a readable file by --log", err)
+		}
+		defer func() { _ = file.Close() }()
+		logs = file
+	}
+	got, err := twbound.Read(twbound.Config{
+		Decodes: b.Decodes, Prefills: b.Prefills, MemoryTokens: b.Memory, ReadTokensPerMilli: b.ReadSpeed,
+		AnswerTokensPerMilli: b.AnswerSpeed, TargetMillis: b.Target, TokensPerEvent: b.EventTokens, PacketLoss: b.Loss,
+	}, logs)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(s.out, "%d calls, %d fit; by tokens %.3f on time, %.3f on time and without a lost packet\n",
+		got.Calls, got.Fit, got.Worth, got.Clean)
+	return err
+}
+
 type engine struct {
 	Listen      string   `default:"127.0.0.1:0" help:"IP:port to listen on."`
 	Name        string   `required:"" help:"Name of the VM."`
