--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -73,6 +73,8 @@
 	mu      sync.Mutex
 	beat    turmericwall.Beat
 	heardAt time.Time
+	// electedAt is when this daemon last became the keeper.
+	electedAt time.Time
 	members map[string]*member
 	// informed is what Informed last told.
 	informed bool
@@ -104,7 +106,12 @@
 
 // Elected tells that this daemon has become the keeper. Until the others hear of it, they place calls with the former
 // one or alone, beside this daemon's: without waiting for the next beat that lasts 40 ms in place of 450.
-func (c *Crew) Elected() { wake(c.elected) }
+func (c *Crew) Elected() {
+	c.mu.Lock()
+	c.electedAt = time.Now()
+	c.mu.Unlock()
+	wake(c.elected)
+}
 
 func wake(waiting chan struct{}) {
 	select {
@@ -196,11 +203,14 @@
 	return ok && !self
 }
 
-// Daemons is the number of live daemons as last known, at least one.
+// Daemons is the number of live daemons as last known; 0 while it is unknown.
+//
+// A daemon that has heard no keeper, or has just become one, does not know the others. If each took itself for the only
+// one, all would spend what all together may repeat.
 func (c *Crew) Daemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, keeping := c.config.Keeping(); !keeping && c.beat.Daemons > 0 {
+	if _, keeping := c.config.Keeping(); !keeping || time.Since(c.electedAt) < lostSpan {
 		return c.beat.Daemons
 	}
 	n := 1
