--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -75,7 +75,7 @@
 	heardAt time.Time
 	// electedAt is when this daemon last became the keeper.
 	electedAt time.Time
-	members map[string]*member
+	members   map[string]*member
 	// informed is what Informed last told.
 	informed bool
 	// behind wakes the daemon that has to learn what the keeper knows.
