feat: count a keeper's silence from its last news

A follower counted the 1.6 s that the lease's row must stay unchanged from its first read of the row, 0.7 s after the last beat. Change: beats tell the row's version; its silence counts from there. A read of the row still comes before the write, under its version. Ruled out: a shorter silence (renewals come each second, and one may be lost).

--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -47,6 +47,9 @@
 	Recorder turmericwall.Recorder
 	// Keeping tells that this daemon is the keeper, and its term.
 	Keeping func() (term int64, ok bool)
+	// LeaseVersion is the version of the lease's row as this daemon knows it, and LeaseTold takes it from the keeper.
+	LeaseVersion func() int64
+	LeaseTold    func(version int64, keeper turmericwall.Member)
 	// PlanVersion and UpstreamsPosition are how much this daemon knows.
 	PlanVersion       func() int64
 	UpstreamsPosition func() int64
@@ -139,6 +142,7 @@
 	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsPosition > c.config.UpstreamsPosition() {
 		wake(c.behind)
 	}
+	c.config.LeaseTold(beat.LeaseVersion, beat.Keeper)
 	if beat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
@@ -345,7 +349,7 @@
 	beat := turmericwall.Beat{
 		Keeper: c.config.Self, Term: term, Daemons: c.Daemons(),
 		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
-		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(),
+		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -178,7 +178,7 @@
 	none := func() int64 { return 0 }
 	d.crew = twcrew.New(twcrew.Config{
 		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
-		StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
+		LeaseVersion: d.election.Version, LeaseTold: d.election.Told, StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
 		Stopping: func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
 		Gone: func(incarnation string) {
 			d.mu.Lock()
--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -73,6 +73,20 @@
 	return e.lease.Fence(twboottime.Now())
 }
 
+// Told takes the version of the lease's row that its holder tells of.
+func (e *Election) Told(version int64, holder turmericwall.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease.Told(twboottime.Now(), version, holder)
+}
+
+// Version is the version of the lease's row as last seen.
+func (e *Election) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Version()
+}
+
 // Yield ends this daemon's part as keeper, because another one has a later term.
 func (e *Election) Yield() {
 	e.mu.Lock()
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -88,6 +88,23 @@
 	}
 }
 
+// Told takes the row's version as its holder tells it.
+//
+// The row must stay unchanged for silentSpan before another daemon takes it. Counted from the first read after the holder
+// fell silent, that lasted 0.7 s longer, in which all daemons placed calls alone.
+func (l *Lease) Told(now twboottime.Moment, version int64, holder turmericwall.Member) {
+	if l.fence != 0 || version <= l.version {
+		return
+	}
+	l.seen = true
+	l.version = version
+	l.seenAt = now
+	l.holder = holder
+}
+
+// Version is the row's version as last seen.
+func (l *Lease) Version() int64 { return l.version }
+
 // Next returns the write that is due, if any.
 func (l *Lease) Next(now twboottime.Moment) (Intent, bool) {
 	if !l.seen {
--- a/internal/membership/twlease/lease_test.go
+++ b/internal/membership/twlease/lease_test.go
@@ -135,3 +135,23 @@
 	_, ok = next.Fence(start.Add(time.Second))
 	g.Expect(ok).To(BeFalse(), "the former holder's last order may be on its way")
 }
+
+// The holder beats to the others and tells the version of its row. It dies. The others needn't read the row before they
+// count its silence: read for the first time after the beats have stopped, it would seem fresh for 1.6 s more.
+func TestTheSilenceOfAHolderCountsFromItsLastNews(t *testing.T) {
+	g := NewWithT(t)
+	l := lease("b")
+	holder := turmericwall.Member{Name: "a", Incarnation: "a1"}
+	l.Told(start, 9, holder)
+	l.Told(start.Add(500*time.Millisecond), 9, holder)
+	l.Seen(start.Add(900*time.Millisecond), 9, row("a", 1))
+	_, due := l.Next(start.Add(1500 * time.Millisecond))
+	g.Expect(due).To(BeFalse())
+	_, due = l.Next(start.Add(1700 * time.Millisecond))
+	g.Expect(due).To(BeTrue())
+	l.Seen(start.Add(1700*time.Millisecond), 11, row("a", 1))
+	_, due = l.Next(start.Add(1800 * time.Millisecond))
+	g.Expect(due).To(BeFalse(), "it has renewed meanwhile")
+	l.Told(start.Add(1900*time.Millisecond), 10, holder)
+	g.Expect(l.Version()).To(BeEquivalentTo(11), "old news")
+}
--- a/peering.go
+++ b/peering.go
@@ -14,6 +14,8 @@
 	UpstreamsPosition int64 `json:"upstreamsPosition"`
 	// StoreMillis is how long ago the keeper asked the store for the last answer that it got.
 	StoreMillis int64 `json:"storeMillis"`
+	// LeaseVersion is the version that the keeper last gave the lease's row.
+	LeaseVersion int64 `json:"leaseVersion"`
 	// Successor is the daemon that a stopping keeper asks to take the lease; its name is empty else.
 	Successor Member `json:"successor"`
 }
