fix: don't hold the election's lock while telling of it

Taking the lease told the crew under the election's lock; the crew asks for the lease under its own. Change: who hears of the election is called without the lock. Ruled out: the failures themselves (the daemon's log ends at the election, all others went on). The new test fails without the change.

--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -376,3 +376,24 @@
 	g.Eventually(keeps(a), patience).Should(BeFalse())
 	g.Eventually(hears(a, "b"), patience).Should(BeTrue())
 }
+
+// A daemon becomes the keeper while another of its loops, which holds the crew's lock, asks whether it is the keeper. Told
+// of the election under the election's own lock, the two waited for each other, and the daemon answered nobody any more.
+func TestWhoHearsOfAnElectionMayAskForIt(t *testing.T) {
+	g := NewWithT(t)
+	held := make(chan bool, 1)
+	var election *twelection.Election
+	election = twelection.New(twelection.Config{
+		Store: newStore(), Self: turmericwall.Member{Name: "a", Incarnation: "a1"}, Apart: time.Second,
+		Recorder:    tweventlog.New(tweventlog.Config{Output: io.Discard}),
+		KeeperHeard: func() bool { return false }, Ready: func() bool { return true },
+		Elected: func() {
+			_, holds := election.Holds()
+			held <- holds
+		},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = election.Run(ctx) }()
+	g.Eventually(held, patience).Should(Receive(BeTrue()))
+}
--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -195,17 +195,20 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	if !ok {
 		e.lease.Seen(twboottime.Now(), current.Version, current.Value)
 	} else {
 		e.lease.Written(sentAt, intent, version)
 	}
-	if holds := e.lease.Holds(); holds != held {
-		e.config.Recorder.Record(turmericwall.EventKeeperChanged).Str("keeper", e.lease.Holder().Name).
-			Int("term", e.lease.Term()).Int("version", version).Send()
-		if holds && e.config.Elected != nil {
-			e.config.Elected()
-		}
+	holder, term, holds := e.lease.Holder(), e.lease.Term(), e.lease.Holds()
+	e.mu.Unlock()
+	if holds == held {
+		return
+	}
+	e.config.Recorder.Record(turmericwall.EventKeeperChanged).Str("keeper", holder.Name).
+		Int("term", term).Int("version", version).Send()
+	// Called without the lock: who hears it asks back whether this daemon holds the lease.
+	if holds && e.config.Elected != nil {
+		e.config.Elected()
 	}
 }
