--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -212,12 +212,19 @@
 
 const patience = 6 * time.Second
 
-// The keeper dies. Another daemon takes its place within seconds, and all hear it; its first orders wait longer.
-func TestAnotherDaemonTakesADeadKeepersPlace(t *testing.T) {
-	g := NewWithT(t)
+// withKeeper starts the daemon a, which becomes the keeper.
+func withKeeper(t *testing.T, g *WithT) (*store, *network, *daemon) {
+	t.Helper()
 	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
 	a := start(t, s, n, "a")
 	g.Eventually(keeps(a), patience).Should(BeTrue())
+	return s, n, a
+}
+
+// The keeper dies. Another daemon takes its place within seconds, and all hear it; its first orders wait longer.
+func TestAnotherDaemonTakesADeadKeepersPlace(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withKeeper(t, g)
 	b, c := start(t, s, n, "b"), start(t, s, n, "c")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	g.Eventually(hears(c, "a"), patience).Should(BeTrue())
@@ -240,9 +247,7 @@
 // none may order once its term is over.
 func TestTheKeeperStaysThroughAnOutageOfTheStore(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	s.setAway(true)
@@ -256,9 +261,7 @@
 // daemons place calls alone, each knowing a part of the load, until another one has taken the lease.
 func TestAKeeperBeatsWhileTheStoreIsSilent(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, _ := withKeeper(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	s.setSilent()
@@ -269,9 +272,7 @@
 // hears no keeper, and must not take the lease while it is renewed.
 func TestADaemonThatIsCutOffDecidesAloneAndTakesNothing(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	g.Eventually(a.crew.Daemons, patience).Should(Equal(2))
@@ -288,9 +289,7 @@
 // the store by themselves. The stopping keeper goes on placing until it hears the next one, but orders nothing more.
 func TestAStoppingKeeperHandsOver(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
@@ -324,9 +323,7 @@
 // must be asked, or the keeper ends and all wait until the lease falls silent.
 func TestAnotherDaemonIsAskedWhenTheSuccessorFails(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
@@ -345,9 +342,7 @@
 // other has looked for a keeper as long: on a poor link the beats to all daemons fill it, and nobody hears them.
 func TestADaemonWithABetterLinkTakesTheLeaseFirst(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	poor := startPatient(t, s, n, "poor", patience)
 	good := start(t, s, n, "good")
 	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
@@ -362,9 +357,7 @@
 // daemon that reads the store takes its place, and it gives way.
 func TestAKeeperThatNoLongerReadsTheStoreIsReplaced(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
-	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	s, n, a := withKeeper(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(b.crew.Informed, patience).Should(BeTrue())
 	a.mu.Lock()
