--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// Elected tells that this daemon has become the keeper. Until the others hear of it, they place calls with the former
-// one or alone, beside this daemon's: without waiting for the next beat that lasts 40 ms in place of 450.
+// Elected tells that this daemon has become the keeper. Until the others hear of it, they place calls with the former one
+// or alone, beside this daemon's. That lasted 450 ms while the first beat waited for its turn.
 func (c *Crew) Elected() {
 	c.mu.Lock()
 	c.electedAt = time.Now()
