fix: end a reservation that is not answered

Their decode engine had gone silent; the reservation waited until its connection broke, past the target. Change: a reservation ends after 300 ms, the engine counts as failed, and the call is placed again. Ruled out: waiting for a place (placedMillis 11), prompts (readMillis 0). The new test fails without the limit.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -26,13 +26,15 @@
 
 // upstreams plays all upstreams and counts what reaches them.
 type upstreams struct {
-	mu           sync.Mutex
-	send         sendFunc
-	sends        []turmericwall.Outgoing
-	targets      []string
-	prefill      func(n int) (turmericwall.EngineExport, error)
-	prefills     int
-	full         map[string]bool
+	mu       sync.Mutex
+	send     sendFunc
+	sends    []turmericwall.Outgoing
+	targets  []string
+	prefill  func(n int) (turmericwall.EngineExport, error)
+	prefills int
+	full     map[string]bool
+	// silent engines answer no reservation.
+	silent       map[string]bool
 	reservations int
 	dropped      int
 	move         func(from, to turmericwall.Upstream) (turmericwall.EngineExport, bool, error)
@@ -64,7 +66,11 @@
 	return nil
 }
 
-func (u *upstreams) Reserve(_ context.Context, to turmericwall.Upstream, _ int, _ time.Time) (string, bool, error) {
+func (u *upstreams) Reserve(ctx context.Context, to turmericwall.Upstream, _ int, _ time.Time) (string, bool, error) {
+	if u.silent[to.ID] {
+		<-ctx.Done()
+		return "", false, ctx.Err()
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.full[to.ID] {
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -14,6 +14,9 @@
 	maxPlacements = 4
 	// reserveSlack is how much longer a reservation lasts than the prompt is expected to take.
 	reserveSlack = 700 * time.Millisecond
+	// reserveLimit ends a reservation that is not answered: thirty times what it takes, and less than a third of the usual
+	// target, so that another engine can still be on time.
+	reserveLimit = 300 * time.Millisecond
 	// cleanupLimit bounds the calls that free what a failed try left at an engine.
 	cleanupLimit = time.Second
 	// fullRetry is when a caller may come back after engines refused by surprise: one answer's time is unknown here.
@@ -141,7 +144,12 @@
 
 // reserve takes memory at the decode engine before the prompt is read: a prompt read for an engine that is full
 // by then is thrown away.
+//
+// An engine that went silent answers nothing, and its connection breaks only 1.7 s later. Its calls were refused then,
+// long after their target, while other engines had room.
 func (r *Relay) reserve(ctx context.Context, p turmericwall.Placement) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveLimit)
+	defer cancel()
 	until := p.ReadDeadline.Add(reserveSlack)
 	if most := time.Now().Add(time.Duration(r.maxReservation(p)) * time.Millisecond); until.After(most) {
 		until = most
--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -321,3 +321,18 @@
 	g.Expect(len(s.placer.asked)).To(BeNumerically(">=", 3), "the first placing and two asks for a move")
 	g.Expect(s.placer.asked[2].ID).To(Equal("id1/m2"))
 }
+
+// The decode engine has gone silent: it answers nothing and resets nothing. The call must go to another engine while it
+// can still be on time, and the books must hear that this one failed.
+func TestASilentEngineCostsLessThanTheTarget(t *testing.T) {
+	g := NewWithT(t)
+	s := modelSite(split("d1"), split("d2"))
+	s.upstreams.silent = map[string]bool{"d1": true}
+	began := time.Now()
+	w, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Code).To(Equal(200))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 900*time.Millisecond))
+	g.Expect(s.placer.asked[1].Avoid).To(Equal([]string{"d1"}))
+	g.Expect(s.placer.ended[0].Failed).To(Equal("d1"))
+}
