--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -390,3 +390,13 @@
 	go func() { _ = election.Run(ctx) }()
 	g.Eventually(held, patience).Should(Receive(BeTrue()))
 }
+
+// A daemon with a poor link finds no keeper at all. It leaves the others time to take the lease, and then takes it itself:
+// a poor keeper is better than none.
+func TestADaemonWithAPoorLinkWaitsAndThenTakesTheLease(t *testing.T) {
+	g := NewWithT(t)
+	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
+	poor := startPatient(t, s, n, "poor", 2*time.Second)
+	g.Consistently(keeps(poor), time.Second).Should(BeFalse())
+	g.Eventually(keeps(poor), patience).Should(BeTrue())
+}
