feat: let decode engines read prompts that their streams don't notice

These engines read in small pieces: measured pauses were 250 ms of 300. Change: how streams bear it is learned. A prompt is read beside streams of which few are expected to be late; daemons tell of a pause that is too long at once; while little is known few streams are tried at a time. Any decode engine that can be on time is taken, not only the one with most memory. The test that a decode engine reads only what its streams bear has four more streams now: beside one alone a trial is allowed.

--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,41 @@
 	g.Expect(s.placer.ended[len(s.placer.ended)-1].Failed).To(Equal("d1"))
 }
 
+// slowBody waits before its second part.
+type slowBody struct {
+	parts []string
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	if len(b.parts) == 1 {
+		time.Sleep(b.pause)
+	}
+	n := copy(p, b.parts[0])
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+func (*slowBody) Close() error { return nil }
+
+// The engine reads another prompt beside a stream, whose next event comes too late. Told at its end only, seconds later,
+// prompts would be read beside many more streams that bear it as badly.
+func TestAPauseThatIsTooLongIsToldBeforeTheStreamEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := modelSite(split("d1"))
+	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.Outgoing) (*turmericwall.Answer, error) {
+		body := &slowBody{parts: []string{events(1, 1), events(2, 2)}, pause: 330 * time.Millisecond}
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: body}, nil
+	}
+	_, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.placer.ended).To(HaveLen(3), "read, paused, ended")
+	g.Expect(s.placer.ended[1]).To(Equal(turmericwall.PlacementEnd{ID: "id1/0", Service: "engines", Running: true, Paused: true}))
+}
+
 // The decode engine gets the call and says nothing more. It may run there; a second engine would run it twice.
 func TestAStreamIsNotSentAgainOnceItMayHaveRun(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -138,7 +138,7 @@
 		model.first = s.attempt.since()
 		s.tellRead()
 	} else {
-		model.gap = max(model.gap, now.Sub(s.last).Milliseconds())
+		s.pause(now.Sub(s.last).Milliseconds())
 	}
 	s.last = now
 	model.events += bytes.Count(events, eventEnd)
@@ -150,6 +150,16 @@
 	return nil
 }
 
+// pause takes the pause before an event, in milliseconds. The first one that is too long is told at once, so that the
+// next prompt isn't read beside streams that bear it as badly.
+func (s *streaming) pause(millis int64) {
+	model, most := &s.attempt.model, s.attempt.route.EventGapMillis
+	if most > 0 && millis > most && model.gap <= most {
+		s.relay.config.Placer.Finish(turmericwall.PlacementEnd{ID: s.placement, Service: s.end.Service, Running: true, Paused: true})
+	}
+	model.gap = max(model.gap, millis)
+}
+
 // tellRead lets the books learn how fast a decode engine read the prompt itself.
 func (s *streaming) tellRead() {
 	if s.end.PromptRead {
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twpauses"
 )
 
 // Tuning holds the limits of the decisions.
@@ -72,6 +73,8 @@
 	// partial tells that others place calls on the same engines.
 	partial bool
 	callers *callers
+	// pauses tell how streams bear a prompt that is read beside them.
+	pauses *twpauses.Pauses
 	// invited are the times at which callers that were turned away may come back.
 	invited []time.Time
 }
@@ -107,7 +110,7 @@
 func New(tuning Tuning) *Books {
 	return &Books{
 		tuning: tuning, engines: make(map[string]*engine), places: make(map[string]string),
-		callers: newCallers(), bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
+		callers: newCallers(), pauses: twpauses.New(), bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
 	}
 }
 
@@ -223,6 +226,9 @@
 	if end.PromptRead {
 		b.promptRead(now, end)
 	}
+	if end.Paused {
+		b.pauses.Paused(end.ID)
+	}
 	if !end.Running {
 		b.free(end.ID)
 	}
@@ -339,6 +345,7 @@
 	if !ok {
 		return
 	}
+	b.pauses.Ended(id)
 	delete(b.engines[at].runs, id)
 	b.engines[at].projected = nil
 	delete(b.places, id)
--- a/internal/placement/twbooks/books_test.go
+++ b/internal/placement/twbooks/books_test.go
@@ -135,6 +135,9 @@
 	g.Expect(b.Decide(start).Placed).To(HaveLen(1), "an idle engine reads anything")
 	later := start.Add(300 * time.Millisecond)
 	b.News(later, turmericwall.PlacementEnd{ID: "a", Running: true, PromptRead: true, PromptMillis: 100})
+	for i := range 4 {
+		b.Adopt(later, turmericwall.PlacedRun{Ask: ask(fmt.Sprint("other", i), later, 2000, 3000), Engine: "d00", AgeMillis: 200})
+	}
 	b.Ask(later, ask("long", later, 9000, 3000))
 	g.Expect(b.Decide(later).Placed).To(BeEmpty())
 	b.Ask(later, ask("short", later, 1500, 3000))
@@ -234,13 +237,16 @@
 
 // world replays a load on engines that read and answer at fixed speeds, and tells what became of it.
 type world struct {
-	books    *twbooks.Books
-	now      time.Time
-	readAt   map[string]time.Time
-	begun    map[string]time.Time
-	due      map[string]time.Time
-	lengths  map[string]int
-	held     map[string]map[string]float64
+	books   *twbooks.Books
+	now     time.Time
+	readAt  map[string]time.Time
+	begun   map[string]time.Time
+	due     map[string]time.Time
+	lengths map[string]int
+	held    map[string]map[string]float64
+	// pauses tells that streams pause too long while their engine reads a prompt; paused are those that did.
+	pauses   bool
+	paused   map[string]bool
 	ends     []event
 	onTime   int
 	late     int
@@ -248,11 +254,19 @@
 	overflow int
 }
 
+func newWorld(prefills, decodes int) *world {
+	return &world{
+		books: books(prefills, decodes), now: start, readAt: map[string]time.Time{}, begun: map[string]time.Time{},
+		due: map[string]time.Time{}, lengths: map[string]int{}, held: map[string]map[string]float64{}, paused: map[string]bool{},
+	}
+}
+
 type event struct {
 	at   time.Time
 	kind string
 	id   string
 	on   string
+	own  bool
 	work turmericwall.ModelWork
 }
 
@@ -273,7 +287,7 @@
 	}
 	at := from.Add(time.Duration(float64(work.PromptTokens)/speed) * time.Millisecond)
 	w.readAt[reader] = at
-	w.ends = append(w.ends, event{at: at, kind: "read", id: p.ID, on: p.Decode.ID, work: work})
+	w.ends = append(w.ends, event{at: at, kind: "read", id: p.ID, on: p.Decode.ID, own: p.Prefill.ID == "", work: work})
 }
 
 func (w *world) step(to time.Time) {
@@ -303,6 +317,9 @@
 		} else {
 			w.onTime++
 		}
+		if w.pauses && e.own {
+			w.pause(e.on)
+		}
 		if w.held[e.on] == nil {
 			w.held[e.on] = make(map[string]float64)
 		}
@@ -317,6 +334,14 @@
 	w.decide()
 }
 
+// pause tells that all streams of an engine paused too long.
+func (w *world) pause(engine string) {
+	for id := range w.held[engine] {
+		w.paused[id] = true
+		w.books.News(w.now, turmericwall.PlacementEnd{ID: id, Running: true, Paused: true})
+	}
+}
+
 func (w *world) decide() {
 	d := w.books.Decide(w.now)
 	for _, p := range d.Placed {
@@ -345,10 +370,7 @@
 func TestThePeakIsReplayed(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(7, 11))
-	w := &world{
-		books: books(3, 15), now: start, readAt: map[string]time.Time{}, begun: map[string]time.Time{}, due: map[string]time.Time{},
-		lengths: map[string]int{}, held: map[string]map[string]float64{},
-	}
+	w := newWorld(3, 15)
 	asked, calm := 0, 0
 	at := start
 	for at.Before(start.Add(20 * time.Second)) {
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -123,25 +123,22 @@
 	}
 	reader, toRead := b.reader(st, w.ask)
 	if reader != nil && b.onTime(st.now, w, toRead) {
-		if decode := b.decoder(st, w.ask, reader, toRead, nil); decode != nil {
+		if decode := b.anyDecoder(st, w.ask, reader, toRead); decode != nil {
 			return b.take(st, w, decode, reader, toRead), true
 		}
 		return turmericwall.Placement{}, false
 	}
-	decode := b.decoder(st, w.ask, nil, float64(w.ask.Work.PromptTokens)/b.poolSpeed(st.now)*b.tuning.OwnReadSlowdown, b.bearsRead)
+	decode, ownMillis := b.ownReader(st, w)
 	if decode == nil {
 		return turmericwall.Placement{}, false
 	}
-	ownMillis := b.readMillis(st.now, decode, w.ask)
-	if !b.onTime(st.now, w, ownMillis) {
-		return turmericwall.Placement{}, false
-	}
+	b.disturb(st.now, decode, w.ask, ownMillis)
 	return b.take(st, w, decode, decode, ownMillis), true
 }
 
 // move finds a decode engine for a run whose engine is leaving. Its prompt is read already.
 func (b *Books) move(st *step, w *waiter) (turmericwall.Placement, bool) {
-	decode := b.decoder(st, w.ask, nil, 0, nil)
+	decode := b.anyDecoder(st, w.ask, nil, 0)
 	if decode == nil {
 		return turmericwall.Placement{}, false
 	}
@@ -218,9 +215,10 @@
 	return best, bestMillis
 }
 
-// decoder returns the decode engine whose memory is least filled by the call, of those that fit when fit is set. The
-// prompt is read by the reader, or by the decode engine itself when there is none.
-func (b *Books) decoder(st *step, ask turmericwall.PlaceAsk, reader *engine, first float64, fit func(time.Time, *engine, turmericwall.PlaceAsk) bool) *engine {
+// decoder returns the decode engine whose memory is least filled by the call. start tells when the answer would begin
+// on an engine, in milliseconds from now, and whether the engine can be used at all. reader reads the prompt; nil when the
+// decode engine does so itself.
+func (b *Books) decoder(st *step, ask turmericwall.PlaceAsk, reader *engine, start func(*engine) (float64, bool)) *engine {
 	need := b.forecast(ask)
 	if st.hopeless(need) {
 		return nil
@@ -229,7 +227,11 @@
 	var best *engine
 	bestPeak := math.Inf(1)
 	for _, e := range st.decodes {
-		if !b.open(st.now, e, ask) || len(e.runs) >= b.slots(e) || (fit != nil && !fit(st.now, e, ask)) {
+		if !b.open(st.now, e, ask) || len(e.runs) >= b.slots(e) {
+			continue
+		}
+		first, ok := start(e)
+		if !ok {
 			continue
 		}
 		added := need.span(first, e.projected.speed).later(e.projected.passed(st.now))
@@ -247,8 +249,14 @@
 			best, bestPeak = e, needed
 		}
 	}
-	if best == nil && fit == nil && len(ask.Avoid) == 0 {
-		st.failed = append(st.failed, need)
+	return best
+}
+
+// anyDecoder is the decode engine for a prompt that is read elsewhere within first milliseconds.
+func (b *Books) anyDecoder(st *step, ask turmericwall.PlaceAsk, reader *engine, first float64) *engine {
+	best := b.decoder(st, ask, reader, func(*engine) (float64, bool) { return first, true })
+	if best == nil && len(ask.Avoid) == 0 {
+		st.failed = append(st.failed, b.forecast(ask))
 	}
 	return best
 }
@@ -273,21 +281,6 @@
 // paid for moved memory and no more runs are thrown out; at 0.2 a fourth less, and engines fill less evenly.
 const readerZoneShare = 0.1
 
-// bearsRead tells that a decode engine can read the prompt itself without breaking its other streams' pauses.
-//
-// It reads a part of the prompt with each token that it makes, so the next event of every stream there waits for
-// nearly the whole prompt: 260 ms for 6,000 tokens where 300 ms are allowed. A second prompt at the same time
-// makes all of them late.
-func (b *Books) bearsRead(now time.Time, e *engine, ask turmericwall.PlaceAsk) bool {
-	if len(e.runs) == 0 || ask.EventGapMillis <= 0 {
-		return true
-	}
-	event := float64(max(b.plan.TokensPerEvent, 1)) / b.answerSpeedOf(e)
-	speed := b.speed(now, e)
-	most := (b.tuning.GapShare*float64(ask.EventGapMillis) - event) * speed
-	return e.waitingRead(now, speed)+float64(ask.Work.PromptTokens) <= most
-}
-
 func (b *Books) open(now time.Time, e *engine, ask turmericwall.PlaceAsk) bool {
 	if e.upstream.Leaving || now.Before(e.closedUntil) {
 		return false
--- a/internal/placement/twdelegate/delegate.go
+++ b/internal/placement/twdelegate/delegate.go
@@ -85,7 +85,7 @@
 func (d *Delegate) Finish(end turmericwall.PlacementEnd) {
 	d.config.Own.Finish(end)
 	d.mu.Lock()
-	if run, ok := d.active[end.ID]; ok && end.Running {
+	if run, ok := d.active[end.ID]; ok && end.Running && end.PromptRead {
 		run.started = true
 		run.readAt = time.Now()
 	}
--- a/placements.go
+++ b/placements.go
@@ -60,6 +60,8 @@
 	// AnswerTokens were made in AnswerMillis since the first event.
 	AnswerTokens int
 	AnswerMillis int64
+	// Paused tells that the stream paused longer between two events than is on time.
+	Paused bool
 }
 
 // EnginePlacer decides where model calls run.
