feat: let a restarted keeper take its own lease at once

The row of the lease named the keeper's former incarnation, and all waited for it to fall silent. Change: a row that names an earlier incarnation of this daemon is taken at once; orders wait as before. Ruled out: asking the holder's address by all; the holder itself knows.

--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -106,6 +106,10 @@
 func (l *Lease) Version() int64 { return l.version }
 
 // Next returns the write that is due, if any.
+//
+// A row that names an earlier incarnation of this daemon is taken at once: that one has ended, or this one could not run.
+// After all daemons had lost power, they placed calls alone for two seconds while the row seemed to be held. Its last
+// order may still be on its way, so orders wait as after any other holder.
 func (l *Lease) Next(now twboottime.Moment) (Intent, bool) {
 	if !l.seen {
 		return Intent{}, false
@@ -113,7 +117,7 @@
 	if l.released {
 		return Intent{}, false
 	}
-	free := l.holder == turmericwall.Member{}
+	free := l.holder == turmericwall.Member{} || l.holder.Name == l.config.Self.Name
 	if l.fence == 0 && l.version > 0 && !free && now.Sub(l.seenAt) < silentSpan {
 		return Intent{}, false
 	}
