--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -73,6 +73,8 @@
 	// partial tells that others place calls on the same engines.
 	partial bool
 	callers *callers
+	// keptShare is how many of the prompts that an engine had read were still kept when their callers came back.
+	keptShare float64
 	// pauses tell how streams bear a prompt that is read beside them.
 	pauses *twpauses.Pauses
 	// invited are the times at which callers that were turned away may come back.
@@ -110,7 +112,7 @@
 func New(tuning Tuning) *Books {
 	return &Books{
 		tuning: tuning, engines: make(map[string]*engine), places: make(map[string]string),
-		callers: newCallers(), pauses: twpauses.New(), bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
+		callers: newCallers(), pauses: twpauses.New(), keptShare: firstKept, bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
 	}
 }
 
@@ -197,6 +199,10 @@
 	}
 	b.places[placed.Ask.ID] = placed.Engine
 	e.projected = nil
+	b.callers.first(now, placed.Ask)
+	if placed.AgeMillis >= 0 {
+		b.callers.answered(placed.Ask.Work, e.upstream.Key())
+	}
 }
 
 // Sweep frees the calls whose longest answer must have ended long ago: the daemon that served them did not say so.
@@ -269,6 +275,11 @@
 	r.reading = false
 	r.firstAt = now
 	e.projected = nil
+	b.callers.answered(r.work, e.upstream.Key())
+	if r.kept {
+		b.foundKept(r, end)
+		return
+	}
 	reader, ok := b.engines[r.readBy]
 	if !ok {
 		return
--- a/internal/placement/twbooks/callers.go
+++ b/internal/placement/twbooks/callers.go
@@ -25,6 +25,9 @@
 type caller struct {
 	first    time.Time
 	deadline time.Time
+	// engine is the one that answered last; it may still keep so many tokens of the prompt.
+	engine turmericwall.UpstreamKey
+	tokens int
 }
 
 func newCallers() *callers { return &callers{known: make(map[string]caller)} }
@@ -43,6 +46,22 @@
 	return now, false
 }
 
+// answered notes the engine that has the caller's prompt and answers.
+func (c *callers) answered(work turmericwall.ModelWork, engine turmericwall.UpstreamKey) {
+	known, ok := c.known[work.Subject]
+	if !ok {
+		return
+	}
+	known.engine, known.tokens = engine, work.PromptTokens
+	c.known[work.Subject] = known
+}
+
+// kept is the engine that may still keep the call's prompt, and how many tokens of it.
+func (c *callers) kept(ask turmericwall.PlaceAsk) (engine turmericwall.UpstreamKey, tokens int) {
+	known := c.known[ask.Work.Subject]
+	return known.engine, min(known.tokens, ask.Work.PromptTokens)
+}
+
 func (c *callers) forget(now time.Time) {
 	if now.Before(c.forgetAt) {
 		return
--- a/internal/placement/twbooks/engine.go
+++ b/internal/placement/twbooks/engine.go
@@ -36,6 +36,8 @@
 	placedAt time.Time
 	// reading tells that the prompt is not read yet.
 	reading bool
+	// kept tells that the engine kept the prompt from before: its reading says nothing of the engine's speed.
+	kept bool
 }
 
 // engine is what the books know of one engine.
--- /dev/null
+++ b/internal/placement/twbooks/kept.go
@@ -0,0 +1,56 @@
+package twbooks
+
+import (
+	"github.com/turmericwall/turmericwall"
+)
+
+// placeWhereKept places a caller that comes back on the engine that answered it before.
+//
+// Load pattern: a daemon is killed, and all its callers come back at once through others. Their prompts were read already,
+// and their engines still keep them. Read again elsewhere, they queue before the prompts of fresh calls, and all are late.
+func (b *Books) placeWhereKept(st *step, w *waiter) (turmericwall.Placement, bool) {
+	if !w.returned || b.keptShare < leastKept {
+		return turmericwall.Placement{}, false
+	}
+	key, tokens := b.callers.kept(w.ask)
+	e, ok := b.engines[key.ID]
+	if !ok || tokens == 0 || e.upstream.Key() != key || e.upstream.Role != turmericwall.RoleDecode {
+		return turmericwall.Placement{}, false
+	}
+	left := float64(w.ask.Work.PromptTokens - tokens)
+	readMillis := (e.waitingRead(st.now, b.speed(st.now, e))+left)/b.speed(st.now, e) + travelMillis
+	if !w.late && !b.onTime(st.now, w, readMillis) {
+		return turmericwall.Placement{}, false
+	}
+	if !b.open(st.now, e, w.ask) || len(e.runs) >= b.slots(e) {
+		return turmericwall.Placement{}, false
+	}
+	added := b.forecast(w.ask).span(readMillis, e.projected.speed).later(e.projected.passed(st.now))
+	if e.projected.peak(added, b.tuning.Deviations) > b.tuning.MemoryShare*float64(b.plan.MemoryTokens) {
+		return turmericwall.Placement{}, false
+	}
+	placement := b.take(st, w, e, e, readMillis)
+	placement.Reason = "its prompt is kept there"
+	e.backlog -= float64(tokens)
+	e.runs[w.ask.ID].kept = true
+	return placement, true
+}
+
+const (
+	// leastKept is the share of kept prompts below which engines are taken to forget them: read again beside streams, at
+	// half the speed, a prompt costs more than by an engine that reads.
+	leastKept = 0.4
+	// firstKept is the share assumed before the first one.
+	firstKept = 0.7
+	// forgottenShare is the part of its reading time from which on a prompt was read again.
+	forgottenShare = 0.5
+)
+
+// foundKept learns whether engines keep prompts: full ones throw them out for the next run.
+func (b *Books) foundKept(r *run, end turmericwall.PlacementEnd) {
+	found := 0.0
+	if float64(end.PromptMillis) < forgottenShare*float64(r.work.PromptTokens)/b.bestSpeed*b.tuning.OwnReadSlowdown {
+		found = 1
+	}
+	b.keptShare = learn(b.keptShare, found)
+}
