feat: place callers that come back where their prompt is kept

Cause: a killed daemon's callers come back at once through others. Change: the books remember which engine had a caller's prompt; one that comes back is placed there, without a reading engine.

--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -121,6 +121,9 @@
 	if w.late && st.fill() > b.tuning.LateShare {
 		return turmericwall.Placement{}, false
 	}
+	if placement, ok := b.placeWhereKept(st, w); ok {
+		return placement, true
+	}
 	reader, toRead := b.reader(st, w.ask)
 	if reader != nil && b.onTime(st.now, w, toRead) {
 		if decode := b.anyDecoder(st, w.ask, reader, toRead); decode != nil {
