feat: let the split of the engines follow the load

Cause: 0.22 of the engines read, whatever came. Change: what a call takes of an engine of each role is learned from calls as they come and from speeds (of prompts that follow each other, of answers after 0.4 s). Readers that are spare answer at once; an engine that answers reads only when calls have found no reader for two seconds and the others have room. Changing engines are told with the keeper's beats.

--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -141,6 +141,28 @@
 	g.Expect(s.placer.ended[1]).To(Equal(turmericwall.PlacementEnd{ID: "id1/0", Service: "engines", Running: true, Paused: true}))
 }
 
+// The first calls after a start last for seconds. What their answers take is wanted before they end, so that engines that
+// read too much can answer before the load grows.
+func TestTheSpeedOfAnAnswerIsToldBeforeItEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := modelSite(split("d1"))
+	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.Outgoing) (*turmericwall.Answer, error) {
+		body := &slowBody{parts: []string{events(1, 4), events(5, 5)}, pause: 450 * time.Millisecond}
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: body}, nil
+	}
+	_, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	var told []turmericwall.PlacementEnd
+	for _, end := range s.placer.ended {
+		if end.Running && end.AnswerTokens > 0 {
+			told = append(told, end)
+		}
+	}
+	g.Expect(told).To(HaveLen(1))
+	g.Expect(told[0].AnswerTokens).To(Equal(200))
+	g.Expect(told[0].AnswerMillis).To(BeNumerically(">=", 450))
+}
+
 // The decode engine gets the call and says nothing more. It may run there; a second engine would run it twice.
 func TestAStreamIsNotSentAgainOnceItMayHaveRun(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -75,7 +75,9 @@
 	engine  turmericwall.Upstream
 	end     *turmericwall.PlacementEnd
 	began   time.Time
-	last    time.Time
+	// toldSpeed tells that the books know how fast the answer grows.
+	toldSpeed bool
+	last      time.Time
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent int64
 	// placement is the placement that the stream has now.
@@ -143,6 +145,7 @@
 	s.last = now
 	model.events += bytes.Count(events, eventEnd)
 	s.lastEvent = max(s.lastEvent, lastID(events))
+	s.tellSpeed(now)
 	if _, err := s.attempt.w.Write(events); err != nil {
 		return err
 	}
@@ -172,6 +175,22 @@
 	})
 }
 
+// earlySpan is how long a stream runs before its speed is told.
+const earlySpan = 400 * time.Millisecond
+
+// tellSpeed lets the books learn early how fast answers grow: the first ones end only after seconds.
+func (s *streaming) tellSpeed(now time.Time) {
+	if s.toldSpeed || now.Sub(s.began) < earlySpan {
+		return
+	}
+	s.toldSpeed = true
+	s.relay.config.Placer.Finish(turmericwall.PlacementEnd{
+		ID: s.placement, Service: s.end.Service, Running: true,
+		AnswerTokens: (s.attempt.model.events - 1) * max(s.attempt.service.Engine.TokensPerEvent, 1),
+		AnswerMillis: now.Sub(s.began).Milliseconds(),
+	})
+}
+
 // lastID is the id of the last of the events, or 0 when none has one.
 func lastID(events []byte) int64 {
 	at := bytes.LastIndex(events, idField)
--- a/internal/membership/twcrew/beats.go
+++ b/internal/membership/twcrew/beats.go
@@ -24,6 +24,9 @@
 		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
 		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
 	}
+	if c.config.Changing != nil {
+		beat.Changing = c.config.Changing()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.config.Stopping != nil && c.config.Stopping() {
--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -63,6 +63,9 @@
 	Nominated func()
 	// Outranked is called when another daemon is the keeper of a later term.
 	Outranked func()
+	// Changing are the engines that change their role, and ChangingTold takes them from the keeper.
+	Changing     func() []turmericwall.ChangingEngine
+	ChangingTold func([]turmericwall.ChangingEngine)
 	// Gone is called for an incarnation that is no longer live.
 	Gone func(incarnation string)
 }
@@ -141,6 +144,9 @@
 		wake(c.behind)
 	}
 	c.config.LeaseTold(beat.LeaseVersion, beat.Keeper)
+	if c.config.ChangingTold != nil {
+		c.config.ChangingTold(beat.Changing)
+	}
 	if beat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -16,6 +16,7 @@
 	"github.com/turmericwall/turmericwall/internal/membership/twcrew"
 	"github.com/turmericwall/turmericwall/internal/membership/twelection"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
+	"github.com/turmericwall/turmericwall/internal/placement/twaway"
 )
 
 // store is the rows of all tables, with a switch that takes it away.
@@ -142,6 +143,7 @@
 	stopping bool
 	// blind tells that this daemon can't read the store any more.
 	blind bool
+	away  *twaway.Away
 }
 
 func (d *daemon) storeRead() time.Time {
@@ -167,7 +169,7 @@
 func startPatient(t *testing.T, s *store, n *network, name string, patience time.Duration) *daemon {
 	t.Helper()
 	log := tweventlog.New(tweventlog.Config{Output: io.Discard})
-	d := &daemon{}
+	d := &daemon{away: twaway.New()}
 	self := turmericwall.Member{Name: name, Address: name, Incarnation: name + "1"}
 	d.election = twelection.New(twelection.Config{
 		Store: s, Self: self, Recorder: log, Apart: time.Second, Patience: patience,
@@ -179,7 +181,9 @@
 	d.crew = twcrew.New(twcrew.Config{
 		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
 		LeaseVersion: d.election.Version, LeaseTold: d.election.Told, StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
-		Stopping: func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
+		Stopping:     func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
+		Changing:     func() []turmericwall.ChangingEngine { return d.away.List(time.Now()) },
+		ChangingTold: func(list []turmericwall.ChangingEngine) { d.away.Told(time.Now(), list) },
 		Gone: func(incarnation string) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -400,3 +404,16 @@
 	g.Consistently(keeps(poor), time.Second).Should(BeFalse())
 	g.Eventually(keeps(poor), patience).Should(BeTrue())
 }
+
+// The keeper orders an engine to change its role and dies within a second. Whoever places calls after it, alone or as the
+// next keeper, must know that the engine refuses all calls.
+func TestAllDaemonsLearnWhichEnginesChange(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withKeeper(t, g)
+	b := start(t, s, n, "b")
+	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
+	a.away.Note("e", turmericwall.RolePrefill, time.Now().Add(time.Minute))
+	g.Eventually(func() bool {
+		return b.away.Is(time.Now(), turmericwall.Upstream{ID: "e", Role: turmericwall.RoleDecode})
+	}, "1s").Should(BeTrue())
+}
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -80,6 +80,7 @@
 	address := serve(t, twpeerhttp.Config{
 		Heard: func(beat turmericwall.Beat) turmericwall.BeatAnswer {
 			g.Expect(beat.Term).To(BeEquivalentTo(3))
+			g.Expect(beat.Changing).To(Equal([]turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, LeftMillis: 70}}))
 			return me
 		},
 		State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
@@ -94,7 +95,9 @@
 	g.Expect(ended).To(Equal([]turmericwall.PlacementEnd{{ID: "1", Running: true, PromptRead: true, PromptMillis: 5}}))
 	g.Expect(c.Runs(ctx, address, []turmericwall.PlacedRun{{Ask: ask(), Engine: "d", AgeMillis: -40}})).To(Succeed())
 	g.Expect([]any{adopted[0].Engine, adopted[0].AgeMillis, adopted[0].Ask.ID}).To(Equal([]any{"d", int64(-40), "1/0"}))
-	got, err := c.Beat(ctx, address, turmericwall.Beat{Term: 3})
+	got, err := c.Beat(ctx, address, turmericwall.Beat{
+		Term: 3, Changing: []turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, LeftMillis: 70}},
+	})
 	g.Expect([]any{got, err}).To(Equal([]any{me, nil}))
 	learned, err := c.State(ctx, address, turmericwall.StateAsk{UpstreamsPosition: 8})
 	g.Expect([]any{learned, err}).To(Equal([]any{state, nil}))
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twcost"
 	"github.com/turmericwall/turmericwall/internal/placement/twpauses"
 )
 
@@ -77,6 +78,10 @@
 	keptShare float64
 	// pauses tell how streams bear a prompt that is read beside them.
 	pauses *twpauses.Pauses
+	// readersShort and answerersShort tell of calls that found no engine of the role in time.
+	readersShort, answerersShort shortage
+	// cost is what calls take of the engines.
+	cost *twcost.Cost
 	// invited are the times at which callers that were turned away may come back.
 	invited []time.Time
 }
@@ -112,7 +117,8 @@
 func New(tuning Tuning) *Books {
 	return &Books{
 		tuning: tuning, engines: make(map[string]*engine), places: make(map[string]string),
-		callers: newCallers(), pauses: twpauses.New(), keptShare: firstKept, bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
+		callers: newCallers(), pauses: twpauses.New(), keptShare: firstKept, cost: twcost.New(),
+		bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
 	}
 }
 
@@ -149,6 +155,10 @@
 	first, returned := b.callers.first(now, ask)
 	ask.TargetDeadline = first.Add(target)
 	b.waiting = append(b.waiting, &waiter{ask: ask, since: now, returned: returned})
+	b.cost.Learn(twcost.Call{
+		PromptTokens: float64(ask.Work.PromptTokens), Length: meanLength(ask.Work.HintTokens, ask.Work.MaxTokens),
+		Slots: b.plan.Slots, MemoryTokens: b.plan.MemoryTokens,
+	})
 }
 
 // Withdraw takes a call back that waits or was placed.
@@ -244,6 +254,7 @@
 func (b *Books) answered(end turmericwall.PlacementEnd) {
 	speed := float64(end.AnswerTokens) / float64(end.AnswerMillis)
 	b.answerSpeed = learn(b.answerSpeed, speed)
+	b.cost.Answered(float64(end.AnswerTokens), float64(end.AnswerMillis))
 	e, ok := b.engines[b.places[end.ID]]
 	if !ok {
 		return
@@ -286,6 +297,9 @@
 	}
 	speed := b.speed(now, reader)
 	if !b.partial {
+		if reader.upstream.Role == turmericwall.RolePrefill && reader.readAt.After(r.placedAt) {
+			b.cost.Read(float64(r.work.PromptTokens), float64(now.Sub(reader.readAt).Milliseconds()))
+		}
 		reader.finished(now, r, speed)
 		b.learnSpeed(now, reader)
 	}
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -129,8 +129,14 @@
 		if decode := b.anyDecoder(st, w.ask, reader, toRead); decode != nil {
 			return b.take(st, w, decode, reader, toRead), true
 		}
+		if !w.late {
+			b.answerersShort.seen(st.now)
+		}
 		return turmericwall.Placement{}, false
 	}
+	if !w.late {
+		b.readersShort.seen(st.now)
+	}
 	decode, ownMillis := b.ownReader(st, w)
 	if decode == nil {
 		return turmericwall.Placement{}, false
--- a/internal/placement/twbooks/length.go
+++ b/internal/placement/twbooks/length.go
@@ -36,5 +36,17 @@
 	return math.Min(bound, math.Max(length, made))
 }
 
+// meanLength is the length that answers have in the mean of many calls: hints are right in the median of the calls, and
+// their own spread makes up for that of the answers.
+func meanLength(hint, most int) float64 {
+	switch {
+	case hint <= 0:
+		return defaultShare * float64(most)
+	case most > 0:
+		return float64(min(hint, most))
+	}
+	return float64(hint)
+}
+
 // normal is the standard normal distribution.
 func normal(x float64) float64 { return 0.5 * math.Erfc(-x/math.Sqrt2) }
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -16,7 +16,7 @@
 	// Upstreams returns the known upstreams of a service.
 	Upstreams func(service string) []turmericwall.Upstream
 	// Away tells that an engine is changing its role and takes no work.
-	Away func(service, id string) bool
+	Away func(now time.Time, engine turmericwall.Upstream) bool
 	// Keeping tells that this daemon places the calls of all.
 	Keeping func() bool
 	// Service returns the operator's plan of a service.
@@ -120,11 +120,12 @@
 	return c.desk(service).books.Waiting()
 }
 
-// Busy tells that calls of the service are placed or wait.
-func (c *Coordinator) Busy(service string) bool {
+// Need is what the service's calls ask of the engines.
+func (c *Coordinator) Need(service string) turmericwall.EngineNeed {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.desk(service).books.Busy()
+	return c.desk(service).books.Need(now)
 }
 
 func (c *Coordinator) ask(ask turmericwall.PlaceAsk) <-chan decision {
@@ -200,15 +201,15 @@
 	}
 	c.kept = keeping
 	d.books.Partial(!keeping)
-	d.books.List(now, c.engines(service))
+	d.books.List(now, c.engines(now, service))
 }
 
 // engines lists the service's engines; those that change their role have none for now.
-func (c *Coordinator) engines(service string) []turmericwall.Upstream {
+func (c *Coordinator) engines(now time.Time, service string) []turmericwall.Upstream {
 	list := c.config.Upstreams(service)
 	copied := false
 	for i, u := range list {
-		if !c.config.Away(service, u.ID) {
+		if !c.config.Away(now, u) {
 			continue
 		}
 		if !copied {
--- a/internal/placement/twcoordinator/coordinator_test.go
+++ b/internal/placement/twcoordinator/coordinator_test.go
@@ -26,7 +26,7 @@
 			engine := turmericwall.EnginePlan{Slots: 16, MemoryTokens: 76_000, TokensPerEvent: 50, MaxReservationMillis: 2000}
 			return turmericwall.ServicePlan{Name: name, Engine: &engine}, true
 		},
-		Away: func(string, string) bool { return false }, Keeping: keeping.Load,
+		Away: func(time.Time, turmericwall.Upstream) bool { return false }, Keeping: keeping.Load,
 	})
 }
 
@@ -71,5 +71,5 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(placement.Prefill.ID).To(Equal("p1"))
 	c.Finish(turmericwall.PlacementEnd{ID: "mine", Service: "s"})
-	g.Expect(c.Busy("s")).To(BeFalse())
+	g.Expect(c.Need("s").Busy).To(BeFalse())
 }
--- a/internal/placement/twdelegate/delegate_test.go
+++ b/internal/placement/twdelegate/delegate_test.go
@@ -86,7 +86,7 @@
 			return turmericwall.ServicePlan{Engine: &turmericwall.EnginePlan{Slots: 4, MemoryTokens: 50_000, TokensPerEvent: 50}}, true
 		},
 		Keeping: func() bool { return false },
-		Away:    func(string, string) bool { return false },
+		Away:    func(time.Time, turmericwall.Upstream) bool { return false },
 	})
 	s.delegate = twdelegate.New(twdelegate.Config{
 		Own: own, Peers: s.keeper, Owner: "me", Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
--- a/internal/placement/twordering/orders.go
+++ b/internal/placement/twordering/orders.go
@@ -23,8 +23,10 @@
 	Engines   func(service string) []turmericwall.Upstream
 	Upstreams turmericwall.Upstreams
 	// Fence returns the fencing number while this daemon may give orders.
-	Fence    func() (int64, bool)
-	Busy     func(service string) bool
+	Fence func() (int64, bool)
+	Need  func(service string) turmericwall.EngineNeed
+	// Changed is called for an engine that accepted an order; by the time until its change is over.
+	Changed  func(id string, role turmericwall.Role, until time.Time)
 	Holder   string
 	Tuning   twroles.Tuning
 	Recorder turmericwall.Recorder
@@ -67,20 +69,13 @@
 	}
 }
 
-// Away tells that an engine of the service is changing its role by an order of this daemon.
-func (o *Orders) Away(service, id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	roles, ok := o.roles[service]
-	return ok && roles.Away(id)
-}
-
 func (o *Orders) service(ctx context.Context, service turmericwall.ServicePlan) {
 	for _, change := range o.plan(service) {
 		accepted, err := o.order(ctx, change)
 		o.settle(service.Name, change, accepted, err)
 		entry := o.config.Recorder.Record(turmericwall.EventRoleOrdered).Str("upstream", change.Upstream.ID).
-			Str("role", string(change.Role)).Int("prefills", int64(change.Prefills)).Int("decodes", int64(change.Decodes))
+			Str("role", string(change.Role)).Int("prefills", int64(change.Prefills)).Int("decodes", int64(change.Decodes)).
+			Int("readMicros", int64(change.Cost.ReadMillis*1000)).Int("answerMicros", int64(change.Cost.AnswerMillis*1000))
 		if err != nil {
 			entry = entry.Err(err)
 		}
@@ -92,9 +87,9 @@
 }
 
 // plan asks for what it needs before it takes the lock: who places calls asks here which engines change, and holds the
-// lock that Busy waits for.
+// lock that Need waits for.
 func (o *Orders) plan(service turmericwall.ServicePlan) []twroles.Change {
-	engines, busy := o.config.Engines(service.Name), o.config.Busy(service.Name)
+	engines, need := o.config.Engines(service.Name), o.config.Need(service.Name)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	roles, ok := o.roles[service.Name]
@@ -102,7 +97,7 @@
 		roles = twroles.New(o.config.Tuning)
 		o.roles[service.Name] = roles
 	}
-	return roles.Plan(time.Now(), *service.Engine, engines, busy)
+	return roles.Plan(time.Now(), *service.Engine, engines, need)
 }
 
 // settle notes how an order went. One without an answer may be carried out seconds later; the engine counts as
@@ -114,7 +109,7 @@
 	switch {
 	case !ok || err != nil:
 	case accepted:
-		roles.Accepted(change.Upstream.ID)
+		o.config.Changed(change.Upstream.ID, change.Role, change.Until)
 	default:
 		roles.Declined(change.Upstream.ID)
 	}
--- a/peering.go
+++ b/peering.go
@@ -18,6 +18,16 @@
 	LeaseVersion int64 `json:"leaseVersion"`
 	// Successor is the daemon that a stopping keeper asks to take the lease; its name is empty else.
 	Successor Member `json:"successor"`
+	// Changing are the engines that change their role by the keeper's orders.
+	Changing []ChangingEngine `json:"changing,omitempty"`
+}
+
+// ChangingEngine is an engine that is away until it has its new role.
+type ChangingEngine struct {
+	ID   string `json:"id"`
+	Role Role   `json:"role"`
+	// LeftMillis is how long the change may still last.
+	LeftMillis int64 `json:"leftMillis"`
 }
 
 // BeatAnswer is what a daemon answers to a beat.
--- a/placements.go
+++ b/placements.go
@@ -64,6 +64,34 @@
 	Paused bool
 }
 
+// CallCost is what one model call takes of the engines in the mean, in milliseconds of a whole engine.
+type CallCost struct {
+	// ReadMillis is what reading the prompt takes of an engine that reads.
+	ReadMillis float64
+	// AnswerMillis is what the answer takes of an engine that answers: the larger of its parts of the memory and of the
+	// slots, times how long it holds them.
+	AnswerMillis float64
+}
+
+// EngineNeed is what the calls of a service ask of its engines.
+type EngineNeed struct {
+	// Busy tells that calls are under way.
+	Busy bool
+	// Readers and Answerers are the engines of each role.
+	Readers, Answerers RoleNeed
+	// Cost is what a call takes; Known is false while too few calls came to say.
+	Cost  CallCost
+	Known bool
+}
+
+// RoleNeed tells how the engines of one role suffice.
+type RoleNeed struct {
+	// Short tells that calls find none in time, for longer than a burst.
+	Short bool
+	// Spare tells that an engine can be given to the other role.
+	Spare bool
+}
+
 // EnginePlacer decides where model calls run.
 type EnginePlacer interface {
 	// Place blocks until the call is placed, or refused with a *Problem that says when to come back.
