feat: let a new keeper ask engines what they keep

The new keeper knows no caller; all come back within 0.1 s, and their prompts, which the engines still keep, are read again before those of fresh calls. Change: whoever becomes the keeper asks the decode engines once what they keep. A prompt counts as thrown out when its engine was given more since than it holds. The split is weighed against the best one, not one engine further.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -91,6 +91,10 @@
 	return u.move(from, to)
 }
 
+func (u *upstreams) Kept(context.Context, turmericwall.Upstream) ([]turmericwall.KeptPrompt, error) {
+	return nil, nil
+}
+
 func (u *upstreams) Load(context.Context, turmericwall.Upstream) (turmericwall.EngineLoad, error) {
 	return turmericwall.EngineLoad{}, nil
 }
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -211,7 +211,7 @@
 	e.projected = nil
 	b.callers.first(now, placed.Ask)
 	if placed.AgeMillis >= 0 {
-		b.callers.answered(placed.Ask.Work, e.upstream.Key())
+		b.callers.answered(now, placed.Ask.Work, e)
 	}
 }
 
@@ -286,7 +286,7 @@
 	r.reading = false
 	r.firstAt = now
 	e.projected = nil
-	b.callers.answered(r.work, e.upstream.Key())
+	b.callers.answered(now, r.work, e)
 	if r.kept {
 		b.foundKept(r, end)
 		return
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -188,6 +188,7 @@
 	added := b.forecast(ask).span(readMillis, decode.projected.speed)
 	decode.projected.add(added.later(decode.projected.passed(st.now)))
 	st.used += added.at(added.end, decode.projected.speed)
+	decode.taken += added.at(added.end, decode.projected.speed)
 	b.places[ask.ID] = decode.upstream.ID
 	length := expectedLength(ask.Work.HintTokens, ask.Work.MaxTokens, 0, b.tuning.ReserveQuantile)
 	placement := turmericwall.Placement{
--- a/internal/placement/twbooks/engine.go
+++ b/internal/placement/twbooks/engine.go
@@ -60,6 +60,8 @@
 	// closedUntil is when the engine may be tried again after it refused or failed.
 	closedUntil time.Time
 	refusals    int
+	// taken is the memory that all runs placed here so far needed, in tokens.
+	taken float64
 }
 
 // made is how many tokens the run has by the time at.
--- a/internal/placement/twbooks/kept.go
+++ b/internal/placement/twbooks/kept.go
@@ -1,6 +1,8 @@
 package twbooks
 
 import (
+	"time"
+
 	"github.com/turmericwall/turmericwall"
 )
 
@@ -9,12 +11,13 @@
 // Load pattern: a daemon is killed, and all its callers come back at once through others. Their prompts were read already,
 // and their engines still keep them. Read again elsewhere, they queue before the prompts of fresh calls, and all are late.
 func (b *Books) placeWhereKept(st *step, w *waiter) (turmericwall.Placement, bool) {
-	if !w.returned || b.keptShare < leastKept {
+	if b.keptShare < leastKept {
 		return turmericwall.Placement{}, false
 	}
-	key, tokens := b.callers.kept(w.ask)
-	e, ok := b.engines[key.ID]
-	if !ok || tokens == 0 || e.upstream.Key() != key || e.upstream.Role != turmericwall.RoleDecode {
+	known := b.callers.kept(w.ask)
+	tokens := min(known.tokens, w.ask.Work.PromptTokens)
+	e, ok := b.engines[known.engine.ID]
+	if !ok || tokens == 0 || b.thrownOut(st, e, known) || e.upstream.Key() != known.engine || e.upstream.Role != turmericwall.RoleDecode {
 		return turmericwall.Placement{}, false
 	}
 	left := float64(w.ask.Work.PromptTokens - tokens)
@@ -32,10 +35,32 @@
 	placement := b.take(st, w, e, e, readMillis)
 	placement.Reason = "its prompt is kept there"
 	e.backlog -= float64(tokens)
+	e.taken -= float64(tokens)
 	e.runs[w.ask.ID].kept = true
 	return placement, true
 }
 
+// thrownOut tells that the engine must have thrown the caller's prompt out: the prompts used least lately yield to runs,
+// and since then more came than it can hold beside those that were under way.
+func (b *Books) thrownOut(st *step, e *engine, known caller) bool {
+	held := 0.0
+	for _, r := range e.runs {
+		if r.placedAt.Before(known.usedAt) {
+			held += float64(r.work.PromptTokens) + r.made(st.now, b.answerSpeedOf(e))
+		}
+	}
+	return e.taken-known.taken+held > float64(b.plan.MemoryTokens)
+}
+
+// Keeps takes what an engine says that it keeps.
+func (b *Books) Keeps(now time.Time, engine turmericwall.UpstreamKey, prompts []turmericwall.KeptPrompt) {
+	e, ok := b.engines[engine.ID]
+	if !ok || e.upstream.Key() != engine {
+		return
+	}
+	b.callers.keeps(now, e, prompts)
+}
+
 const (
 	// leastKept is the share of kept prompts below which engines are taken to forget them: read again beside streams, at
 	// half the speed, a prompt costs more than by an engine that reads.
--- a/internal/placement/twbooks/kept_test.go
+++ b/internal/placement/twbooks/kept_test.go
@@ -90,3 +90,42 @@
 	}
 	g.Expect(read).To(BeNumerically(">=", 4))
 }
+
+// All daemons lose power. The new keeper knows no caller, but its engines told what they keep: callers that come back are
+// answered there, as if it had placed them before.
+func TestANewKeeperPlacesByWhatEnginesKeep(t *testing.T) {
+	g := NewWithT(t)
+	b := books(1, 4)
+	b.Keeps(start, turmericwall.UpstreamKey{ID: "d02"}, []turmericwall.KeptPrompt{{Subject: "c0", Tokens: 4900}})
+	b.Keeps(start, turmericwall.UpstreamKey{ID: "gone"}, []turmericwall.KeptPrompt{{Subject: "c1", Tokens: 4900}})
+	at := start.Add(200 * time.Millisecond)
+	b.Ask(at, back(0, at))
+	b.Ask(at, back(1, at))
+	d := b.Decide(at)
+	g.Expect(d.Placed).To(HaveLen(2))
+	places := map[string]turmericwall.Placement{d.Placed[0].ID: d.Placed[0], d.Placed[1].ID: d.Placed[1]}
+	g.Expect(places["again0"].Decode.ID).To(Equal("d02"))
+	g.Expect(places["again0"].Prefill.ID).To(BeEmpty())
+	g.Expect(places["again1"].Prefill.ID).To(Equal("p00"))
+}
+
+// An engine told that it keeps a prompt. Since then it was given more calls than it has memory for, and has thrown the
+// prompt out. Placed there, the caller would wait for a prompt read beside the others' streams.
+func TestAPromptThatWasSurelyThrownOutIsReadElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	b := books(1, 1)
+	b.Keeps(start, turmericwall.UpstreamKey{ID: "d00"}, []turmericwall.KeptPrompt{{Subject: "c0", Tokens: 4900}})
+	at := start
+	for i := range 12 {
+		call := ask(fmt.Sprint("other", i), at, 8000, 1000)
+		b.Ask(at, call)
+		g.Expect(b.Decide(at).Placed).To(HaveLen(1))
+		b.News(at, turmericwall.PlacementEnd{ID: call.ID, Running: true, PromptRead: true, PromptMillis: 100})
+		at = at.Add(300 * time.Millisecond)
+		b.News(at, turmericwall.PlacementEnd{ID: call.ID})
+	}
+	b.Ask(at, back(0, at))
+	d := b.Decide(at)
+	g.Expect(d.Placed).To(HaveLen(1))
+	g.Expect(d.Placed[0].Prefill.ID).To(Equal("p00"))
+}
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -95,6 +95,16 @@
 	d.books.Adopt(now, run)
 }
 
+// Keeps takes what an engine says that it keeps.
+func (c *Coordinator) Keeps(service string, engine turmericwall.UpstreamKey, prompts []turmericwall.KeptPrompt) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.desk(service)
+	c.refresh(now, service, d)
+	d.books.Keeps(now, engine, prompts)
+}
+
 // Keep forgets the calls of all owners but one, when this daemon is no longer the keeper.
 func (c *Coordinator) Keep(owner string) {
 	c.mu.Lock()
--- a/internal/placement/twdelegate/delegate_test.go
+++ b/internal/placement/twdelegate/delegate_test.go
@@ -52,6 +52,17 @@
 	return nil
 }
 
+// oldest is the age of the oldest run that it was told of, in milliseconds.
+func (k *keeper) oldest() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	oldest := int64(0)
+	for _, run := range k.runs {
+		oldest = max(oldest, run.AgeMillis)
+	}
+	return oldest
+}
+
 func (k *keeper) heard() (ended, runs, told int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -134,6 +145,50 @@
 	g.Expect(turmericwall.IsKind(err, turmericwall.KindOverloaded)).To(BeTrue())
 }
 
+// All daemons lost power and start again; callers come back before one of them has taken the lease. Placed by each daemon
+// alone, their prompts would queue at the same engines. They wait for the keeper, which is there in a tenth of a second.
+func TestCallsWaitForTheKeeperShortlyAfterTheStart(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.keeper.place = func(context.Context) (turmericwall.Placement, error) {
+		return turmericwall.Placement{Decode: turmericwall.Upstream{ID: "d"}, Reason: "keeper"}, nil
+	}
+	s.set("k", false)
+	time.AfterFunc(120*time.Millisecond, func() { s.set("k", true) })
+	p, err := s.delegate.Place(context.Background(), ask("1/0"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.Reason).To(Equal("keeper"))
+}
+
+// Nobody becomes the keeper. Calls are placed alone while they can still be on time.
+func TestCallsDoNotWaitLongForAKeeper(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.set("k", false)
+	began := time.Now()
+	p, err := s.delegate.Place(context.Background(), ask("1/0"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.Reason).To(ContainSubstring("without the keeper"))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond))
+}
+
+// A stream paused too long, and its daemon tells so while it goes on. A new keeper must still hear how old the run is:
+// counted from the pause on, its memory would be expected back seconds late.
+func TestAPauseDoesNotMakeARunYoung(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.keeper.place = func(context.Context) (turmericwall.Placement, error) {
+		return turmericwall.Placement{Decode: turmericwall.Upstream{ID: "d"}, ReadDeadline: time.Now()}, nil
+	}
+	_, err := s.delegate.Place(context.Background(), ask("1/0"))
+	g.Expect(err).NotTo(HaveOccurred())
+	s.delegate.Finish(turmericwall.PlacementEnd{ID: "1/0", Service: "s", Running: true, PromptRead: true})
+	time.Sleep(300 * time.Millisecond)
+	s.delegate.Finish(turmericwall.PlacementEnd{ID: "1/0", Service: "s", Running: true, Paused: true})
+	s.set("next", true)
+	g.Eventually(s.keeper.oldest, "2s").Should(BeNumerically(">=", 300))
+}
+
 // The keeper is gone, or freezes with the ask in its hands. The caller can't wait for the next keeper; the daemon decides
 // on its own books, and the engines' reservations keep two deciders from overfilling an engine.
 func TestADaemonDecidesAloneWhileNoKeeperAnswers(t *testing.T) {
--- /dev/null
+++ b/internal/placement/twinventory/inventory.go
@@ -0,0 +1,89 @@
+// Package twinventory asks engines which prompts they keep when this daemon becomes the keeper.
+package twinventory
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// askLimit ends one ask: a keeper decides from 200 ms after it has taken the lease on.
+const askLimit = 250 * time.Millisecond
+
+// Config says whom to ask and whom to tell.
+type Config struct {
+	Services  func() []turmericwall.ServicePlan
+	Engines   func(service string) []turmericwall.Upstream
+	Upstreams turmericwall.Upstreams
+	// Keeps takes what an engine keeps.
+	Keeps    func(service string, engine turmericwall.UpstreamKey, prompts []turmericwall.KeptPrompt)
+	Recorder turmericwall.Recorder
+}
+
+// Inventory asks the engines.
+type Inventory struct {
+	config Config
+	wanted chan struct{}
+}
+
+// New returns an inventory; nothing is asked before Run and Want.
+func New(config Config) *Inventory { return &Inventory{config: config, wanted: make(chan struct{}, 1)} }
+
+// Want has the engines asked once.
+//
+// A new keeper knows nothing of the callers that its predecessor served. After a loss of power they all come back at once;
+// their prompts are still kept, and would be read again before those of fresh calls.
+func (i *Inventory) Want() {
+	select {
+	case i.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks whenever that is wanted until ctx ends.
+func (i *Inventory) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-i.wanted:
+		}
+		i.askAll(ctx)
+	}
+}
+
+// askAll asks all engines that answer, side by side, and returns when all have answered or their time is over.
+func (i *Inventory) askAll(ctx context.Context) {
+	asked := 0
+	ended := make(chan struct{})
+	for _, service := range i.config.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, u := range i.config.Engines(service.Name) {
+			if u.Role != turmericwall.RoleDecode || u.Leaving {
+				continue
+			}
+			asked++
+			go func() {
+				i.ask(ctx, u)
+				ended <- struct{}{}
+			}()
+		}
+	}
+	for range asked {
+		<-ended
+	}
+}
+
+func (i *Inventory) ask(ctx context.Context, engine turmericwall.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	prompts, err := i.config.Upstreams.Kept(ctx, engine)
+	if err != nil {
+		i.config.Recorder.Record(turmericwall.EventEngineUnreachable).Str("upstream", engine.ID).Err(err).Send()
+		return
+	}
+	i.config.Keeps(engine.Service, engine.Key(), prompts)
+}
--- a/internal/placement/twroles/roles.go
+++ b/internal/placement/twroles/roles.go
@@ -15,7 +15,7 @@
 	// AssumedShare is the part of the engines that read prompts while too few calls came to know what they cost. An engine
 	// that reads is given away at once, one that answers only after its longest answer: rather too many read at first.
 	AssumedShare float64
-	// Gain is the part by which a change must raise what the engines can serve.
+	// Gain is the part by which all changes to one role together must raise what the engines can serve.
 	Gain float64
 	// ReturnMillis is how long an engine that vanished without a word is counted on to come back.
 	ReturnMillis float64
@@ -114,8 +114,8 @@
 		if need.Busy {
 			gain = r.tuning.Gain
 		}
-		after := p.final.Moved(role)
-		if after.Worth(need.Cost) > p.final.Worth(need.Cost)*(1+gain) && (!need.Busy || p.spares(role, need.Cost)) {
+		best := p.final.Best(role, need.Cost)
+		if best.Worth(need.Cost) > p.final.Worth(need.Cost)*(1+gain) && (!need.Busy || p.spares(role, need.Cost)) {
 			return role, true
 		}
 	}
--- a/internal/placement/twsplit/split.go
+++ b/internal/placement/twsplit/split.go
@@ -14,6 +14,17 @@
 	return Split{Prefills: s.Prefills - 1, Decodes: s.Decodes + 1}
 }
 
+// Best is the split that is worth most when engines take the role one by one.
+func (s Split) Best(role turmericwall.Role, cost turmericwall.CallCost) Split {
+	for {
+		next := s.Moved(role)
+		if next.Worth(cost) <= s.Worth(cost) {
+			return s
+		}
+		s = next
+	}
+}
+
 // Rate is how many calls a millisecond the split can serve when each takes cost: the scarcer role decides.
 func (s Split) Rate(cost turmericwall.CallCost) float64 {
 	if s.Prefills <= 0 || s.Decodes <= 0 {
--- a/internal/placement/twsplit/split_test.go
+++ b/internal/placement/twsplit/split_test.go
@@ -34,3 +34,14 @@
 	g.Expect(s.Moved(turmericwall.RolePrefill)).To(Equal(twsplit.Split{Prefills: 4, Decodes: 8}))
 	g.Expect(s.Moved(turmericwall.RoleDecode)).To(Equal(twsplit.Split{Prefills: 2, Decodes: 10}))
 }
+
+// Of sixty engines eight too many read. Each one alone that answers instead brings two in a hundred, all together a fifth.
+func TestTheBestSplitIsFoundFromAfar(t *testing.T) {
+	g := NewWithT(t)
+	cost := turmericwall.CallCost{ReadMillis: 104, AnswerMillis: 480}
+	s := twsplit.Split{Prefills: 18, Decodes: 42}
+	best := s.Best(turmericwall.RoleDecode, cost)
+	g.Expect(best.Prefills).To(BeNumerically("~", 11, 1))
+	g.Expect(best.Rate(cost)).To(BeNumerically(">", 1.15*s.Rate(cost)))
+	g.Expect(s.Best(turmericwall.RolePrefill, cost)).To(Equal(s))
+}
--- a/upstreams.go
+++ b/upstreams.go
@@ -54,6 +54,13 @@
 	NotRun bool
 }
 
+// KeptPrompt is the part of a prompt that an engine still holds.
+type KeptPrompt struct {
+	// Subject is the part's name, as in ModelWork.
+	Subject string
+	Tokens  int
+}
+
 // EngineLoad is a model engine's state some hundred milliseconds ago.
 type EngineLoad struct {
 	Role Role
@@ -95,6 +102,8 @@
 	// MoveRun stops a call's run and copies its memory to another engine, where it can go on by the export. When the
 	// copy fails, copied is false and the export can be imported by the engine itself, which has stopped all the same.
 	MoveRun(ctx context.Context, from, to Upstream, callID string) (export EngineExport, copied bool, err error)
+	// Kept asks an engine which prompts its memory still holds.
+	Kept(ctx context.Context, to Upstream) ([]KeptPrompt, error)
 	// Load asks an engine for its state.
 	Load(ctx context.Context, to Upstream) (EngineLoad, error)
 	// ChangeRole sends an order; accepted is false when the engine declined it.
