feat: try again after a while whether engines keep prompts

Once engines had thrown a few prompts out, no caller was placed where its prompt is kept any more, so nothing could show that the load had gone; the judgement lasted as long as the keeper. Change: after ten seconds without a trial the first share is assumed again. Its test fails without the change.

--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -75,7 +75,8 @@
 	partial bool
 	callers *callers
 	// keptShare is how many of the prompts that an engine had read were still kept when their callers came back.
-	keptShare float64
+	keptShare    float64
+	keptJudgedAt time.Time
 	// pauses tell how streams bear a prompt that is read beside them.
 	pauses *twpauses.Pauses
 	// readersShort and answerersShort tell of calls that found no engine of the role in time.
--- a/internal/placement/twbooks/kept_test.go
+++ b/internal/placement/twbooks/kept_test.go
@@ -89,6 +89,11 @@
 		at = at.Add(300 * time.Millisecond)
 	}
 	g.Expect(read).To(BeNumerically(">=", 4))
+	at = at.Add(11 * time.Second)
+	b.Keeps(at, turmericwall.UpstreamKey{ID: "d00"}, []turmericwall.KeptPrompt{{Subject: "later", Tokens: 4900}})
+	again := ask("later", at, 5000, 2000)
+	b.Ask(at, again)
+	g.Expect(b.Decide(at).Placed[0].Prefill.ID).To(BeEmpty(), "tried again: the load may have gone")
 }
 
 // All daemons lose power. The new keeper knows no caller, but its engines told what they keep: callers that come back are
--- a/internal/placement/twbooks/speeds.go
+++ b/internal/placement/twbooks/speeds.go
@@ -45,7 +45,7 @@
 	e.projected = nil
 	b.callers.answered(now, r.work, e)
 	if r.kept {
-		b.foundKept(r, end)
+		b.foundKept(now, r, end)
 		return
 	}
 	reader, ok := b.engines[r.readBy]
