fix: ask engines what they keep some at a time

A new keeper asked all decode engines at once, a connection each; at the size to design for that is thousands, and a daemon has some thousand descriptors. Change: 64 at a time. The test with 1,000 engines counts the asks under way. No change before 64 engines.

--- a/internal/placement/twcost/cost.go
+++ b/internal/placement/twcost/cost.go
@@ -7,7 +7,7 @@
 	// keepShare is how much earlier calls count when another one comes: about two hundred are remembered, so that one
 	// engine of a dozen follows a change of the load and not the chance of some long answers.
 	keepShare = 0.995
-	// fewest is the number of calls, of prompts and of answers from which on the mean is told.
+	// fewestCalls and fewestAnswers must have come before the mean is told: some three seconds of a small service's load.
 	fewestCalls, fewestAnswers = 40, 20
 	// keepSpeed is how much earlier prompts and answers count for the speeds: about fifty are remembered.
 	keepSpeed = 0.98
--- a/internal/placement/twinventory/inventory.go
+++ b/internal/placement/twinventory/inventory.go
@@ -8,8 +8,12 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// askLimit ends one ask: a keeper decides from 200 ms after it has taken the lease on.
-const askLimit = 250 * time.Millisecond
+const (
+	// askLimit ends one ask: a keeper decides from 200 ms after it has taken the lease on.
+	askLimit = 250 * time.Millisecond
+	// mostAsked is how many engines are asked at the same time: each ask opens a connection.
+	mostAsked = 64
+)
 
 // Config says whom to ask and whom to tell.
 type Config struct {
@@ -53,28 +57,35 @@
 	}
 }
 
-// askAll asks all engines that answer, side by side, and returns when all have answered or their time is over.
+// askAll asks all engines that answer, some at a time, and returns when all have answered or their time is over.
 func (i *Inventory) askAll(ctx context.Context) {
-	asked := 0
-	ended := make(chan struct{})
+	free := make(chan struct{}, mostAsked)
+	for _, engine := range i.answerers() {
+		free <- struct{}{}
+		go func() {
+			i.ask(ctx, engine)
+			<-free
+		}()
+	}
+	for range mostAsked {
+		free <- struct{}{}
+	}
+}
+
+// answerers are the decode engines of all services that stay.
+func (i *Inventory) answerers() []turmericwall.Upstream {
+	var list []turmericwall.Upstream
 	for _, service := range i.config.Services() {
 		if service.Engine == nil {
 			continue
 		}
 		for _, u := range i.config.Engines(service.Name) {
-			if u.Role != turmericwall.RoleDecode || u.Leaving {
-				continue
+			if u.Role == turmericwall.RoleDecode && !u.Leaving {
+				list = append(list, u)
 			}
-			asked++
-			go func() {
-				i.ask(ctx, u)
-				ended <- struct{}{}
-			}()
 		}
 	}
-	for range asked {
-		<-ended
-	}
+	return list
 }
 
 func (i *Inventory) ask(ctx context.Context, engine turmericwall.Upstream) {
--- a/internal/placement/twinventory/inventory_test.go
+++ b/internal/placement/twinventory/inventory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -21,9 +22,20 @@
 	mu     sync.Mutex
 	silent map[string]bool
 	kept   map[string][]turmericwall.KeptPrompt
+	// asked are the asks under way, most the most of them so far.
+	asked, most int
+}
+
+func (e *engines) begin(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked += n
+	e.most = max(e.most, e.asked)
 }
 
 func (e *engines) Kept(ctx context.Context, to turmericwall.Upstream) ([]turmericwall.KeptPrompt, error) {
+	e.begin(1)
+	defer e.begin(-1)
 	if e.silent[to.ID] {
 		<-ctx.Done()
 		return nil, errors.New("no answer")
@@ -76,3 +88,31 @@
 	stop()
 	g.Eventually(ended, "1s").Should(Receive())
 }
+
+// There are thousands of engines. Asked all at once, they would take a connection each from a daemon with a few thousand
+// descriptors.
+func TestManyEnginesAreAskedSomeAtATime(t *testing.T) {
+	g := NewWithT(t)
+	e := &engines{kept: make(map[string][]turmericwall.KeptPrompt)}
+	i := twinventory.New(twinventory.Config{
+		Services: func() []turmericwall.ServicePlan {
+			return []turmericwall.ServicePlan{{Name: "s", Engine: &turmericwall.EnginePlan{}}}
+		},
+		Engines: func(string) []turmericwall.Upstream {
+			var list []turmericwall.Upstream
+			for n := range 1000 {
+				list = append(list, turmericwall.Upstream{ID: fmt.Sprint(n), Role: turmericwall.RoleDecode})
+			}
+			return list
+		},
+		Upstreams: e, Keeps: e.keeps, Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	i.Want()
+	g.Eventually(func() int { return len(e.told()) }, "5s").Should(Equal(1000))
+	stop()
+	g.Eventually(ended, "1s").Should(Receive())
+	g.Expect(e.most).To(BeNumerically("<=", 64))
+}
