--- a/internal/placement/twdelegate/delegate.go
+++ b/internal/placement/twdelegate/delegate.go
@@ -16,11 +16,6 @@
 	sendEvery = 20 * time.Millisecond
 	// maxUnsent bounds the ends that wait for a keeper; beyond it the keeper's own sweep finds them.
 	maxUnsent = 4096
-	// startSpan is how long after the start calls wait for a keeper: a third of the usual target, so that those that are
-	// placed alone then can still be on time.
-	startSpan = 350 * time.Millisecond
-	// lookEvery is the pause between two looks for a keeper after the start.
-	lookEvery = 10 * time.Millisecond
 	// watchEvery is the pause between two looks at whether the keeper that was asked still lives.
 	watchEvery = 100 * time.Millisecond
 )
@@ -45,8 +40,6 @@
 	unsent []turmericwall.PlacementEnd
 	wake   chan struct{}
 	told   turmericwall.Member
-	// aloneFrom is from when on calls are placed without a keeper.
-	aloneFrom time.Time
 }
 
 type placed struct {
@@ -58,14 +51,12 @@
 
 // New returns a delegate.
 func New(config Config) *Delegate {
-	return &Delegate{
-		config: config, active: make(map[string]*placed), wake: make(chan struct{}, 1), aloneFrom: time.Now().Add(startSpan),
-	}
+	return &Delegate{config: config, active: make(map[string]*placed), wake: make(chan struct{}, 1)}
 }
 
 // Place asks the keeper, or this daemon's own books while no keeper answers.
 func (d *Delegate) Place(ctx context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
-	keeper, self, ok := d.keeper(ctx)
+	keeper, self, ok := d.config.Keeper()
 	if ok && !self {
 		placement, err := d.remote(ctx, keeper, ask)
 		var refused *turmericwall.Problem
@@ -90,24 +81,6 @@
 	return placement, err
 }
 
-// keeper returns the live keeper, and waits for one shortly after the start.
-//
-// After all daemons have lost power, all callers come back in the first tenth of a second, in which nobody is the keeper
-// yet. Placed by daemons that know nothing of each other, they queue at the same engines.
-func (d *Delegate) keeper(ctx context.Context) (keeper turmericwall.Member, self, ok bool) {
-	for {
-		keeper, self, ok = d.config.Keeper()
-		if ok || time.Now().After(d.aloneFrom) {
-			return keeper, self, ok
-		}
-		select {
-		case <-ctx.Done():
-			return keeper, self, ok
-		case <-time.After(lookEvery):
-		}
-	}
-}
-
 // Finish frees a place in the own books and tells the keeper.
 func (d *Delegate) Finish(end turmericwall.PlacementEnd) {
 	d.config.Own.Finish(end)
