--- a/events.go
+++ b/events.go
@@ -17,7 +17,7 @@
 	EventRequestFailed      EventID = 2004
 	EventPlacementGranted   EventID = 3001
 	EventPlacementRefused   EventID = 3002
-	EventKeeperUnreachable  EventID = 3003
+	EventLeaderUnreachable  EventID = 3003
 	EventEngineUnreachable  EventID = 3004
 	EventAttemptFailed      EventID = 3005
 	EventAttemptSwept       EventID = 3006
@@ -40,12 +40,12 @@
 	EventPeerLost           EventID = 7002
 	EventVMListUnreadable   EventID = 7003
 	EventVMLeaving          EventID = 7004
-	EventKeeperHeard        EventID = 7005
-	EventKeeperChanged      EventID = 7006
+	EventLeaderHeard        EventID = 7005
+	EventLeaderChanged      EventID = 7006
 	EventLeaseUnreadable    EventID = 7007
 	EventRoleOrdered        EventID = 7008
 	EventPeerState          EventID = 7009
-	EventInformedByKeeper   EventID = 7010
+	EventInformedByLeader   EventID = 7010
 	EventReadsForItself     EventID = 7011
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
@@ -65,7 +65,7 @@
 	EventRequestFailed:      "Request failed",
 	EventPlacementGranted:   "Placement granted",
 	EventPlacementRefused:   "Placement refused",
-	EventKeeperUnreachable:  "Keeper unreachable",
+	EventLeaderUnreachable:  "Leader unreachable",
 	EventEngineUnreachable:  "Engine unreachable",
 	EventAttemptFailed:      "Attempt failed",
 	EventAttemptSwept:       "Attempt swept",
@@ -88,11 +88,11 @@
 	EventPeerLost:           "Peer lost",
 	EventVMListUnreadable:   "VM list unreadable",
 	EventVMLeaving:          "VM leaving",
-	EventKeeperHeard:        "Keeper heard",
-	EventKeeperChanged:      "Keeper changed",
+	EventLeaderHeard:        "Leader heard",
+	EventLeaderChanged:      "Leader changed",
 	EventLeaseUnreadable:    "Lease unreadable",
 	EventRoleOrdered:        "Role ordered",
-	EventInformedByKeeper:   "Informed by keeper",
+	EventInformedByLeader:   "Informed by leader",
 	EventReadsForItself:     "Reads for itself",
 	EventPeerState:          "Peer state",
 	EventStoreUnavailable:   "Store unavailable",
--- a/internal/delivery/twcanceller/canceller.go
+++ b/internal/delivery/twcanceller/canceller.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Cancel notes the attempt. When too many are pending the keeper's sweep takes over.
+// Cancel notes the attempt. When too many are pending the leader's sweep takes over.
 func (c *Canceller) Cancel(vm turmericwall.VM, attempt string) {
 	if vm.Address == "" {
 		return
--- a/internal/delivery/twdelivery/retry.go
+++ b/internal/delivery/twdelivery/retry.go
@@ -48,8 +48,8 @@
 	return nil
 }
 
-// refused passes a keeper's refusal on, but for work that may wait: that asks again. It pauses first: a
-// keeper whose queue is full refuses at once, and asking without a pause would keep it busy with refusing.
+// refused passes a leader's refusal on, but for work that may wait: that asks again. It pauses first: a
+// leader whose queue is full refuses at once, and asking without a pause would keep it busy with refusing.
 func (r *run) refused(ctx context.Context, refused *turmericwall.Problem) error {
 	if refused.Kind() == turmericwall.KindOverloaded && !r.request.Work.Urgent {
 		return r.pause(ctx, refused.RetryAt())
--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -318,7 +318,7 @@
 	w, _ := s.serve(context.Background(), "/m/x")
 	g.Expect(w.Code).To(Equal(503))
 	g.Expect(w.Header().Get("Retry-After")).To(MatchRegexp(`^(1\.9|2\.0)`))
-	s.placer.refusal = errors.New("no keeper")
+	s.placer.refusal = errors.New("no leader")
 	w, _ = s.serve(context.Background(), "/m/x")
 	g.Expect(w.Code).To(Equal(502))
 }
--- a/internal/delivery/twretries/budget_test.go
+++ b/internal/delivery/twretries/budget_test.go
@@ -61,7 +61,7 @@
 	g.Expect(spend(b, start.Add(11_500*time.Millisecond), 100)).To(Equal(8), "0.8 of a fifth of 50")
 }
 
-// All daemons start while the store is down and hear no keeper. None knows how many they are; each may repeat its share of
+// All daemons start while the store is down and hear no leader. None knows how many they are; each may repeat its share of
 // the calls that it gets, and nothing of what all share.
 func TestThereIsNoSlackWhileTheOthersAreUnknown(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/edge/twedge/edge.go
+++ b/internal/edge/twedge/edge.go
@@ -154,7 +154,7 @@
 			return turmericwall.NewProblem(turmericwall.KindUnauthorized, "the key is missing or unknown",
 				"send Authorization: Bearer with the account's key")
 		}
-		daemons := len(e.config.Peers.Keepers())
+		daemons := len(e.config.Peers.Leaders())
 		if retryAt, ok := e.config.Limiter.Admit(e.config.Clock.Now(), account, daemons); !ok {
 			return turmericwall.NewProblem(turmericwall.KindOverLimit, "the account is over its rate limit",
 				"come back at the time given").WithRetryAt(retryAt)
--- a/internal/ledger/twledger/scan.go
+++ b/internal/ledger/twledger/scan.go
@@ -45,11 +45,11 @@
 }
 
 func (l *Ledger) partitionOwner(partition int) string {
-	keepers := l.config.Peers.Keepers()
-	if len(keepers) == 0 {
+	leaders := l.config.Peers.Leaders()
+	if len(leaders) == 0 {
 		return ""
 	}
-	return rendezvous.New(keepers, xxhash.Sum64String).Lookup("ledger/" + strconv.Itoa(partition))
+	return rendezvous.New(leaders, xxhash.Sum64String).Lookup("ledger/" + strconv.Itoa(partition))
 }
 
 func (l *Ledger) scanPartition(ctx context.Context, partition int, counts map[string]int) {
--- a/internal/membership/twcrew/beats.go
+++ b/internal/membership/twcrew/beats.go
@@ -8,7 +8,7 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// rest forgets who is live while another daemon is the keeper.
+// rest forgets who is live while another daemon is the leader.
 func (c *Crew) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -20,7 +20,7 @@
 // beatAll sends one beat to each daemon that has answered the one before.
 func (c *Crew) beatAll(ctx context.Context, term int64) {
 	beat := turmericwall.Beat{
-		Keeper: c.config.Self, Term: term, Daemons: c.Daemons(),
+		Leader: c.config.Self, Term: term, Daemons: c.Daemons(),
 		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
 		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
 	}
@@ -46,7 +46,7 @@
 }
 
 // successor is the live daemon with the best link, and of these the one that started last, but for those that were asked
-// and did not take the lease; the lock is held. When daemons are restarted in turn, the one that was restarted last stays the longest: a keeper chosen by chance
+// and did not take the lease; the lock is held. When daemons are restarted in turn, the one that was restarted last stays the longest: a leader chosen by chance
 // was stopped again a second or two later, and each time all daemons placed calls alone for two seconds.
 func (c *Crew) successor() turmericwall.Member {
 	var next *member
--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcrew/crew.go
@@ -1,4 +1,4 @@
-// Package twcrew keeps the live daemons known: the keeper beats to all, the others hear it.
+// Package twcrew keeps the live daemons known: the leader beats to all, the others hear it.
 package twcrew
 
 import (
@@ -14,18 +14,18 @@
 	table = "daemons"
 	// beatEvery is the pause between two beats.
 	beatEvery = 250 * time.Millisecond
-	// beatLimit ends one beat: a keeper that is slow to answer is no better than none.
+	// beatLimit ends one beat: a leader that is slow to answer is no better than none.
 	beatLimit = 400 * time.Millisecond
-	// heardSpan is how long after its last beat the keeper counts as live: nearly three beats.
+	// heardSpan is how long after its last beat the leader counts as live: nearly three beats.
 	heardSpan = 700 * time.Millisecond
 	// lostSpan is how long after its last answer a daemon counts as live.
 	lostSpan = 1500 * time.Millisecond
-	// informedSpan is how old the keeper's knowledge of the store may be: a change must be known within two seconds,
+	// informedSpan is how old the leader's knowledge of the store may be: a change must be known within two seconds,
 	// and reading the store anew takes some hundred milliseconds.
 	informedSpan = 1300 * time.Millisecond
 	// maxNominations is how often a daemon is asked to take the lease before another one is: two may be lost.
 	maxNominations = 3
-	// readEvery is the pause between two reads of the daemons' rows by the keeper.
+	// readEvery is the pause between two reads of the daemons' rows by the leader.
 	readEvery = 4 * time.Second
 	// failedReadEvery is the pause after a read that failed.
 	failedReadEvery = time.Second
@@ -43,27 +43,27 @@
 	Peers    turmericwall.PeerClient
 	Self     turmericwall.Member
 	Recorder turmericwall.Recorder
-	// Keeping tells that this daemon is the keeper, and its term.
+	// Keeping tells that this daemon is the leader, and its term.
 	Keeping func() (term int64, ok bool)
-	// LeaseVersion is the version of the lease's row as this daemon knows it, and LeaseTold takes it from the keeper.
+	// LeaseVersion is the version of the lease's row as this daemon knows it, and LeaseTold takes it from the leader.
 	LeaseVersion func() int64
-	LeaseTold    func(version int64, keeper turmericwall.Member)
+	LeaseTold    func(version int64, leader turmericwall.Member)
 	// PlanVersion and UpstreamsPosition are how much this daemon knows.
 	PlanVersion       func() int64
 	UpstreamsPosition func() int64
 	// StoreRead is when the store was asked for the last answer that this daemon got.
 	StoreRead func() time.Time
-	// Behind is called when the keeper knows newer state than this daemon.
-	Behind func(ctx context.Context, keeper turmericwall.Member)
+	// Behind is called when the leader knows newer state than this daemon.
+	Behind func(ctx context.Context, leader turmericwall.Member)
 	// LinkMegabits is the rate of this daemon's network link in Mbit/s.
 	LinkMegabits float64
-	// Stopping tells that this daemon gives the lease up while it is the keeper.
+	// Stopping tells that this daemon gives the lease up while it is the leader.
 	Stopping func() bool
-	// Nominated is called when the stopping keeper asks this daemon to take its place.
+	// Nominated is called when the stopping leader asks this daemon to take its place.
 	Nominated func()
-	// Outranked is called when another daemon is the keeper of a later term.
+	// Outranked is called when another daemon is the leader of a later term.
 	Outranked func()
-	// Changing are the engines that change their role, and ChangingTold takes them from the keeper.
+	// Changing are the engines that change their role, and ChangingTold takes them from the leader.
 	Changing     func() []turmericwall.ChangingEngine
 	ChangingTold func([]turmericwall.ChangingEngine)
 	// Gone is called for an incarnation that is no longer live.
@@ -77,14 +77,14 @@
 	mu      sync.Mutex
 	beat    turmericwall.Beat
 	heardAt time.Time
-	// electedAt is when this daemon last became the keeper.
+	// electedAt is when this daemon last became the leader.
 	electedAt time.Time
 	members   map[string]*member
 	// informed is what Informed last told.
 	informed bool
-	// behind wakes the daemon that has to learn what the keeper knows.
+	// behind wakes the daemon that has to learn what the leader knows.
 	behind chan struct{}
-	// elected wakes the loop that knows the others, and known the one that beats, when this daemon becomes the keeper.
+	// elected wakes the loop that knows the others, and known the one that beats, when this daemon becomes the leader.
 	elected, known chan struct{}
 }
 
@@ -108,7 +108,7 @@
 	}
 }
 
-// Elected tells that this daemon has become the keeper. Until the others hear of it, they place calls with the former one
+// Elected tells that this daemon has become the leader. Until the others hear of it, they place calls with the former one
 // or alone, beside this daemon's. That lasted 450 ms while the first beat waited for its turn.
 func (c *Crew) Elected() {
 	c.mu.Lock()
@@ -132,8 +132,8 @@
 	if beat.Term < c.beat.Term && time.Since(c.heardAt) < heardSpan {
 		return self
 	}
-	if beat.Keeper != c.beat.Keeper {
-		c.config.Recorder.Record(turmericwall.EventKeeperHeard).Str("keeper", beat.Keeper.Name).Int("term", beat.Term).Send()
+	if beat.Leader != c.beat.Leader {
+		c.config.Recorder.Record(turmericwall.EventLeaderHeard).Str("leader", beat.Leader.Name).Int("term", beat.Term).Send()
 	}
 	c.beat = beat
 	c.heardAt = time.Now()
@@ -143,7 +143,7 @@
 	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsPosition > c.config.UpstreamsPosition() {
 		wake(c.behind)
 	}
-	c.config.LeaseTold(beat.LeaseVersion, beat.Keeper)
+	c.config.LeaseTold(beat.LeaseVersion, beat.Leader)
 	if c.config.ChangingTold != nil {
 		c.config.ChangingTold(beat.Changing)
 	}
@@ -153,13 +153,13 @@
 	return self
 }
 
-// Informed tells that the keeper lives and reads the store, so that this daemon need not read it.
+// Informed tells that the leader lives and reads the store, so that this daemon need not read it.
 //
 // Each daemon that reads the store by itself costs two calls each two seconds, which were a seventh of all that 75
-// daemons earned. The keeper reads for all. A keeper that is cut off from the store, or silent, informs nobody: its
+// daemons earned. The leader reads for all. A leader that is cut off from the store, or silent, informs nobody: its
 // followers read the store again before what they know is too old to act on.
 func (c *Crew) Informed() bool {
-	heard := c.KeeperHeard()
+	heard := c.LeaderHeard()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := time.Since(c.heardAt) + time.Duration(c.beat.StoreMillis)*time.Millisecond
@@ -168,9 +168,9 @@
 		c.informed = informed
 		event := turmericwall.EventReadsForItself
 		if informed {
-			event = turmericwall.EventInformedByKeeper
+			event = turmericwall.EventInformedByLeader
 		}
-		c.config.Recorder.Record(event).Str("keeper", c.beat.Keeper.Name).Int("term", c.beat.Term).
+		c.config.Recorder.Record(event).Str("leader", c.beat.Leader.Name).Int("term", c.beat.Term).
 			Int("heardMillis", time.Since(c.heardAt).Milliseconds()).Int("storeMillis", c.beat.StoreMillis).Send()
 	}
 	return informed
@@ -182,7 +182,7 @@
 	}
 }
 
-// StoreRead is when the keeper asked the store for the last answer that it told of; the zero time before its first beat.
+// StoreRead is when the leader asked the store for the last answer that it told of; the zero time before its first beat.
 func (c *Crew) StoreRead() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -192,8 +192,8 @@
 	return c.heardAt.Add(-time.Duration(c.beat.StoreMillis) * time.Millisecond)
 }
 
-// Keeper returns the live keeper; self tells that it is this daemon.
-func (c *Crew) Keeper() (keeper turmericwall.Member, self, ok bool) {
+// Leader returns the live leader; self tells that it is this daemon.
+func (c *Crew) Leader() (leader turmericwall.Member, self, ok bool) {
 	if _, keeping := c.config.Keeping(); keeping {
 		return c.config.Self, true, true
 	}
@@ -202,18 +202,18 @@
 	if time.Since(c.heardAt) > heardSpan {
 		return turmericwall.Member{}, false, false
 	}
-	return c.beat.Keeper, false, true
+	return c.beat.Leader, false, true
 }
 
-// KeeperHeard tells that another daemon is the keeper and lives.
-func (c *Crew) KeeperHeard() bool {
-	_, self, ok := c.Keeper()
+// LeaderHeard tells that another daemon is the leader and lives.
+func (c *Crew) LeaderHeard() bool {
+	_, self, ok := c.Leader()
 	return ok && !self
 }
 
 // Daemons is the number of live daemons as last known; 0 while it is unknown.
 //
-// A daemon that has heard no keeper, or has just become one, does not know the others. If each took itself for the only
+// A daemon that has heard no leader, or has just become one, does not know the others. If each took itself for the only
 // one, all would spend what all together may repeat.
 func (c *Crew) Daemons() int {
 	c.mu.Lock()
@@ -230,7 +230,7 @@
 	return max(n, c.beat.Daemons/2)
 }
 
-// Run makes this daemon known, and beats to the others while it is the keeper.
+// Run makes this daemon known, and beats to the others while it is the leader.
 func (c *Crew) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan error, 1)
@@ -257,10 +257,10 @@
 	}
 }
 
-// catchUp learns what the keeper knows.
+// catchUp learns what the leader knows.
 func (c *Crew) catchUp(ctx context.Context) {
-	keeper, self, ok := c.Keeper()
+	leader, self, ok := c.Leader()
 	if ok && !self && c.config.Behind != nil {
-		c.config.Behind(ctx, keeper)
+		c.config.Behind(ctx, leader)
 	}
 }
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcrew/crew_test.go
@@ -109,7 +109,7 @@
 func (n *network) Beat(_ context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
 	n.mu.Lock()
 	crew, ok := n.crews[address]
-	cut := n.cut[address] || n.cut[beat.Keeper.Address]
+	cut := n.cut[address] || n.cut[beat.Leader.Address]
 	n.mu.Unlock()
 	if !ok || cut {
 		return turmericwall.BeatAnswer{}, errors.New("no path")
@@ -173,7 +173,7 @@
 	self := turmericwall.Member{Name: name, Address: name, Incarnation: name + "1"}
 	d.election = twelection.New(twelection.Config{
 		Store: s, Self: self, Recorder: log, Apart: time.Second, Patience: patience,
-		KeeperHeard: func() bool { return d.crew.Informed() },
+		LeaderHeard: func() bool { return d.crew.Informed() },
 		Ready:       func() bool { d.mu.Lock(); defer d.mu.Unlock(); return !d.stopping },
 		Elected:     func() { d.crew.Elected() },
 	})
@@ -209,15 +209,15 @@
 
 func hears(d *daemon, name string) func() bool {
 	return func() bool {
-		keeper, _, ok := d.crew.Keeper()
-		return ok && keeper.Name == name
+		leader, _, ok := d.crew.Leader()
+		return ok && leader.Name == name
 	}
 }
 
 const patience = 6 * time.Second
 
-// withKeeper starts the daemon a, which becomes the keeper.
-func withKeeper(t *testing.T, g *WithT) (*store, *network, *daemon) {
+// withLeader starts the daemon a, which becomes the leader.
+func withLeader(t *testing.T, g *WithT) (*store, *network, *daemon) {
 	t.Helper()
 	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
 	a := start(t, s, n, "a")
@@ -225,10 +225,10 @@
 	return s, n, a
 }
 
-// The keeper dies. Another daemon takes its place within seconds, and all hear it; its first orders wait longer.
-func TestAnotherDaemonTakesADeadKeepersPlace(t *testing.T) {
+// The leader dies. Another daemon takes its place within seconds, and all hear it; its first orders wait longer.
+func TestAnotherDaemonTakesADeadLeadersPlace(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	b, c := start(t, s, n, "b"), start(t, s, n, "c")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	g.Eventually(hears(c, "a"), patience).Should(BeTrue())
@@ -244,14 +244,14 @@
 	}, patience).Should(BeTrue())
 	_, ok = b.election.Fence()
 	_, also := c.election.Fence()
-	g.Expect(ok || also).To(BeFalse(), "the dead keeper's last order may be on its way")
+	g.Expect(ok || also).To(BeFalse(), "the dead leader's last order may be on its way")
 }
 
-// The store goes away. The keeper stays the keeper, because it still answers; nobody can take its place meanwhile, and
+// The store goes away. The leader stays the leader, because it still answers; nobody can take its place meanwhile, and
 // none may order once its term is over.
-func TestTheKeeperStaysThroughAnOutageOfTheStore(t *testing.T) {
+func TestTheLeaderStaysThroughAnOutageOfTheStore(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	s.setAway(true)
@@ -261,22 +261,22 @@
 	g.Eventually(func() bool { _, ok := a.election.Fence(); return ok }, patience).Should(BeTrue())
 }
 
-// The keeper alone loses its way to the store, and its calls there are answered by nothing. It must go on beating, or all
+// The leader alone loses its way to the store, and its calls there are answered by nothing. It must go on beating, or all
 // daemons place calls alone, each knowing a part of the load, until another one has taken the lease.
-func TestAKeeperBeatsWhileTheStoreIsSilent(t *testing.T) {
+func TestALeaderBeatsWhileTheStoreIsSilent(t *testing.T) {
 	g := NewWithT(t)
-	s, n, _ := withKeeper(t, g)
+	s, n, _ := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	s.setSilent()
 	g.Consistently(hears(b, "a"), patience).Should(BeTrue(), "it reads the daemons' rows every four seconds")
 }
 
-// A daemon is cut off from the keeper. The keeper takes its calls back from the books; the daemon itself knows that it
-// hears no keeper, and must not take the lease while it is renewed.
+// A daemon is cut off from the leader. The leader takes its calls back from the books; the daemon itself knows that it
+// hears no leader, and must not take the lease while it is renewed.
 func TestADaemonThatIsCutOffDecidesAloneAndTakesNothing(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	g.Eventually(a.crew.Daemons, patience).Should(Equal(2))
@@ -288,12 +288,12 @@
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 }
 
-// The keeper is told to stop, as one of many daemons that are restarted in turn. The daemon that started last takes its
-// place, since it stays the longest. All hear a keeper all the while: without one they would place calls alone, and read
-// the store by themselves. The stopping keeper goes on placing until it hears the next one, but orders nothing more.
-func TestAStoppingKeeperHandsOver(t *testing.T) {
+// The leader is told to stop, as one of many daemons that are restarted in turn. The daemon that started last takes its
+// place, since it stays the longest. All hear a leader all the while: without one they would place calls alone, and read
+// the store by themselves. The stopping leader goes on placing until it hears the next one, but orders nothing more.
+func TestAStoppingLeaderHandsOver(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
@@ -307,7 +307,7 @@
 	go func() {
 		defer close(ended)
 		for ctx.Err() == nil {
-			if _, _, ok := c.crew.Keeper(); !ok {
+			if _, _, ok := c.crew.Leader(); !ok {
 				alone.Add(1)
 			}
 			time.Sleep(5 * time.Millisecond)
@@ -323,11 +323,11 @@
 	g.Expect(alone.Load()).To(BeZero())
 }
 
-// The daemon that should take the lease doesn't: it is cut off, and the stopping keeper has not noticed yet. Another one
-// must be asked, or the keeper ends and all wait until the lease falls silent.
+// The daemon that should take the lease doesn't: it is cut off, and the stopping leader has not noticed yet. Another one
+// must be asked, or the leader ends and all wait until the lease falls silent.
 func TestAnotherDaemonIsAskedWhenTheSuccessorFails(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
@@ -342,11 +342,11 @@
 	g.Expect(keeps(b)()).To(BeFalse())
 }
 
-// The keeper dies before a daemon with a poor link and one with a good link. The good one takes the lease, though the
-// other has looked for a keeper as long: on a poor link the beats to all daemons fill it, and nobody hears them.
+// The leader dies before a daemon with a poor link and one with a good link. The good one takes the lease, though the
+// other has looked for a leader as long: on a poor link the beats to all daemons fill it, and nobody hears them.
 func TestADaemonWithABetterLinkTakesTheLeaseFirst(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	poor := startPatient(t, s, n, "poor", patience)
 	good := start(t, s, n, "good")
 	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
@@ -357,11 +357,11 @@
 	g.Expect(keeps(poor)()).To(BeFalse())
 }
 
-// The keeper alone is cut off from the store. It still beats, but what it knows is old and it may not order. Another
+// The leader alone is cut off from the store. It still beats, but what it knows is old and it may not order. Another
 // daemon that reads the store takes its place, and it gives way.
-func TestAKeeperThatNoLongerReadsTheStoreIsReplaced(t *testing.T) {
+func TestALeaderThatNoLongerReadsTheStoreIsReplaced(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(b.crew.Informed, patience).Should(BeTrue())
 	a.mu.Lock()
@@ -374,7 +374,7 @@
 	g.Eventually(hears(a, "b"), patience).Should(BeTrue())
 }
 
-// A daemon becomes the keeper while another of its loops, which holds the crew's lock, asks whether it is the keeper. Told
+// A daemon becomes the leader while another of its loops, which holds the crew's lock, asks whether it is the leader. Told
 // of the election under the election's own lock, the two waited for each other, and the daemon answered nobody any more.
 func TestWhoHearsOfAnElectionMayAskForIt(t *testing.T) {
 	g := NewWithT(t)
@@ -383,7 +383,7 @@
 	election = twelection.New(twelection.Config{
 		Store: newStore(), Self: turmericwall.Member{Name: "a", Incarnation: "a1"}, Apart: time.Second,
 		Recorder:    tweventlog.New(tweventlog.Config{Output: io.Discard}),
-		KeeperHeard: func() bool { return false }, Ready: func() bool { return true },
+		LeaderHeard: func() bool { return false }, Ready: func() bool { return true },
 		Elected: func() {
 			_, holds := election.Holds()
 			held <- holds
@@ -395,8 +395,8 @@
 	g.Eventually(held, patience).Should(Receive(BeTrue()))
 }
 
-// A daemon with a poor link finds no keeper at all. It leaves the others time to take the lease, and then takes it itself:
-// a poor keeper is better than none.
+// A daemon with a poor link finds no leader at all. It leaves the others time to take the lease, and then takes it itself:
+// a poor leader is better than none.
 func TestADaemonWithAPoorLinkWaitsAndThenTakesTheLease(t *testing.T) {
 	g := NewWithT(t)
 	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
@@ -405,11 +405,11 @@
 	g.Eventually(keeps(poor), patience).Should(BeTrue())
 }
 
-// The keeper orders an engine to change its role and dies within a second. Whoever places calls after it, alone or as the
-// next keeper, must know that the engine refuses all calls.
+// The leader orders an engine to change its role and dies within a second. Whoever places calls after it, alone or as the
+// next leader, must know that the engine refuses all calls.
 func TestAllDaemonsLearnWhichEnginesChange(t *testing.T) {
 	g := NewWithT(t)
-	s, n, a := withKeeper(t, g)
+	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	a.away.Note("e", turmericwall.RolePrefill, time.Now().Add(time.Minute))
--- a/internal/membership/twcrew/rows.go
+++ b/internal/membership/twcrew/rows.go
@@ -8,9 +8,9 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// knowOthers writes this daemon's address, and reads the others' while it is the keeper.
+// knowOthers writes this daemon's address, and reads the others' while it is the leader.
 //
-// It has a loop of its own: a keeper that is cut off from the store waits 1.5 s for each call. Between two beats, that
+// It has a loop of its own: a leader that is cut off from the store waits 1.5 s for each call. Between two beats, that
 // silenced it while it lived, and at the peak 208 calls were placed by daemons that each knew a part of the load.
 func (c *Crew) knowOthers(ctx context.Context) error {
 	tick := time.NewTicker(beatEvery)
@@ -37,7 +37,7 @@
 	}
 }
 
-// register writes this daemon's address, so that a keeper finds it.
+// register writes this daemon's address, so that a leader finds it.
 func (c *Crew) register(ctx context.Context) bool {
 	value, err := json.Marshal(c.config.Self)
 	if err != nil {
--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -1,4 +1,4 @@
-// Package twelection keeps or seeks the keeper's lease in the store.
+// Package twelection keeps or seeks the leader's lease in the store.
 package twelection
 
 import (
@@ -13,9 +13,9 @@
 
 const (
 	// table and key name the lease's row.
-	table = "keeper"
+	table = "leader"
 	key   = "lease"
-	// lookEvery is the pause between two looks at the row while no keeper is heard.
+	// lookEvery is the pause between two looks at the row while no leader is heard.
 	lookEvery = 400 * time.Millisecond
 	// stepEvery is the pause between two looks at the clock.
 	stepEvery = 100 * time.Millisecond
@@ -34,17 +34,17 @@
 	Recorder turmericwall.Recorder
 	// Apart is the least time between the orders of two holders.
 	Apart time.Duration
-	// Patience is how long no keeper must be heard before this daemon seeks the lease.
+	// Patience is how long no leader must be heard before this daemon seeks the lease.
 	Patience time.Duration
-	// KeeperHeard tells that another daemon lately said that it is the keeper.
-	KeeperHeard func() bool
-	// Ready tells that this daemon knows enough to be the keeper.
+	// LeaderHeard tells that another daemon lately said that it is the leader.
+	LeaderHeard func() bool
+	// Ready tells that this daemon knows enough to be the leader.
 	Ready func() bool
-	// Elected is called when this daemon becomes the keeper; it may be nil.
+	// Elected is called when this daemon becomes the leader; it may be nil.
 	Elected func()
 }
 
-// Election runs one daemon's part in the choice of the keeper.
+// Election runs one daemon's part in the choice of the leader.
 type Election struct {
 	config Config
 	mu     sync.Mutex
@@ -59,7 +59,7 @@
 	return &Election{config: config, lease: twlease.New(twlease.Config{Self: config.Self, Apart: config.Apart}), nominated: make(chan struct{}, 1)}
 }
 
-// Holds tells that this daemon is the keeper, and the number of its term.
+// Holds tells that this daemon is the leader, and the number of its term.
 func (e *Election) Holds() (term int64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -87,7 +87,7 @@
 	return e.lease.Version()
 }
 
-// Yield ends this daemon's part as keeper, because another one has a later term.
+// Yield ends this daemon's part as leader, because another one has a later term.
 func (e *Election) Yield() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -131,7 +131,7 @@
 			e.write(ctx)
 			continue
 		}
-		if e.config.KeeperHeard() && !nominated {
+		if e.config.LeaderHeard() && !nominated {
 			heardAt = now
 			continue
 		}
@@ -157,7 +157,7 @@
 		return
 	}
 	_, _, _, err := e.config.Store.Swap(ctx, table, key, intent.IfVersion, intent.Value)
-	e.config.Recorder.Record(turmericwall.EventKeeperChanged).Str("keeper", "").Int("version", intent.IfVersion).Err(err).Send()
+	e.config.Recorder.Record(turmericwall.EventLeaderChanged).Str("leader", "").Int("version", intent.IfVersion).Err(err).Send()
 }
 
 // look reads the row.
@@ -205,7 +205,7 @@
 	if holds == held {
 		return
 	}
-	e.config.Recorder.Record(turmericwall.EventKeeperChanged).Str("keeper", holder.Name).
+	e.config.Recorder.Record(turmericwall.EventLeaderChanged).Str("leader", holder.Name).
 		Int("term", term).Int("version", version).Send()
 	// Called without the lock: who hears it asks back whether this daemon holds the lease.
 	if holds && e.config.Elected != nil {
--- a/internal/membership/twexchange/calls.go
+++ b/internal/membership/twexchange/calls.go
@@ -9,7 +9,7 @@
 	"github.com/turmericwall/turmericwall/internal/membership/twpeer"
 )
 
-// placeSlack is how long a keeper's answer may take beyond the wait that the arrival allows.
+// placeSlack is how long a leader's answer may take beyond the wait that the arrival allows.
 const placeSlack = 300 * time.Millisecond
 
 // Inquire asks the owner of the attempt how far it got.
@@ -34,12 +34,12 @@
 	return wanted, err
 }
 
-// Place asks the keeper for a place.
-func (e *Exchange) Place(ctx context.Context, keeper string, arrival turmericwall.Arrival) (turmericwall.Grant, error) {
+// Place asks the leader for a place.
+func (e *Exchange) Place(ctx context.Context, leader string, arrival turmericwall.Arrival) (turmericwall.Grant, error) {
 	var grant turmericwall.Grant
 	var refused error
 	timeout := e.waitFor(arrival)
-	err := e.call(ctx, keeper, timeout, func(ctx context.Context, peer twpeer.PeerClient) error {
+	err := e.call(ctx, leader, timeout, func(ctx context.Context, peer twpeer.PeerClient) error {
 		reply, err := peer.Place(ctx, twpeer.EncodeArrival(e.clock.Now(), arrival))
 		if err == nil {
 			grant, refused = twpeer.DecodeGrant(e.clock.Now(), arrival.Attempt, reply)
@@ -52,9 +52,9 @@
 	return grant, refused
 }
 
-// Finish tells the keeper how attempts ended.
-func (e *Exchange) Finish(ctx context.Context, keeper string, endings []turmericwall.Ending) error {
-	return e.call(ctx, keeper, callTimeout, func(ctx context.Context, peer twpeer.PeerClient) error {
+// Finish tells the leader how attempts ended.
+func (e *Exchange) Finish(ctx context.Context, leader string, endings []turmericwall.Ending) error {
+	return e.call(ctx, leader, callTimeout, func(ctx context.Context, peer twpeer.PeerClient) error {
 		_, err := peer.Finish(ctx, twpeer.EncodeEndings(endings))
 		return err
 	})
--- a/internal/membership/twexchange/exchange.go
+++ b/internal/membership/twexchange/exchange.go
@@ -58,7 +58,7 @@
 	Recorder    turmericwall.Recorder
 }
 
-// lostBuffer holds lost incarnations until the keeper reads them.
+// lostBuffer holds lost incarnations until the leader reads them.
 const lostBuffer = 256
 
 // New returns an exchange that knows only its own daemon.
@@ -130,21 +130,21 @@
 	return 2*len(e.Members()) < listed
 }
 
-// Keepers returns the live daemons that take duties, in the order of their incarnations.
-func (e *Exchange) Keepers() []string {
+// Leaders returns the live daemons that take duties, in the order of their incarnations.
+func (e *Exchange) Leaders() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var keepers []string
+	var leaders []string
 	if !e.draining {
-		keepers = append(keepers, e.self)
+		leaders = append(leaders, e.self)
 	}
 	for _, b := range e.roster.Live(e.clock.Now()) {
 		if !b.GetDraining() {
-			keepers = append(keepers, b.GetIncarnation())
+			leaders = append(leaders, b.GetIncarnation())
 		}
 	}
-	sort.Strings(keepers)
-	return keepers
+	sort.Strings(leaders)
+	return leaders
 }
 
 // Members returns the live heartbeats, this daemon's first.
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -1,4 +1,4 @@
-// Package twlease decides who may hold the keeper's lease. It reads and writes nothing itself.
+// Package twlease decides who may hold the leader's lease. It reads and writes nothing itself.
 package twlease
 
 import (
@@ -145,10 +145,10 @@
 }
 
 // Released takes the lease as given up, whether or not the write was confirmed: this daemon orders nothing more. It still
-// holds the place of the keeper until another daemon takes it, so that calls need not be placed alone meanwhile.
+// holds the place of the leader until another daemon takes it, so that calls need not be placed alone meanwhile.
 func (l *Lease) Released() { l.released = true }
 
-// Lost ends this daemon's part as keeper: another one has a later term.
+// Lost ends this daemon's part as leader: another one has a later term.
 func (l *Lease) Lost() {
 	l.fence = 0
 	l.seen = false
@@ -175,7 +175,7 @@
 	}
 }
 
-// Holds tells that this daemon is the keeper as far as it knows.
+// Holds tells that this daemon is the leader as far as it knows.
 func (l *Lease) Holds() bool { return l.fence != 0 }
 
 // Fence returns the fencing number for orders; ok is false when this daemon may not order now.
@@ -186,7 +186,7 @@
 	return l.fence, true
 }
 
-// Term is the number of the keeper's term.
+// Term is the number of the leader's term.
 func (l *Lease) Term() int64 { return l.fence }
 
 // Holder is who holds the row as last seen.
--- a/internal/membership/twlease/lease_test.go
+++ b/internal/membership/twlease/lease_test.go
@@ -103,7 +103,7 @@
 	g.Expect(ok).To(BeFalse())
 }
 
-// All daemons lose power and start again. The keeper's new incarnation finds the row of the former one, which has surely
+// All daemons lose power and start again. The leader's new incarnation finds the row of the former one, which has surely
 // ended, and takes it at once: waiting for it to fall silent left all callers to daemons that each know a part of the
 // load. What the former one ordered is not known any more, so it is another holder: orders wait.
 func TestAnEarlierIncarnationIsAnotherHolderThatHasEnded(t *testing.T) {
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -41,7 +41,7 @@
 	}}}
 }
 
-// Beat tells a daemon that this one is the keeper.
+// Beat tells a daemon that this one is the leader.
 func (c *Client) Beat(ctx context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
 	var got turmericwall.BeatAnswer
 	return got, c.call(ctx, address, pathBeat, beat, &got)
@@ -60,7 +60,7 @@
 	return got.SharedState, err
 }
 
-// Place asks the keeper for a place and waits for its decision.
+// Place asks the leader for a place and waits for its decision.
 func (c *Client) Place(ctx context.Context, address string, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
 	var got wirePlaced
 	if err := c.call(ctx, address, pathPlace, toWire(time.Now(), ask), &got); err != nil {
@@ -79,14 +79,14 @@
 	}, nil
 }
 
-// Finish tells the keeper what happened to placed calls.
+// Finish tells the leader what happened to placed calls.
 func (c *Client) Finish(ctx context.Context, address string, ends []turmericwall.PlacementEnd) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	return c.call(ctx, address, pathFinish, ends, nil)
 }
 
-// Runs tells a new keeper of the calls under way.
+// Runs tells a new leader of the calls under way.
 func (c *Client) Runs(ctx context.Context, address string, runs []turmericwall.PlacedRun) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -63,8 +63,8 @@
 	g.Expect(err.(*turmericwall.Problem).RetryAt()).To(BeTemporally("~", time.Now().Add(2*time.Second), 300*time.Millisecond))
 }
 
-// A daemon asks one that is no longer the keeper. Books that nobody tells of ends would fill up with calls long over.
-func TestOnlyTheKeeperPlaces(t *testing.T) {
+// A daemon asks one that is no longer the leader. Books that nobody tells of ends would fill up with calls long over.
+func TestOnlyTheLeaderPlaces(t *testing.T) {
 	g := NewWithT(t)
 	address := serve(t, twpeerhttp.Config{Keeps: func() bool { return false }})
 	_, err := twpeerhttp.NewClient().Place(context.Background(), address, ask())
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -76,8 +76,8 @@
 
 // pack returns the plan's packed bytes, the same ones for all peers.
 //
-// All daemons ask for a new plan in the same moment. Encoded for each of 75, a plan of many routes took the keeper to
-// 89 MB of 112; shared, it is held once. Unpacked, it filled the keeper's link of 10 Mbit/s for a second, in which no
+// All daemons ask for a new plan in the same moment. Encoded for each of 75, a plan of many routes took the leader to
+// 89 MB of 112; shared, it is held once. Unpacked, it filled the leader's link of 10 Mbit/s for a second, in which no
 // beat came through; packed, it takes a tenth of that.
 func (s *Server) pack(plan *turmericwall.RoutePlan) ([]byte, error) {
 	if plan == nil {
@@ -122,7 +122,7 @@
 		return
 	}
 	if !s.config.Keeps() {
-		http.Error(w, "this daemon is not the keeper; wait for the next beat", http.StatusMisdirectedRequest)
+		http.Error(w, "this daemon is not the leader; wait for the next beat", http.StatusMisdirectedRequest)
 		return
 	}
 	placement, err := s.config.Place(request.Context(), fromWire(time.Now(), ask))
--- a/internal/membership/twserver/server.go
+++ b/internal/membership/twserver/server.go
@@ -34,8 +34,8 @@
 	Exchange    *twexchange.Exchange
 	Fleet       *twfleet.Fleet
 	Documents   turmericwall.Documents
-	// Keeper places arrivals at this daemon.
-	Keeper   turmericwall.Placer
+	// Leader places arrivals at this daemon.
+	Leader   turmericwall.Placer
 	Attempts turmericwall.AttemptOwner
 	Holder   turmericwall.AttemptHolder
 }
@@ -84,9 +84,9 @@
 	return twpeer.EncodeVMs(s.config.Fleet.All()), nil
 }
 
-// Place grants or refuses an arrival as keeper.
+// Place grants or refuses an arrival as leader.
 func (s *Server) Place(ctx context.Context, request *twpeer.PlaceRequest) (*twpeer.PlaceReply, error) {
-	grant, err := s.config.Keeper.Place(ctx, twpeer.DecodeArrival(s.config.Clock.Now(), request))
+	grant, err := s.config.Leader.Place(ctx, twpeer.DecodeArrival(s.config.Clock.Now(), request))
 	if err == nil {
 		return twpeer.EncodeGrant(s.config.Clock.Now(), grant), nil
 	}
@@ -100,7 +100,7 @@
 // Finish releases reservations.
 func (s *Server) Finish(_ context.Context, request *twpeer.FinishRequest) (*twpeer.FinishReply, error) {
 	for _, e := range twpeer.DecodeEndings(request) {
-		s.config.Keeper.Finish(e)
+		s.config.Leader.Finish(e)
 	}
 	return &twpeer.FinishReply{}, nil
 }
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -56,7 +56,7 @@
 	// wait is how long the next read waits for changes.
 	wait time.Duration
 	// readAt is when the last answered read was begun. It keeps its steady clock: the time of day may jump by seconds,
-	// and a keeper that is cut off from the store would seem to read it.
+	// and a leader that is cut off from the store would seem to read it.
 	readAt atomic.Pointer[time.Time]
 	// failing tells that the last read failed.
 	failing atomic.Bool
@@ -140,7 +140,7 @@
 
 // adapt shortens the wait of the next read by what the store takes to answer, so that a read is over in the same time.
 //
-// With a store that takes 240 ms an answer, what the keeper knew was over 1.3 s old at times, and all 75 daemons read the
+// With a store that takes 240 ms an answer, what the leader knew was over 1.3 s old at times, and all 75 daemons read the
 // store by themselves: 400 calls a second to a store that was slow already.
 func (w *Watch) adapt(answer time.Duration) {
 	w.wait = max(w.config.Wait-max(answer, 0), leastWait)
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -140,7 +140,7 @@
 	g.Eventually(func() []int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.afters }).Should(Equal([]int64{5, 5}))
 }
 
-// A daemon meets an outage of the store, and then its keeper reads the store for it. Seconds later the keeper falls
+// A daemon meets an outage of the store, and then its leader reads the store for it. Seconds later the leader falls
 // silent and the daemon reads for itself again. It must not take the whole time between for an outage: entries that were
 // removed meanwhile would be kept as if they had lapsed, and their upstreams would get calls after they left.
 func TestAnOutageIsOverWhenAnotherDaemonReads(t *testing.T) {
--- a/internal/once/twclaim/claims_test.go
+++ b/internal/once/twclaim/claims_test.go
@@ -87,7 +87,7 @@
 
 func (c *cluster) Isolated() bool { return false }
 
-func (c *cluster) Keepers() []string { return nil }
+func (c *cluster) Leaders() []string { return nil }
 
 func (c *cluster) Self() string { return "" }
 
--- a/internal/operations/twcertificate/daemon_test.go
+++ b/internal/operations/twcertificate/daemon_test.go
@@ -25,7 +25,7 @@
 	d, err := twdaemon.New(twdaemon.Config{
 		Settings: twsettings.Settings{
 			Name: name, Environment: "e", Region: "r", Zone: "z", Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operations: "127.0.0.1:0",
-			Platform: "http://127.0.0.1:1", TLS: files, Seeds: seeds, DrainMillis: 1000, NoticeMillis: &notice, MaxBodyBytes: 1000, Policy: "keeper",
+			Platform: "http://127.0.0.1:1", TLS: files, Seeds: seeds, DrainMillis: 1000, NoticeMillis: &notice, MaxBodyBytes: 1000, Policy: "leader",
 		},
 		Output: io.Discard, Clock: clockwork.NewRealClock(),
 	})
--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -25,7 +25,7 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twcertificate"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 	"github.com/turmericwall/turmericwall/internal/operations/twoperations"
-	"github.com/turmericwall/turmericwall/internal/placement/twkeeper"
+	"github.com/turmericwall/turmericwall/internal/placement/twleader"
 	"github.com/turmericwall/turmericwall/internal/placement/twpolicy"
 	"github.com/turmericwall/turmericwall/internal/placement/twrouter"
 	"github.com/turmericwall/turmericwall/internal/platform/twgroup"
@@ -54,7 +54,7 @@
 	table := twtable.New(client)
 	d.buildMembership(client, table, incarnation, secured)
 	d.committer = twgroup.New(twgroup.Config{
-		Table: table, Registry: d.registry, Recorder: d.recorder, Daemons: func() int { return len(d.exchange.Keepers()) },
+		Table: table, Registry: d.registry, Recorder: d.recorder, Daemons: func() int { return len(d.exchange.Leaders()) },
 	})
 	registry := twattempt.New(incarnation)
 	d.buildDelivery(incarnation)
@@ -99,7 +99,7 @@
 func (d *Daemon) buildDelivery(incarnation string) {
 	engines := twengine.New(twengine.Config{Registry: d.registry})
 	d.canceller = twcanceller.New(twcanceller.Config{Engines: engines, Clock: d.clock, Recorder: d.recorder})
-	d.keeper = twkeeper.New(twkeeper.Config{
+	d.leader = twleader.New(twleader.Config{
 		NewPolicy: func() turmericwall.Policy { return twpolicy.New(d.settings.Policy) },
 		Duties:    d.duties,
 		Links:     d.links,
@@ -107,7 +107,7 @@
 		Clock: d.clock, Recorder: d.recorder, Registry: d.registry,
 	})
 	d.router = twrouter.New(twrouter.Config{
-		Peers: d.exchange, Local: d.keeper, Alone: d.settings.Policy != twpolicy.Keeper, Clock: d.clock, Recorder: d.recorder,
+		Peers: d.exchange, Local: d.leader, Alone: d.settings.Policy != twpolicy.Leader, Clock: d.clock, Recorder: d.recorder,
 	})
 	d.delivery = twdelivery.New(twdelivery.Config{
 		Incarnation: incarnation, Placer: d.router, Engines: engines, Canceller: d.canceller,
@@ -115,7 +115,7 @@
 	})
 }
 
-// holder breaks the circle between keeper and delivery: the keeper asks what the delivery still wants.
+// holder breaks the circle between leader and delivery: the leader asks what the delivery still wants.
 type holder struct{ d *Daemon }
 
 func (h holder) Wanted(attempts []string) []string { return h.d.delivery.Wanted(attempts) }
@@ -136,7 +136,7 @@
 	})
 	d.peers = twserver.New(twserver.Config{
 		Credentials: secured.peerServer, Stats: d.dialer.StatsHandler(), Clock: d.clock, Exchange: d.exchange, Fleet: d.fleet,
-		Documents: d.holder, Keeper: d.keeper, Attempts: registry, Holder: d.delivery,
+		Documents: d.holder, Leader: d.leader, Attempts: registry, Holder: d.delivery,
 	})
 	d.operations = twoperations.New(twoperations.Config{
 		Status: d.status, Drain: d.requestDrain, Trace: d.trace, Registry: d.registry,
@@ -151,7 +151,7 @@
 	}
 	var kept []string
 	for _, s := range document.Services() {
-		if s.Type == turmericwall.ServiceEngines && d.router.KeeperOf(s.Name) == d.exchange.Self() {
+		if s.Type == turmericwall.ServiceEngines && d.router.LeaderOf(s.Name) == d.exchange.Self() {
 			kept = append(kept, s.Name)
 		}
 	}
--- a/internal/operations/twdaemon/daemon.go
+++ b/internal/operations/twdaemon/daemon.go
@@ -28,7 +28,7 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twsettings"
 	"github.com/turmericwall/turmericwall/internal/operations/twtask"
 	"github.com/turmericwall/turmericwall/internal/operations/twtrace"
-	"github.com/turmericwall/turmericwall/internal/placement/twkeeper"
+	"github.com/turmericwall/turmericwall/internal/placement/twleader"
 	"github.com/turmericwall/turmericwall/internal/placement/twrouter"
 	"github.com/turmericwall/turmericwall/internal/platform/twgroup"
 )
@@ -53,7 +53,7 @@
 	dialer     *twdialer.Dialer
 	exchange   *twexchange.Exchange
 	canceller  *twcanceller.Canceller
-	keeper     *twkeeper.Keeper
+	leader     *twleader.Leader
 	router     *twrouter.Router
 	delivery   *twdelivery.Delivery
 	claims     *twclaim.Claims
@@ -172,7 +172,7 @@
 	base.Start("document", d.holder.Run)
 	base.Start("heartbeats", d.runExchange)
 	base.Start("peers", func(ctx context.Context) error { return d.peers.Serve(ctx, d.listeners.peers) })
-	base.Start("keeper", d.keeper.Run)
+	base.Start("leader", d.leader.Run)
 	base.Start("lost peers", d.followLost)
 	base.Start("endings", d.router.Run)
 	base.Start("cancels", d.canceller.Run)
@@ -194,7 +194,7 @@
 		case <-ctx.Done():
 			return nil
 		case incarnation := <-d.exchange.Lost():
-			d.keeper.OwnerLost(incarnation)
+			d.leader.OwnerLost(incarnation)
 		}
 	}
 }
--- a/internal/operations/twsettings/settings.go
+++ b/internal/operations/twsettings/settings.go
@@ -18,7 +18,7 @@
 	defaultNoticeMillis = 3_000
 	defaultMaxBodyBytes = 4 << 20
 	defaultLogLevel     = "info"
-	defaultPolicy       = "keeper"
+	defaultPolicy       = "leader"
 )
 
 // Settings are one daemon's addresses and limits; docs/CONFIGURATION.md describes each field.
@@ -50,7 +50,7 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel,omitempty"`
-	// Policy is keeper, or for comparison alone, or one of the baselines roundRobin, leastLoaded, prefixAffinity.
+	// Policy is leader, or for comparison alone, or one of the baselines roundRobin, leastLoaded, prefixAffinity.
 	Policy string `json:"policy,omitempty"`
 }
 
@@ -191,9 +191,9 @@
 
 func (s *Settings) checkChoices() (string, string) {
 	switch s.Policy {
-	case "keeper", "alone", "roundRobin", "leastLoaded", "prefixAffinity":
+	case "leader", "alone", "roundRobin", "leastLoaded", "prefixAffinity":
 	default:
-		return "policy", "is not keeper, alone, roundRobin, leastLoaded or prefixAffinity"
+		return "policy", "is not leader, alone, roundRobin, leastLoaded or prefixAffinity"
 	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
--- a/internal/operations/twsettings/settings_test.go
+++ b/internal/operations/twsettings/settings_test.go
@@ -28,7 +28,7 @@
 	s, err := twsettings.Parse("f", []byte(valid))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.DrainMillis).To(Equal(int64(60_000)))
-	g.Expect(s.Policy).To(Equal("keeper"))
+	g.Expect(s.Policy).To(Equal("leader"))
 }
 
 // Each settings file is wrong in one way: the daemon must not start with it, and the message must say
--- a/internal/placement/twaway/away.go
+++ b/internal/placement/twaway/away.go
@@ -10,7 +10,7 @@
 
 // Away are the engines that accepted an order and don't show their new role yet.
 //
-// They refuse all calls meanwhile. The daemon that ordered tells the others: one that takes its place as keeper, or that
+// They refuse all calls meanwhile. The daemon that ordered tells the others: one that takes its place as leader, or that
 // decides alone, would else place each call on them first, since they look empty.
 type Away struct {
 	mu      sync.Mutex
--- a/internal/placement/twaway/away_test.go
+++ b/internal/placement/twaway/away_test.go
@@ -33,9 +33,9 @@
 	g.Expect(a.Is(start.Add(21*time.Second), engine(turmericwall.RoleDecode))).To(BeFalse())
 }
 
-// The keeper orders an engine to change, and is cut off. The next keeper takes the engine, which has no calls and refuses
+// The leader orders an engine to change, and is cut off. The next leader takes the engine, which has no calls and refuses
 // all, for the emptiest one: 110 calls were refused in nine seconds. Told by the beats before, it leaves the engine alone.
-func TestTheNextKeeperKnowsWhichEnginesChange(t *testing.T) {
+func TestTheNextLeaderKnowsWhichEnginesChange(t *testing.T) {
 	g := NewWithT(t)
 	former, next := twaway.New(), twaway.New()
 	former.Note("e", turmericwall.RolePrefill, start.Add(20*time.Second))
--- a/internal/placement/twbooks/bench_test.go
+++ b/internal/placement/twbooks/bench_test.go
@@ -10,12 +10,12 @@
 )
 
 // BenchmarkDecideAtThePeak decides once after one call ended, while fifteen decode engines are full and sixty calls
-// wait. The keeper does so some hundred times a second at the peak. 5.2 ms while each call projected each engine,
+// wait. The leader does so some hundred times a second at the peak. 5.2 ms while each call projected each engine,
 // 0.16 ms with one projection a decision, 0.05 ms with kept ones and hopeless calls passed over.
 func BenchmarkDecideAtThePeak(b *testing.B) { decideAtThePeak(b, 15, 9) }
 
 // BenchmarkDecideForManyEngines is the same before 50 decode engines: 0.60 ms with one projection a decision, 0.06 ms
-// with kept ones and hopeless calls passed over. A keeper may have a fifth of a core.
+// with kept ones and hopeless calls passed over. A leader may have a fifth of a core.
 func BenchmarkDecideForManyEngines(b *testing.B) { decideAtThePeak(b, 50, 9) }
 
 func decideAtThePeak(b *testing.B, decodes, runs int) {
--- a/internal/placement/twbooks/books_test.go
+++ b/internal/placement/twbooks/books_test.go
@@ -147,7 +147,7 @@
 	g.Expect(d.Placed[0].Prefill.ID).To(BeEmpty())
 }
 
-// A keeper took over after daemons had decided alone for a while. Prompts had seemed slow, because each daemon saw only
+// A leader took over after daemons had decided alone for a while. Prompts had seemed slow, because each daemon saw only
 // its own. Believing that, it refused all calls at once, read nothing, and never learned that the engines were idle.
 func TestASpeedThatWasMeasuredInTroubleIsForgotten(t *testing.T) {
 	g := NewWithT(t)
@@ -186,7 +186,7 @@
 }
 
 // An engine leaves with several runs, which all ask for another place in the same moment as fresh calls. The first one
-// that was placed left its new engine without a projection, and the keeper's process ended at the second one.
+// that was placed left its new engine without a projection, and the leader's process ended at the second one.
 func TestSeveralRunsMoveInOneDecision(t *testing.T) {
 	g := NewWithT(t)
 	b := books(1, 1)
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -55,7 +55,7 @@
 
 // begin computes what all waiting calls are weighed against.
 //
-// Projected anew for each call, sixty waiting calls and fifteen full engines took 5.2 ms a decision, and a keeper at the
+// Projected anew for each call, sixty waiting calls and fifteen full engines took 5.2 ms a decision, and a leader at the
 // peak had no processor left for its beats. Projections are kept while their engine's runs stay the same.
 func (b *Books) begin(now time.Time) *step {
 	st := &step{now: now}
--- a/internal/placement/twbooks/kept_test.go
+++ b/internal/placement/twbooks/kept_test.go
@@ -96,9 +96,9 @@
 	g.Expect(b.Decide(at).Placed[0].Prefill.ID).To(BeEmpty(), "tried again: the load may have gone")
 }
 
-// All daemons lose power. The new keeper knows no caller, but its engines told what they keep: callers that come back are
+// All daemons lose power. The new leader knows no caller, but its engines told what they keep: callers that come back are
 // answered there, as if it had placed them before.
-func TestANewKeeperPlacesByWhatEnginesKeep(t *testing.T) {
+func TestANewLeaderPlacesByWhatEnginesKeep(t *testing.T) {
 	g := NewWithT(t)
 	b := books(1, 4)
 	b.Keeps(start, turmericwall.UpstreamKey{ID: "d02"}, []turmericwall.KeptPrompt{{Subject: "c0", Tokens: 4900}})
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -28,7 +28,7 @@
 	config   Config
 	mu       sync.Mutex
 	services map[string]*desk
-	// kept tells that this daemon was the keeper at the last look, and learnedAt when a new keeper's books are whole.
+	// kept tells that this daemon was the leader at the last look, and learnedAt when a new leader's books are whole.
 	kept      bool
 	learnedAt time.Time
 }
@@ -105,7 +105,7 @@
 	d.books.Keeps(now, engine, prompts)
 }
 
-// Keep forgets the calls of all owners but one, when this daemon is no longer the keeper.
+// Keep forgets the calls of all owners but one, when this daemon is no longer the leader.
 func (c *Coordinator) Keep(owner string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,13 +190,13 @@
 }
 
 // When more than crowd calls wait, the books decide once in crowdPause and not at each call and each end: each decision
-// weighs all that wait, and a keeper with a fifth of a core had no processor left for its beats.
+// weighs all that wait, and a leader with a fifth of a core had no processor left for its beats.
 const (
 	crowd      = 12
 	crowdPause = 8 * time.Millisecond
 )
 
-// learnSpan is how long a new keeper waits before it decides: the others hear of it and tell it of their calls under way
+// learnSpan is how long a new leader waits before it decides: the others hear of it and tell it of their calls under way
 // within 150 ms. Before, it would fill engines that it takes for empty.
 const learnSpan = 200 * time.Millisecond
 
--- a/internal/placement/twcoordinator/coordinator_test.go
+++ b/internal/placement/twcoordinator/coordinator_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// A daemon becomes the keeper while the engines are busy. Its first calls come before the others have told it of theirs.
+// A daemon becomes the leader while the engines are busy. Its first calls come before the others have told it of theirs.
 // Placed at once, they would go to an engine that only looks empty, and its memory would run out.
-func TestANewKeeperHearsOfTheOthersCallsBeforeItPlaces(t *testing.T) {
+func TestANewLeaderHearsOfTheOthersCallsBeforeItPlaces(t *testing.T) {
 	g := NewWithT(t)
 	var keeping atomic.Bool
 	c := coordinator(&keeping)
@@ -62,7 +62,7 @@
 	g.Expect(placement.Decode.ID).To(Equal("d2"))
 }
 
-// A daemon without a keeper decides alone, and there is nobody to wait for.
+// A daemon without a leader decides alone, and there is nobody to wait for.
 func TestADaemonThatDecidesAlonePlacesAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	var keeping atomic.Bool
--- a/internal/placement/twdelegate/delegate.go
+++ b/internal/placement/twdelegate/delegate.go
@@ -1,4 +1,4 @@
-// Package twdelegate asks the keeper for places, and decides alone while there is none.
+// Package twdelegate asks the leader for places, and decides alone while there is none.
 package twdelegate
 
 import (
@@ -12,21 +12,21 @@
 )
 
 const (
-	// sendEvery is the pause between two messages about ended calls: the keeper's books may lag by it.
+	// sendEvery is the pause between two messages about ended calls: the leader's books may lag by it.
 	sendEvery = 20 * time.Millisecond
-	// maxUnsent bounds the ends that wait for a keeper; beyond it the keeper's own sweep finds them.
+	// maxUnsent bounds the ends that wait for a leader; beyond it the leader's own sweep finds them.
 	maxUnsent = 4096
-	// watchEvery is the pause between two looks at whether the keeper that was asked still lives.
+	// watchEvery is the pause between two looks at whether the leader that was asked still lives.
 	watchEvery = 100 * time.Millisecond
 )
 
 // Config says what the delegate works with.
 type Config struct {
-	// Own are this daemon's own books: the keeper's while it is the keeper, and the fallback else.
+	// Own are this daemon's own books: the leader's while it is the leader, and the fallback else.
 	Own   *twcoordinator.Coordinator
 	Peers turmericwall.PeerClient
-	// Keeper returns the live keeper; self tells that it is this daemon.
-	Keeper   func() (keeper turmericwall.Member, self, ok bool)
+	// Leader returns the live leader; self tells that it is this daemon.
+	Leader   func() (leader turmericwall.Member, self, ok bool)
 	Owner    string
 	Recorder turmericwall.Recorder
 }
@@ -35,7 +35,7 @@
 type Delegate struct {
 	config Config
 	mu     sync.Mutex
-	// active are this daemon's placed calls, for a new keeper.
+	// active are this daemon's placed calls, for a new leader.
 	active map[string]*placed
 	unsent []turmericwall.PlacementEnd
 	wake   chan struct{}
@@ -54,11 +54,11 @@
 	return &Delegate{config: config, active: make(map[string]*placed), wake: make(chan struct{}, 1)}
 }
 
-// Place asks the keeper, or this daemon's own books while no keeper answers.
+// Place asks the leader, or this daemon's own books while no leader answers.
 func (d *Delegate) Place(ctx context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
-	keeper, self, ok := d.config.Keeper()
+	leader, self, ok := d.config.Leader()
 	if ok && !self {
-		placement, err := d.remote(ctx, keeper, ask)
+		placement, err := d.remote(ctx, leader, ask)
 		var refused *turmericwall.Problem
 		if err == nil || errors.As(err, &refused) {
 			return placement, err
@@ -69,19 +69,19 @@
 				"the caller left or its time is over", "call again").WithCause(err)
 		}
 		d.withdraw(ask)
-		d.config.Recorder.Record(turmericwall.EventKeeperUnreachable).Str("request", ask.ID).Str("keeper", keeper.Name).Err(err).Send()
+		d.config.Recorder.Record(turmericwall.EventLeaderUnreachable).Str("request", ask.ID).Str("leader", leader.Name).Err(err).Send()
 	}
 	placement, err := d.config.Own.Place(ctx, ask)
 	if err == nil {
 		d.remember(ask, placement)
 		if !ok || !self {
-			placement.Reason += ", decided without the keeper"
+			placement.Reason += ", decided without the leader"
 		}
 	}
 	return placement, err
 }
 
-// Finish frees a place in the own books and tells the keeper.
+// Finish frees a place in the own books and tells the leader.
 func (d *Delegate) Finish(end turmericwall.PlacementEnd) {
 	d.config.Own.Finish(end)
 	d.mu.Lock()
@@ -102,7 +102,7 @@
 	}
 }
 
-// Run tells the keeper of ended calls, and a new keeper of those under way, until ctx ends.
+// Run tells the leader of ended calls, and a new leader of those under way, until ctx ends.
 func (d *Delegate) Run(ctx context.Context) error {
 	for {
 		select {
@@ -111,19 +111,19 @@
 		case <-d.wake:
 		case <-time.After(watchEvery):
 		}
-		keeper, self, ok := d.config.Keeper()
+		leader, self, ok := d.config.Leader()
 		if !ok {
 			continue
 		}
 		if self {
 			d.mu.Lock()
 			d.unsent = nil
-			d.told = keeper
+			d.told = leader
 			d.mu.Unlock()
 			continue
 		}
-		d.introduce(ctx, keeper)
-		d.send(ctx, keeper)
+		d.introduce(ctx, leader)
+		d.send(ctx, leader)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -132,13 +132,13 @@
 	}
 }
 
-// remote asks the keeper; the ask is given up as soon as the keeper no longer lives.
-func (d *Delegate) remote(ctx context.Context, keeper turmericwall.Member, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
+// remote asks the leader; the ask is given up as soon as the leader no longer lives.
+func (d *Delegate) remote(ctx context.Context, leader turmericwall.Member, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := d.whileLive(keeper, cancel)
+	stop := d.whileLive(leader, cancel)
 	defer stop()
-	placement, err := d.config.Peers.Place(askCtx, keeper.Address, ask)
+	placement, err := d.config.Peers.Place(askCtx, leader.Address, ask)
 	if err != nil {
 		return placement, err
 	}
@@ -147,8 +147,8 @@
 	return placement, nil
 }
 
-// whileLive calls cancel when the keeper no longer lives; stop ends the watch.
-func (d *Delegate) whileLive(keeper turmericwall.Member, cancel func()) (stop func()) {
+// whileLive calls cancel when the leader no longer lives; stop ends the watch.
+func (d *Delegate) whileLive(leader turmericwall.Member, cancel func()) (stop func()) {
 	done := make(chan struct{})
 	go func() {
 		tick := time.NewTicker(watchEvery)
@@ -159,7 +159,7 @@
 				return
 			case <-tick.C:
 			}
-			if current, _, ok := d.config.Keeper(); !ok || current != keeper {
+			if current, _, ok := d.config.Leader(); !ok || current != leader {
 				cancel()
 				return
 			}
@@ -174,17 +174,17 @@
 	d.active[ask.ID] = &placed{ask: ask, engine: placement.Decode.ID, readAt: placement.ReadDeadline}
 }
 
-// withdraw takes an ask back whose answer is unknown: the keeper may have placed it.
+// withdraw takes an ask back whose answer is unknown: the leader may have placed it.
 func (d *Delegate) withdraw(ask turmericwall.PlaceAsk) {
 	d.Finish(turmericwall.PlacementEnd{ID: ask.ID, Service: ask.Service})
 }
 
-// introduce tells a new keeper of this daemon's calls under way.
+// introduce tells a new leader of this daemon's calls under way.
 //
-// A new keeper's books are empty: it would place as many calls again on engines that are full already.
-func (d *Delegate) introduce(ctx context.Context, keeper turmericwall.Member) {
+// A new leader's books are empty: it would place as many calls again on engines that are full already.
+func (d *Delegate) introduce(ctx context.Context, leader turmericwall.Member) {
 	d.mu.Lock()
-	if d.told == keeper {
+	if d.told == leader {
 		d.mu.Unlock()
 		return
 	}
@@ -195,16 +195,16 @@
 		})
 	}
 	d.mu.Unlock()
-	if err := d.config.Peers.Runs(ctx, keeper.Address, runs); err != nil {
-		d.config.Recorder.Record(turmericwall.EventKeeperUnreachable).Str("keeper", keeper.Name).Int("runs", int64(len(runs))).Err(err).Send()
+	if err := d.config.Peers.Runs(ctx, leader.Address, runs); err != nil {
+		d.config.Recorder.Record(turmericwall.EventLeaderUnreachable).Str("leader", leader.Name).Int("runs", int64(len(runs))).Err(err).Send()
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told = keeper
+	d.told = leader
 }
 
-func (d *Delegate) send(ctx context.Context, keeper turmericwall.Member) {
+func (d *Delegate) send(ctx context.Context, leader turmericwall.Member) {
 	d.mu.Lock()
 	ends := d.unsent
 	d.unsent = nil
@@ -212,8 +212,8 @@
 	if len(ends) == 0 {
 		return
 	}
-	if err := d.config.Peers.Finish(ctx, keeper.Address, ends); err != nil {
-		d.config.Recorder.Record(turmericwall.EventKeeperUnreachable).Str("keeper", keeper.Name).Int("ends", int64(len(ends))).Err(err).Send()
+	if err := d.config.Peers.Finish(ctx, leader.Address, ends); err != nil {
+		d.config.Recorder.Record(turmericwall.EventLeaderUnreachable).Str("leader", leader.Name).Int("ends", int64(len(ends))).Err(err).Send()
 		d.mu.Lock()
 		if len(d.unsent)+len(ends) < maxUnsent {
 			d.unsent = append(ends, d.unsent...)
--- a/internal/placement/twdelegate/delegate_test.go
+++ b/internal/placement/twdelegate/delegate_test.go
@@ -17,8 +17,8 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twdelegate"
 )
 
-// keeper plays the keeper's side of the calls between daemons.
-type keeper struct {
+// leader plays the leader's side of the calls between daemons.
+type leader struct {
 	turmericwall.PeerClient
 	mu    sync.Mutex
 	place func(ctx context.Context) (turmericwall.Placement, error)
@@ -28,13 +28,13 @@
 	fails bool
 }
 
-func (k *keeper) Place(ctx context.Context, _ string, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
+func (k *leader) Place(ctx context.Context, _ string, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
 	p, err := k.place(ctx)
 	p.ID = ask.ID
 	return p, err
 }
 
-func (k *keeper) Finish(_ context.Context, _ string, ends []turmericwall.PlacementEnd) error {
+func (k *leader) Finish(_ context.Context, _ string, ends []turmericwall.PlacementEnd) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.fails {
@@ -44,7 +44,7 @@
 	return nil
 }
 
-func (k *keeper) Runs(_ context.Context, _ string, runs []turmericwall.PlacedRun) error {
+func (k *leader) Runs(_ context.Context, _ string, runs []turmericwall.PlacedRun) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.told++
@@ -53,7 +53,7 @@
 }
 
 // oldest is the age of the oldest run that it was told of, in milliseconds.
-func (k *keeper) oldest() int64 {
+func (k *leader) oldest() int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	oldest := int64(0)
@@ -63,7 +63,7 @@
 	return oldest
 }
 
-func (k *keeper) heard() (ended, runs, told int) {
+func (k *leader) heard() (ended, runs, told int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return len(k.ended), len(k.runs), k.told
@@ -71,7 +71,7 @@
 
 type site struct {
 	delegate *twdelegate.Delegate
-	keeper   *keeper
+	leader   *leader
 	mu       sync.Mutex
 	current  turmericwall.Member
 	live     bool
@@ -85,7 +85,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{keeper: &keeper{}}
+	s := &site{leader: &leader{}}
 	s.set("k", true)
 	engines := []turmericwall.Upstream{
 		{ID: "p", Service: "s", Slots: 4, Role: turmericwall.RolePrefill}, {ID: "d", Service: "s", Slots: 4, Role: turmericwall.RoleDecode},
@@ -100,8 +100,8 @@
 		Away:    func(time.Time, turmericwall.Upstream) bool { return false },
 	})
 	s.delegate = twdelegate.New(twdelegate.Config{
-		Own: own, Peers: s.keeper, Owner: "me", Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
-		Keeper: func() (turmericwall.Member, bool, bool) {
+		Own: own, Peers: s.leader, Owner: "me", Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+		Leader: func() (turmericwall.Member, bool, bool) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return s.current, false, s.live
@@ -122,35 +122,35 @@
 	}
 }
 
-func TestTheKeeperDecidesAndIsToldOfTheEnd(t *testing.T) {
+func TestTheLeaderDecidesAndIsToldOfTheEnd(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	s.keeper.place = func(context.Context) (turmericwall.Placement, error) {
-		return turmericwall.Placement{Decode: turmericwall.Upstream{ID: "d"}, Reason: "keeper"}, nil
+	s.leader.place = func(context.Context) (turmericwall.Placement, error) {
+		return turmericwall.Placement{Decode: turmericwall.Upstream{ID: "d"}, Reason: "leader"}, nil
 	}
 	p, err := s.delegate.Place(context.Background(), ask("1/0"))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(p.Reason).To(Equal("keeper"))
+	g.Expect(p.Reason).To(Equal("leader"))
 	s.delegate.Finish(turmericwall.PlacementEnd{ID: "1/0", Service: "s"})
-	g.Eventually(func() int { ended, _, _ := s.keeper.heard(); return ended }).Should(Equal(1))
+	g.Eventually(func() int { ended, _, _ := s.leader.heard(); return ended }).Should(Equal(1))
 }
 
-func TestTheKeepersRefusalCounts(t *testing.T) {
+func TestTheLeadersRefusalCounts(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	s.keeper.place = func(context.Context) (turmericwall.Placement, error) {
+	s.leader.place = func(context.Context) (turmericwall.Placement, error) {
 		return turmericwall.Placement{}, turmericwall.Refused(turmericwall.Refusal{Reason: "full"})
 	}
 	_, err := s.delegate.Place(context.Background(), ask("1/0"))
 	g.Expect(turmericwall.IsKind(err, turmericwall.KindOverloaded)).To(BeTrue())
 }
 
-// A stream paused too long, and its daemon tells so while it goes on. A new keeper must still hear how old the run is:
+// A stream paused too long, and its daemon tells so while it goes on. A new leader must still hear how old the run is:
 // counted from the pause on, its memory would be expected back seconds late.
 func TestAPauseDoesNotMakeARunYoung(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	s.keeper.place = func(context.Context) (turmericwall.Placement, error) {
+	s.leader.place = func(context.Context) (turmericwall.Placement, error) {
 		return turmericwall.Placement{Decode: turmericwall.Upstream{ID: "d"}, ReadDeadline: time.Now()}, nil
 	}
 	_, err := s.delegate.Place(context.Background(), ask("1/0"))
@@ -159,12 +159,12 @@
 	time.Sleep(300 * time.Millisecond)
 	s.delegate.Finish(turmericwall.PlacementEnd{ID: "1/0", Service: "s", Running: true, Paused: true})
 	s.set("next", true)
-	g.Eventually(s.keeper.oldest, "2s").Should(BeNumerically(">=", 300))
+	g.Eventually(s.leader.oldest, "2s").Should(BeNumerically(">=", 300))
 }
 
-// The keeper is gone, or freezes with the ask in its hands. The caller can't wait for the next keeper; the daemon decides
+// The leader is gone, or freezes with the ask in its hands. The caller can't wait for the next leader; the daemon decides
 // on its own books, and the engines' reservations keep two deciders from overfilling an engine.
-func TestADaemonDecidesAloneWhileNoKeeperAnswers(t *testing.T) {
+func TestADaemonDecidesAloneWhileNoLeaderAnswers(t *testing.T) {
 	cases := []struct {
 		name  string
 		place func(s *site) func(context.Context) (turmericwall.Placement, error)
@@ -186,48 +186,48 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			s := newSite(t)
-			s.keeper.place = c.place(s)
+			s.leader.place = c.place(s)
 			began := time.Now()
 			p, err := s.delegate.Place(context.Background(), ask("1/0"))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(p.Decode.ID).To(Equal("d"))
-			g.Expect(p.Reason).To(ContainSubstring("without the keeper"))
+			g.Expect(p.Reason).To(ContainSubstring("without the leader"))
 			g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
 		})
 	}
 }
 
-// A new keeper's books are empty. Told of no calls under way, it would place as many again on engines that are full.
-func TestANewKeeperIsToldOfTheCallsUnderWay(t *testing.T) {
+// A new leader's books are empty. Told of no calls under way, it would place as many again on engines that are full.
+func TestANewLeaderIsToldOfTheCallsUnderWay(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
 	s.set("k", false)
 	_, err := s.delegate.Place(context.Background(), ask("1/0"))
 	g.Expect(err).NotTo(HaveOccurred())
 	s.set("next", true)
-	g.Eventually(func() int { _, runs, _ := s.keeper.heard(); return runs }).Should(Equal(1))
-	g.Expect(s.keeper.runs[0].Engine).To(Equal("d"))
-	g.Consistently(func() int { _, _, told := s.keeper.heard(); return told }, 300*time.Millisecond).Should(Equal(1))
+	g.Eventually(func() int { _, runs, _ := s.leader.heard(); return runs }).Should(Equal(1))
+	g.Expect(s.leader.runs[0].Engine).To(Equal("d"))
+	g.Consistently(func() int { _, _, told := s.leader.heard(); return told }, 300*time.Millisecond).Should(Equal(1))
 }
 
-func TestEndsWaitForAPathToTheKeeper(t *testing.T) {
+func TestEndsWaitForAPathToTheLeader(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	s.keeper.mu.Lock()
-	s.keeper.fails = true
-	s.keeper.mu.Unlock()
+	s.leader.mu.Lock()
+	s.leader.fails = true
+	s.leader.mu.Unlock()
 	s.delegate.Finish(turmericwall.PlacementEnd{ID: "1/0", Service: "s"})
-	g.Consistently(func() int { ended, _, _ := s.keeper.heard(); return ended }, 150*time.Millisecond).Should(BeZero())
-	s.keeper.mu.Lock()
-	s.keeper.fails = false
-	s.keeper.mu.Unlock()
-	g.Eventually(func() int { ended, _, _ := s.keeper.heard(); return ended }).Should(Equal(1))
+	g.Consistently(func() int { ended, _, _ := s.leader.heard(); return ended }, 150*time.Millisecond).Should(BeZero())
+	s.leader.mu.Lock()
+	s.leader.fails = false
+	s.leader.mu.Unlock()
+	g.Eventually(func() int { ended, _, _ := s.leader.heard(); return ended }).Should(Equal(1))
 }
 
 func TestACallersLeavingEndsTheAsk(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	s.keeper.place = func(ctx context.Context) (turmericwall.Placement, error) {
+	s.leader.place = func(ctx context.Context) (turmericwall.Placement, error) {
 		<-ctx.Done()
 		return turmericwall.Placement{}, ctx.Err()
 	}
@@ -235,5 +235,5 @@
 	time.AfterFunc(30*time.Millisecond, leave)
 	_, err := s.delegate.Place(ctx, ask("1/0"))
 	g.Expect(turmericwall.IsKind(err, turmericwall.KindCancelled)).To(BeTrue())
-	g.Eventually(func() int { ended, _, _ := s.keeper.heard(); return ended }).Should(Equal(1), "the keeper may have placed it")
+	g.Eventually(func() int { ended, _, _ := s.leader.heard(); return ended }).Should(Equal(1), "the leader may have placed it")
 }
--- a/internal/placement/twinventory/inventory.go
+++ b/internal/placement/twinventory/inventory.go
@@ -1,4 +1,4 @@
-// Package twinventory asks engines which prompts they keep when this daemon becomes the keeper.
+// Package twinventory asks engines which prompts they keep when this daemon becomes the leader.
 package twinventory
 
 import (
@@ -9,7 +9,7 @@
 )
 
 const (
-	// askLimit ends one ask: a keeper decides from 200 ms after it has taken the lease on.
+	// askLimit ends one ask: a leader decides from 200 ms after it has taken the lease on.
 	askLimit = 250 * time.Millisecond
 	// mostAsked is how many engines are asked at the same time: each ask opens a connection.
 	mostAsked = 64
@@ -36,7 +36,7 @@
 
 // Want has the engines asked once.
 //
-// A new keeper knows nothing of the callers that its predecessor served. After a loss of power they all come back at once;
+// A new leader knows nothing of the callers that its predecessor served. After a loss of power they all come back at once;
 // their prompts are still kept, and would be read again before those of fresh calls.
 func (i *Inventory) Want() {
 	select {
--- a/internal/placement/twinventory/inventory_test.go
+++ b/internal/placement/twinventory/inventory_test.go
@@ -59,7 +59,7 @@
 	return kept
 }
 
-// A daemon becomes the keeper after all lost power. One engine is dark; what the others keep is known at once all the
+// A daemon becomes the leader after all lost power. One engine is dark; what the others keep is known at once all the
 // same. Engines that read prompts, or leave, are not asked.
 func TestADarkEngineDoesNotHoldTheOthersUp(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/placement/twkeeper/group.go
+++ b/internal/placement/twleader/group.go
@@ -1,4 +1,4 @@
-package twkeeper
+package twleader
 
 import (
 	"context"
--- a/internal/placement/twkeeper/keeper.go
+++ b/internal/placement/twleader/leader.go
@@ -1,5 +1,5 @@
-// Package twkeeper hosts the placement decisions of the engine services.
-package twkeeper
+// Package twleader hosts the placement decisions of the engine services.
+package twleader
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// Keeper implements turmericwall.Placer for arrivals that this daemon decides on.
+// Leader implements turmericwall.Placer for arrivals that this daemon decides on.
 //
-// Each service has one keeper, chosen among the live daemons. Two keepers at once, or a new one without
+// Each service has one leader, chosen among the live daemons. Two leaders at once, or a new one without
 // the old one's reservations, cost speed only: the engines refuse what they can't hold.
-type Keeper struct {
+type Leader struct {
 	config   Config
 	starting chan *group
 
@@ -24,7 +24,7 @@
 	groups map[string]*group
 }
 
-// Config names what the keeper works with.
+// Config names what the leader works with.
 type Config struct {
 	// NewPolicy returns the decision machine for one service.
 	NewPolicy func() turmericwall.Policy
@@ -47,30 +47,30 @@
 	startingBuffer = 64
 )
 
-// New returns a keeper; it works while Run runs.
-func New(config Config) *Keeper {
-	return &Keeper{config: config, starting: make(chan *group, startingBuffer), groups: make(map[string]*group)}
+// New returns a leader; it works while Run runs.
+func New(config Config) *Leader {
+	return &Leader{config: config, starting: make(chan *group, startingBuffer), groups: make(map[string]*group)}
 }
 
 // Place decides on the arrival.
-func (k *Keeper) Place(ctx context.Context, arrival turmericwall.Arrival) (turmericwall.Grant, error) {
+func (k *Leader) Place(ctx context.Context, arrival turmericwall.Arrival) (turmericwall.Grant, error) {
 	return k.group(arrival.Service).place(ctx, arrival)
 }
 
 // Finish releases the attempt's reservation.
-func (k *Keeper) Finish(ending turmericwall.Ending) {
+func (k *Leader) Finish(ending turmericwall.Ending) {
 	k.group(ending.Service).step(turmericwall.Finished{Ending: ending})
 }
 
 // OwnerLost frees what a lost daemon reserved.
-func (k *Keeper) OwnerLost(incarnation string) {
+func (k *Leader) OwnerLost(incarnation string) {
 	for _, g := range k.all() {
 		g.step(turmericwall.OwnerLost{Incarnation: incarnation})
 	}
 }
 
 // Run reads reports and lets time pass until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
+func (k *Leader) Run(ctx context.Context) error {
 	ticker := k.config.Clock.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	ends := make(chan error)
@@ -93,7 +93,7 @@
 	}
 }
 
-func (k *Keeper) group(service string) *group {
+func (k *Leader) group(service string) *group {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	g, ok := k.groups[service]
@@ -105,7 +105,7 @@
 	return g
 }
 
-func (k *Keeper) all() []*group {
+func (k *Leader) all() []*group {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	all := make([]*group, 0, len(k.groups))
--- a/internal/placement/twordering/orders.go
+++ b/internal/placement/twordering/orders.go
@@ -1,4 +1,4 @@
-// Package twordering gives engines the orders that the keeper's plan of roles asks for.
+// Package twordering gives engines the orders that the leader's plan of roles asks for.
 package twordering
 
 import (
--- a/internal/placement/twpolicy/policy.go
+++ b/internal/placement/twpolicy/policy.go
@@ -8,16 +8,16 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twscheduler"
 )
 
-// Names of the shipped policy, and of the same decisions made by each daemon alone, without a keeper. The
+// Names of the shipped policy, and of the same decisions made by each daemon alone, without a leader. The
 // other names are those of the baselines.
 const (
-	Keeper = "keeper"
+	Leader = "leader"
 	Alone  = "alone"
 )
 
 // New returns a policy for one service.
 func New(name string) turmericwall.Policy {
-	if name == Keeper || name == Alone {
+	if name == Leader || name == Alone {
 		return twscheduler.New(twscheduler.Config{BlockTokens: twblocks.BlockBytes / twblocks.BytesPerToken})
 	}
 	return twbaseline.New(twbaseline.Config{Rule: name})
--- a/internal/placement/twrouter/router.go
+++ b/internal/placement/twrouter/router.go
@@ -1,4 +1,4 @@
-// Package twrouter sends arrivals to the keeper of their service.
+// Package twrouter sends arrivals to the leader of their service.
 package twrouter
 
 import (
@@ -18,7 +18,7 @@
 	flushInterval = 5 * time.Millisecond
 	endingsBuffer = 4096
 	maxGranted    = 1 << 16
-	// avoidFor keeps arrivals away from a keeper that gave no answer.
+	// avoidFor keeps arrivals away from a leader that gave no answer.
 	avoidFor = 2 * time.Second
 )
 
@@ -61,42 +61,42 @@
 	}
 }
 
-// KeeperOf returns the daemon that decides on the service's arrivals.
-func (r *Router) KeeperOf(service string) string {
+// LeaderOf returns the daemon that decides on the service's arrivals.
+func (r *Router) LeaderOf(service string) string {
 	if r.alone {
 		return r.peers.Self()
 	}
-	keepers := r.usable(r.peers.Keepers())
-	if len(keepers) == 0 {
+	leaders := r.usable(r.peers.Leaders())
+	if len(leaders) == 0 {
 		return r.peers.Self()
 	}
-	return rendezvous.New(keepers, xxhash.Sum64String).Lookup(service)
+	return rendezvous.New(leaders, xxhash.Sum64String).Lookup(service)
 }
 
-// Place asks the service's keeper, then the next one, and decides alone when none answers: a daemon cut
+// Place asks the service's leader, then the next one, and decides alone when none answers: a daemon cut
 // off from its peers serves on its own view, and the engines refuse what they can't hold.
 func (r *Router) Place(ctx context.Context, arrival turmericwall.Arrival) (turmericwall.Grant, error) {
-	for range maxKeepers {
-		keeper := r.KeeperOf(arrival.Service)
-		if keeper == r.peers.Self() {
+	for range maxLeaders {
+		leader := r.LeaderOf(arrival.Service)
+		if leader == r.peers.Self() {
 			break
 		}
-		grant, err := r.peers.Place(ctx, keeper, arrival)
+		grant, err := r.peers.Place(ctx, leader, arrival)
 		if err == nil {
-			r.note(arrival.Attempt, keeper)
+			r.note(arrival.Attempt, leader)
 		}
 		if err == nil || decided(err) || ctx.Err() != nil {
 			return grant, err
 		}
-		r.recorder.Record(turmericwall.EventKeeperUnreachable).Str("keeper", keeper).Str("attempt", arrival.Attempt).Err(err).Send()
-		r.avoid(keeper)
+		r.recorder.Record(turmericwall.EventLeaderUnreachable).Str("leader", leader).Str("attempt", arrival.Attempt).Err(err).Send()
+		r.avoid(leader)
 	}
 	return r.local.Place(ctx, arrival)
 }
 
-const maxKeepers = 2
+const maxLeaders = 2
 
-// Finish sends the ending to the keeper that granted the attempt.
+// Finish sends the ending to the leader that granted the attempt.
 func (r *Router) Finish(ending turmericwall.Ending) {
 	select {
 	case r.endings <- ending:
@@ -105,7 +105,7 @@
 	}
 }
 
-// Run sends endings, grouped by keeper, until ctx ends.
+// Run sends endings, grouped by leader, until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
 	for {
 		select {
@@ -131,48 +131,48 @@
 }
 
 func (r *Router) flush(ctx context.Context, endings []turmericwall.Ending) {
-	byKeeper := make(map[string][]turmericwall.Ending)
+	byLeader := make(map[string][]turmericwall.Ending)
 	for _, e := range endings {
-		keeper, remote := r.forget(e.Attempt)
+		leader, remote := r.forget(e.Attempt)
 		if !remote {
 			r.local.Finish(e)
 			continue
 		}
-		byKeeper[keeper] = append(byKeeper[keeper], e)
+		byLeader[leader] = append(byLeader[leader], e)
 	}
-	for keeper, group := range byKeeper {
-		_ = r.peers.Finish(ctx, keeper, group)
+	for leader, group := range byLeader {
+		_ = r.peers.Finish(ctx, leader, group)
 	}
 }
 
-func (r *Router) note(attempt, keeper string) {
+func (r *Router) note(attempt, leader string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.granted) < maxGranted {
-		r.granted[attempt] = keeper
+		r.granted[attempt] = leader
 	}
 }
 
 func (r *Router) forget(attempt string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	keeper, ok := r.granted[attempt]
+	leader, ok := r.granted[attempt]
 	delete(r.granted, attempt)
-	return keeper, ok
+	return leader, ok
 }
 
-func (r *Router) avoid(keeper string) {
+func (r *Router) avoid(leader string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.avoided[keeper] = r.clock.Now().Add(avoidFor)
+	r.avoided[leader] = r.clock.Now().Add(avoidFor)
 }
 
-func (r *Router) usable(keepers []string) []string {
+func (r *Router) usable(leaders []string) []string {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usable := keepers[:0:0]
-	for _, k := range keepers {
+	usable := leaders[:0:0]
+	for _, k := range leaders {
 		if until, ok := r.avoided[k]; ok && now.Before(until) {
 			continue
 		}
@@ -182,7 +182,7 @@
 	return usable
 }
 
-// decided tells a keeper's refusal from a keeper that gave no answer.
+// decided tells a leader's refusal from a leader that gave no answer.
 func decided(err error) bool {
 	var problem *turmericwall.Problem
 	return errors.As(err, &problem)
--- a/internal/placement/twscheduler/place.go
+++ b/internal/placement/twscheduler/place.go
@@ -71,7 +71,7 @@
 }
 
 // unplaced decides on an arrival for which no engine is usable. An engine that was just listed and gave
-// no report yet may be usable in a moment: a keeper that starts must not refuse what it could serve.
+// no report yet may be usable in a moment: a leader that starts must not refuse what it could serve.
 func (s *Scheduler) unplaced(a turmericwall.Arrival) verdict {
 	if !a.Urgent || a.Resumed {
 		return verdictWait
--- a/internal/placement/twscheduler/queue.go
+++ b/internal/placement/twscheduler/queue.go
@@ -7,7 +7,7 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// maxQueue bounds the arrivals of one kind of work that wait at one keeper.
+// maxQueue bounds the arrivals of one kind of work that wait at one leader.
 const maxQueue = 4096
 
 // class orders the kinds of work.
--- a/peering.go
+++ b/peering.go
@@ -2,23 +2,23 @@
 
 import "context"
 
-// Beat is what the keeper tells each daemon several times a second.
+// Beat is what the leader tells each daemon several times a second.
 type Beat struct {
-	Keeper Member `json:"keeper"`
-	// Term grows with each keeper.
+	Leader Member `json:"leader"`
+	// Term grows with each leader.
 	Term int64 `json:"term"`
 	// Daemons is the number of live daemons.
 	Daemons     int   `json:"daemons"`
 	PlanVersion int64 `json:"planVersion"`
-	// UpstreamsPosition is how far the keeper's view of upstreams has come.
+	// UpstreamsPosition is how far the leader's view of upstreams has come.
 	UpstreamsPosition int64 `json:"upstreamsPosition"`
-	// StoreMillis is how long ago the keeper asked the store for the last answer that it got.
+	// StoreMillis is how long ago the leader asked the store for the last answer that it got.
 	StoreMillis int64 `json:"storeMillis"`
-	// LeaseVersion is the version that the keeper last gave the lease's row.
+	// LeaseVersion is the version that the leader last gave the lease's row.
 	LeaseVersion int64 `json:"leaseVersion"`
-	// Successor is the daemon that a stopping keeper asks to take the lease; its name is empty else.
+	// Successor is the daemon that a stopping leader asks to take the lease; its name is empty else.
 	Successor Member `json:"successor"`
-	// Changing are the engines that change their role by the keeper's orders.
+	// Changing are the engines that change their role by the leader's orders.
 	Changing []ChangingEngine `json:"changing,omitempty"`
 }
 
@@ -64,7 +64,7 @@
 	UpstreamsPosition int64      `json:"upstreamsPosition"`
 }
 
-// PlacedRun is a placed call that a daemon tells a new keeper of.
+// PlacedRun is a placed call that a daemon tells a new leader of.
 type PlacedRun struct {
 	Ask PlaceAsk
 	// Engine is the decode engine's id.
--- a/problem.go
+++ b/problem.go
@@ -57,7 +57,7 @@
 	return &Problem{kind: kind, detail: detail, remedy: remedy, outcome: OutcomeNotRun}
 }
 
-// Refused returns the problem of an attempt that a keeper turned away.
+// Refused returns the problem of an attempt that a leader turned away.
 func Refused(r Refusal) *Problem {
 	if r.Never {
 		return NewProblem(KindTooLarge, r.Reason, "shorten the prompt or ask for fewer tokens")
--- a/turmericwall.go
+++ b/turmericwall.go
@@ -113,16 +113,16 @@
 	Inquire(ctx context.Context, owner, attempt string) (AttemptState, error)
 	// Hold asks the daemon which of its attempts it still wants.
 	Hold(ctx context.Context, owner string, attempts []string) (wanted []string, err error)
-	// Place asks the daemon, as keeper, for a place.
-	Place(ctx context.Context, keeper string, arrival Arrival) (Grant, error)
-	// Finish tells the keeper how attempts ended.
-	Finish(ctx context.Context, keeper string, endings []Ending) error
+	// Place asks the daemon, as leader, for a place.
+	Place(ctx context.Context, leader string, arrival Arrival) (Grant, error)
+	// Finish tells the leader how attempts ended.
+	Finish(ctx context.Context, leader string, endings []Ending) error
 	// Live tells whether the daemon's incarnation counts as live here.
 	Live(incarnation string) bool
 	// Isolated tells that most of the listed daemons are out of this one's reach.
 	Isolated() bool
-	// Keepers returns the incarnations of the live daemons that take duties, this one included.
-	Keepers() []string
+	// Leaders returns the incarnations of the live daemons that take duties, this one included.
+	Leaders() []string
 	// Self returns this daemon's incarnation.
 	Self() string
 }
--- a/turmericwallstand/e2e/memory_test.go
+++ b/turmericwallstand/e2e/memory_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 
-	keeper := func() int {
+	leader := func() int {
 		GinkgoHelper()
 		for i, d := range s.daemons {
 			if len(d.status().Keeps) > 0 {
@@ -79,22 +79,22 @@
 		Expect(s.decode[0].stats().Started + s.decode[1].stats().Started).To(BeZero())
 	})
 
-	// A daemon dies with its callers' streams. Its engines do not notice. The keeper sees attempts of
+	// A daemon dies with its callers' streams. Its engines do not notice. The leader sees attempts of
 	// a lost owner in the engines' reports and cancels them.
 	It("is freed when the daemon dies that wanted it", func(ctx SpecContext) {
 		ignoreDisconnects()
-		owner := (keeper() + 1) % len(s.daemons)
+		owner := (leader() + 1) % len(s.daemons)
 		begin(ctx, s.daemons[owner])
 		s.daemons[owner].kill()
 		Eventually(s.held).WithTimeout(7500 * time.Millisecond).Should(BeEmpty())
 	})
 
-	// The owner of a stream is also the keeper, and dies: reservations and the knowledge of who
-	// wanted what die together. The next keeper finds the attempt in the reports, does not know it,
+	// The owner of a stream is also the leader, and dies: reservations and the knowledge of who
+	// wanted what die together. The next leader finds the attempt in the reports, does not know it,
 	// finds no live owner, and cancels it.
-	It("is freed when keeper and owner die together", func(ctx SpecContext) {
+	It("is freed when leader and owner die together", func(ctx SpecContext) {
 		ignoreDisconnects()
-		owner := keeper()
+		owner := leader()
 		begin(ctx, s.daemons[owner])
 		s.daemons[owner].kill()
 		Eventually(s.held).WithTimeout(7500 * time.Millisecond).Should(BeEmpty())
@@ -105,7 +105,7 @@
 	// already delivered, and its caller still gets every token once.
 	It("is freed when the owner is frozen, and the caller still gets the whole answer", func(ctx SpecContext) {
 		ignoreDisconnects()
-		owner := s.daemons[(keeper()+1)%len(s.daemons)]
+		owner := s.daemons[(leader()+1)%len(s.daemons)]
 		ended := make(chan reply, 1)
 		go func() { ended <- s.stream(ctx, owner, "a question", longAnswer) }()
 		Eventually(func() int { return len(s.decode[0].stats().Held) + len(s.decode[1].stats().Held) }).Should(Equal(1))
--- a/turmericwallstand/e2e/operations_test.go
+++ b/turmericwallstand/e2e/operations_test.go
@@ -131,9 +131,9 @@
 		})
 	})
 
-	// The daemon that leaves is the keeper of the engines. The other one takes the duty over at once,
+	// The daemon that leaves is the leader of the engines. The other one takes the duty over at once,
 	// and new work goes on without a pause that a caller could see.
-	It("hands the keeper's duty over", func(ctx SpecContext) {
+	It("hands the leader's duty over", func(ctx SpecContext) {
 		index := 0
 		if len(s.daemons[1].status().Keeps) > 0 {
 			index = 1
--- a/turmericwallstand/internal/twcommand/command.go
+++ b/turmericwallstand/internal/twcommand/command.go
@@ -77,7 +77,7 @@
 
 type compare struct {
 	Deployment string        `enum:"arriola,sonnenmatt" default:"arriola" help:"Mix of work."`
-	Policies   []string      `default:"keeper,roundRobin,leastLoaded,prefixAffinity" help:"Policies to compare."`
+	Policies   []string      `default:"leader,roundRobin,leastLoaded,prefixAffinity" help:"Policies to compare."`
 	Levels     []float64     `default:"0.7,1.0,1.3" help:"Offered load, times the capacity."`
 	Seeds      int           `default:"5" help:"Runs of each policy at each level."`
 	Length     time.Duration `default:"12s" help:"How long requests arrive in each run."`
--- a/turmericwallstand/internal/twcompare/fault.go
+++ b/turmericwallstand/internal/twcompare/fault.go
@@ -57,7 +57,7 @@
 			e.SetFaults(twenginestand.Faults{LinkFactor: slowLink})
 		}
 	case FaultDaemonKilled:
-		site.KillKeeper()
+		site.KillLeader()
 	default:
 		return fmt.Errorf("no fault %q", c.config.Fault)
 	}
--- a/turmericwallstand/internal/twdemo/demo.go
+++ b/turmericwallstand/internal/twdemo/demo.go
@@ -54,7 +54,7 @@
 	}
 	site, err := twsite.New(ctx, twsite.Config{
 		Example: example, Daemons: daemons, Prefill: prefill, Decode: decode, Services: services,
-		Policy: "keeper", Log: io.Discard,
+		Policy: "leader", Log: io.Discard,
 	})
 	if err != nil {
 		return err
--- a/turmericwallstand/internal/twmeasure/control.go
+++ b/turmericwallstand/internal/twmeasure/control.go
@@ -50,10 +50,10 @@
 // longAnswer keeps a decode place for more than a minute.
 const longAnswer = 2000
 
-// engines watches a keeper whose decode engines are full.
+// engines watches a leader whose decode engines are full.
 func (m *Measure) engines(ctx context.Context) error {
 	const slots = 20
-	reports := &series{name: "reports and events read by the keeper", unit: "KB/s"}
+	reports := &series{name: "reports and events read by the leader", unit: "KB/s"}
 	calls := &series{name: "calls to engines", unit: "1/s"}
 	steps := &series{name: "steps of the decision machine", unit: "1/s"}
 	for _, n := range []int{4, 8, 16, 32} {
@@ -81,10 +81,10 @@
 			return err
 		}
 	}
-	return m.report("engines: one keeper, three quarters of them decode, each with 20 attempts", "engines", reports, calls, steps)
+	return m.report("engines: one leader, three quarters of them decode, each with 20 attempts", "engines", reports, calls, steps)
 }
 
-// placements sends requests with prompts of growing length to a daemon that is not the keeper.
+// placements sends requests with prompts of growing length to a daemon that is not the leader.
 func (m *Measure) placements(ctx context.Context) error {
 	const requests = 100
 	traffic := &series{name: "peer traffic of a placement, its ending included", unit: "bytes"}
@@ -109,7 +109,7 @@
 		if err := sleep(ctx, time.Second); err != nil {
 			return err
 		}
-		// One daemon of three is the keeper and asks itself; each message is counted at both its ends.
+		// One daemon of three is the leader and asks itself; each message is counted at both its ends.
 		traffic.add(float64(tokens), (placed(ctx, site)-before)/2/(requests*2/3.0))
 		if err := site.Close(); err != nil {
 			return err
--- a/turmericwallstand/internal/twmeasure/parts.go
+++ b/turmericwallstand/internal/twmeasure/parts.go
@@ -19,7 +19,7 @@
 
 const (
 	settle      = 4 * time.Second
-	policy      = "keeper"
+	policy      = "leader"
 	repetitions = 20
 	kilobyte    = 1000.0
 	megabyte    = 1e6
--- a/turmericwallstand/internal/twsite/bench_test.go
+++ b/turmericwallstand/internal/twsite/bench_test.go
@@ -23,7 +23,7 @@
 func request(b *testing.B, tokens int) {
 	example := twexample.Arriola()
 	site, err := twsite.New(b.Context(), twsite.Config{
-		Example: example, Daemons: 1, Prefill: 2, Decode: 2, Policy: "keeper", Log: io.Discard,
+		Example: example, Daemons: 1, Prefill: 2, Decode: 2, Policy: "leader", Log: io.Discard,
 		Engine: twenginestand.Config{Slots: 1000, Pieces: 10_000, Queue: 1000, StepMillis: 0.01, StepPerSlotMillis: 0.0001, PrefillRate: 1e7, LinkMegabytesPerSecond: 1e6},
 	})
 	if err != nil {
--- a/turmericwallstand/internal/twsite/client_test.go
+++ b/turmericwallstand/internal/twsite/client_test.go
@@ -18,7 +18,7 @@
 	g := NewWithT(t)
 	example := twexample.Sonnenmatt()
 	site, err := twsite.New(t.Context(), twsite.Config{
-		Example: example, Daemons: 1, Prefill: 1, Decode: 1, Policy: "keeper", Log: io.Discard, Engine: twenginestand.Config{StepMillis: 1},
+		Example: example, Daemons: 1, Prefill: 1, Decode: 1, Policy: "leader", Log: io.Discard, Engine: twenginestand.Config{StepMillis: 1},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(site.Close()).To(Succeed()) }()
--- a/turmericwallstand/internal/twsite/control.go
+++ b/turmericwallstand/internal/twsite/control.go
@@ -16,8 +16,8 @@
 // SetPlatformFaults switches the platform's faults.
 func (s *Site) SetPlatformFaults(faults twplatformstand.Faults) { s.platform.SetFaults(faults) }
 
-// KillKeeper ends the daemon that decides on the engines' service, without a drain.
-func (s *Site) KillKeeper() {
+// KillLeader ends the daemon that decides on the engines' service, without a drain.
+func (s *Site) KillLeader() {
 	for i, address := range s.Operations() {
 		var status twoperations.Status
 		if reader().Read(context.Background(), "http://"+address+"/status", &status) == nil && len(status.Keeps) > 0 {
--- a/turmericwallstand/internal/twsite/session_test.go
+++ b/turmericwallstand/internal/twsite/session_test.go
@@ -38,7 +38,7 @@
 	for _, example := range []twexample.Example{twexample.Arriola(), twexample.Sonnenmatt()} {
 		t.Run(example.Name(), func(t *testing.T) {
 			site, err := twsite.New(t.Context(), twsite.Config{
-				Example: example, Daemons: 2, Prefill: 1, Decode: 2, Services: 1, Policy: "keeper", Log: io.Discard,
+				Example: example, Daemons: 2, Prefill: 1, Decode: 2, Services: 1, Policy: "leader", Log: io.Discard,
 				Engine: twenginestand.Config{StepMillis: 1, StepPerSlotMillis: 0.1},
 			})
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
