refactor: name cluster, heartbeat and their timeouts by the field's terms

Cause: crew, beat and heard span are not what the field calls them. Change: twcrew is twcluster, a beat is a heartbeat, spans are timeouts and intervals; the path of the heartbeat call between daemons follows. No behaviour.

--- a/internal/membership/twcrew/crew.go
+++ b/internal/membership/twcluster/cluster.go
@@ -1,5 +1,5 @@
-// Package twcrew keeps the live daemons known: the leader beats to all, the others hear it.
-package twcrew
+// Package twcluster keeps the live daemons known: the leader sends heartbeats to all, the others hear it.
+package twcluster
 
 import (
 	"context"
@@ -12,17 +12,17 @@
 const (
 	// table holds one row for each daemon's address.
 	table = "daemons"
-	// beatEvery is the pause between two beats.
-	beatEvery = 250 * time.Millisecond
-	// beatLimit ends one beat: a leader that is slow to answer is no better than none.
-	beatLimit = 400 * time.Millisecond
-	// heardSpan is how long after its last beat the leader counts as live: nearly three beats.
-	heardSpan = 700 * time.Millisecond
-	// lostSpan is how long after its last answer a daemon counts as live.
-	lostSpan = 1500 * time.Millisecond
-	// informedSpan is how old the leader's knowledge of the store may be: a change must be known within two seconds,
+	// heartbeatInterval is the pause between two heartbeats.
+	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatTimeout ends one heartbeat: a leader that is slow to answer is no better than none.
+	heartbeatTimeout = 400 * time.Millisecond
+	// leaderTimeout is how long after its last heartbeat the leader counts as live: nearly three heartbeats.
+	leaderTimeout = 700 * time.Millisecond
+	// memberTimeout is how long after its last answer a daemon counts as live.
+	memberTimeout = 1500 * time.Millisecond
+	// maxStaleness is how old the leader's knowledge of the store may be: a change must be known within two seconds,
 	// and reading the store anew takes some hundred milliseconds.
-	informedSpan = 1300 * time.Millisecond
+	maxStaleness = 1300 * time.Millisecond
 	// maxNominations is how often a daemon is asked to take the lease before another one is: two may be lost.
 	maxNominations = 3
 	// readEvery is the pause between two reads of the daemons' rows by the leader.
@@ -31,13 +31,13 @@
 	failedReadEvery = time.Second
 )
 
-// Store is what the crew reads and writes.
+// Store is what the cluster reads and writes.
 type Store interface {
 	turmericwall.Feed
 	turmericwall.RowWriter
 }
 
-// Config says what the crew works with.
+// Config says what the cluster works with.
 type Config struct {
 	Store    Store
 	Peers    turmericwall.PeerClient
@@ -70,13 +70,13 @@
 	Gone func(incarnation string)
 }
 
-// Crew is one daemon's view of the others.
-type Crew struct {
-	config  Config
-	began   time.Time
-	mu      sync.Mutex
-	beat    turmericwall.Beat
-	heardAt time.Time
+// Cluster is one daemon's view of the others.
+type Cluster struct {
+	config    Config
+	began     time.Time
+	mu        sync.Mutex
+	heartbeat turmericwall.Heartbeat
+	heardAt   time.Time
 	// electedAt is when this daemon last became the leader.
 	electedAt time.Time
 	members   map[string]*member
@@ -84,7 +84,7 @@
 	informed bool
 	// behind wakes the daemon that has to learn what the leader knows.
 	behind chan struct{}
-	// elected wakes the loop that knows the others, and known the one that beats, when this daemon becomes the leader.
+	// elected wakes the loop that knows the others, and known the one that sends heartbeats, when this daemon becomes the leader.
 	elected, known chan struct{}
 }
 
@@ -100,17 +100,17 @@
 	asked       bool
 }
 
-// New returns a crew that knows only this daemon.
-func New(config Config) *Crew {
-	return &Crew{
+// New returns a cluster that knows only this daemon.
+func New(config Config) *Cluster {
+	return &Cluster{
 		config: config, began: time.Now(), members: make(map[string]*member), behind: make(chan struct{}, 1),
 		elected: make(chan struct{}, 1), known: make(chan struct{}, 1),
 	}
 }
 
 // Elected tells that this daemon has become the leader. Until the others hear of it, they place calls with the former one
-// or alone, beside this daemon's. That lasted 450 ms while the first beat waited for its turn.
-func (c *Crew) Elected() {
+// or alone, beside this daemon's. That lasted 450 ms while the first heartbeat waited for its turn.
+func (c *Cluster) Elected() {
 	c.mu.Lock()
 	c.electedAt = time.Now()
 	c.mu.Unlock()
@@ -124,30 +124,30 @@
 	}
 }
 
-// Heard takes a beat and answers who this daemon is.
-func (c *Crew) Heard(beat turmericwall.Beat) turmericwall.BeatAnswer {
+// Heard takes a heartbeat and answers who this daemon is.
+func (c *Cluster) Heard(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 	self := c.answer()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if beat.Term < c.beat.Term && time.Since(c.heardAt) < heardSpan {
+	if heartbeat.Term < c.heartbeat.Term && time.Since(c.heardAt) < leaderTimeout {
 		return self
 	}
-	if beat.Leader != c.beat.Leader {
-		c.config.Recorder.Record(turmericwall.EventLeaderHeard).Str("leader", beat.Leader.Name).Int("term", beat.Term).Send()
+	if heartbeat.Leader != c.heartbeat.Leader {
+		c.config.Recorder.Record(turmericwall.EventLeaderHeard).Str("leader", heartbeat.Leader.Name).Int("term", heartbeat.Term).Send()
 	}
-	c.beat = beat
+	c.heartbeat = heartbeat
 	c.heardAt = time.Now()
-	if term, keeping := c.config.Keeping(); keeping && beat.Term > term && c.config.Outranked != nil {
+	if term, keeping := c.config.Keeping(); keeping && heartbeat.Term > term && c.config.Outranked != nil {
 		c.config.Outranked()
 	}
-	if beat.PlanVersion > c.config.PlanVersion() || beat.UpstreamsPosition > c.config.UpstreamsPosition() {
+	if heartbeat.PlanVersion > c.config.PlanVersion() || heartbeat.UpstreamsPosition > c.config.UpstreamsPosition() {
 		wake(c.behind)
 	}
-	c.config.LeaseTold(beat.LeaseVersion, beat.Leader)
+	c.config.LeaseTold(heartbeat.LeaseVersion, heartbeat.Leader)
 	if c.config.ChangingTold != nil {
-		c.config.ChangingTold(beat.Changing)
+		c.config.ChangingTold(heartbeat.Changing)
 	}
-	if beat.Successor == c.config.Self && c.config.Nominated != nil {
+	if heartbeat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
 	return self
@@ -158,55 +158,55 @@
 // Each daemon that reads the store by itself costs two calls each two seconds, which were a seventh of all that 75
 // daemons earned. The leader reads for all. A leader that is cut off from the store, or silent, informs nobody: its
 // followers read the store again before what they know is too old to act on.
-func (c *Crew) Informed() bool {
+func (c *Cluster) Informed() bool {
 	heard := c.LeaderHeard()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := time.Since(c.heardAt) + time.Duration(c.beat.StoreMillis)*time.Millisecond
-	informed := heard && age < informedSpan
+	age := time.Since(c.heardAt) + time.Duration(c.heartbeat.StoreMillis)*time.Millisecond
+	informed := heard && age < maxStaleness
 	if informed != c.informed {
 		c.informed = informed
 		event := turmericwall.EventReadsForItself
 		if informed {
 			event = turmericwall.EventInformedByLeader
 		}
-		c.config.Recorder.Record(event).Str("leader", c.beat.Leader.Name).Int("term", c.beat.Term).
-			Int("heardMillis", time.Since(c.heardAt).Milliseconds()).Int("storeMillis", c.beat.StoreMillis).Send()
+		c.config.Recorder.Record(event).Str("leader", c.heartbeat.Leader.Name).Int("term", c.heartbeat.Term).
+			Int("heardMillis", time.Since(c.heardAt).Milliseconds()).Int("storeMillis", c.heartbeat.StoreMillis).Send()
 	}
 	return informed
 }
 
-func (c *Crew) answer() turmericwall.BeatAnswer {
-	return turmericwall.BeatAnswer{
+func (c *Cluster) answer() turmericwall.HeartbeatReply {
+	return turmericwall.HeartbeatReply{
 		Member: c.config.Self, UpMillis: time.Since(c.began).Milliseconds(), LinkMegabits: c.config.LinkMegabits,
 	}
 }
 
-// StoreRead is when the leader asked the store for the last answer that it told of; the zero time before its first beat.
-func (c *Crew) StoreRead() time.Time {
+// StoreRead is when the leader asked the store for the last answer that it told of; the zero time before its first heartbeat.
+func (c *Cluster) StoreRead() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.heardAt.IsZero() {
 		return time.Time{}
 	}
-	return c.heardAt.Add(-time.Duration(c.beat.StoreMillis) * time.Millisecond)
+	return c.heardAt.Add(-time.Duration(c.heartbeat.StoreMillis) * time.Millisecond)
 }
 
 // Leader returns the live leader; self tells that it is this daemon.
-func (c *Crew) Leader() (leader turmericwall.Member, self, ok bool) {
+func (c *Cluster) Leader() (leader turmericwall.Member, self, ok bool) {
 	if _, keeping := c.config.Keeping(); keeping {
 		return c.config.Self, true, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.heardAt) > heardSpan {
+	if time.Since(c.heardAt) > leaderTimeout {
 		return turmericwall.Member{}, false, false
 	}
-	return c.beat.Leader, false, true
+	return c.heartbeat.Leader, false, true
 }
 
 // LeaderHeard tells that another daemon is the leader and lives.
-func (c *Crew) LeaderHeard() bool {
+func (c *Cluster) LeaderHeard() bool {
 	_, self, ok := c.Leader()
 	return ok && !self
 }
@@ -215,11 +215,11 @@
 //
 // A daemon that has heard no leader, or has just become one, does not know the others. If each took itself for the only
 // one, all would spend what all together may repeat.
-func (c *Crew) Daemons() int {
+func (c *Cluster) Daemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, keeping := c.config.Keeping(); !keeping || time.Since(c.electedAt) < lostSpan {
-		return c.beat.Daemons
+	if _, keeping := c.config.Keeping(); !keeping || time.Since(c.electedAt) < memberTimeout {
+		return c.heartbeat.Daemons
 	}
 	n := 1
 	for _, m := range c.members {
@@ -227,16 +227,16 @@
 			n++
 		}
 	}
-	return max(n, c.beat.Daemons/2)
+	return max(n, c.heartbeat.Daemons/2)
 }
 
-// Run makes this daemon known, and beats to the others while it is the leader.
-func (c *Crew) Run(ctx context.Context) error {
+// Run makes this daemon known, and sends heartbeats to the others while it is the leader.
+func (c *Cluster) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- c.knowOthers(ctx) }()
 	defer func() { cancel(); <-ended }()
-	tick := time.NewTicker(beatEvery)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -253,12 +253,12 @@
 			c.rest()
 			continue
 		}
-		c.beatAll(ctx, term)
+		c.sendHeartbeats(ctx, term)
 	}
 }
 
 // catchUp learns what the leader knows.
-func (c *Crew) catchUp(ctx context.Context) {
+func (c *Cluster) catchUp(ctx context.Context) {
 	leader, self, ok := c.Leader()
 	if ok && !self && c.config.Behind != nil {
 		c.config.Behind(ctx, leader)
--- a/internal/membership/twcrew/crew_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -1,4 +1,4 @@
-package twcrew_test
+package twcluster_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
-	"github.com/turmericwall/turmericwall/internal/membership/twcrew"
+	"github.com/turmericwall/turmericwall/internal/membership/twcluster"
 	"github.com/turmericwall/turmericwall/internal/membership/twelection"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 	"github.com/turmericwall/turmericwall/internal/placement/twaway"
@@ -99,22 +99,22 @@
 	s.away = away
 }
 
-// network carries beats between the daemons of a test.
+// network carries heartbeats between the daemons of a test.
 type network struct {
-	mu    sync.Mutex
-	crews map[string]*twcrew.Crew
-	cut   map[string]bool
+	mu       sync.Mutex
+	clusters map[string]*twcluster.Cluster
+	cut      map[string]bool
 }
 
-func (n *network) Beat(_ context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
+func (n *network) Heartbeat(_ context.Context, address string, heartbeat turmericwall.Heartbeat) (turmericwall.HeartbeatReply, error) {
 	n.mu.Lock()
-	crew, ok := n.crews[address]
-	cut := n.cut[address] || n.cut[beat.Leader.Address]
+	cluster, ok := n.clusters[address]
+	cut := n.cut[address] || n.cut[heartbeat.Leader.Address]
 	n.mu.Unlock()
 	if !ok || cut {
-		return turmericwall.BeatAnswer{}, errors.New("no path")
+		return turmericwall.HeartbeatReply{}, errors.New("no path")
 	}
-	return crew.Heard(beat), nil
+	return cluster.Heard(heartbeat), nil
 }
 
 func (n *network) State(context.Context, string, turmericwall.StateAsk) (turmericwall.SharedState, error) {
@@ -135,7 +135,7 @@
 }
 
 type daemon struct {
-	crew     *twcrew.Crew
+	cluster  *twcluster.Cluster
 	election *twelection.Election
 	stop     func()
 	mu       sync.Mutex
@@ -173,12 +173,12 @@
 	self := turmericwall.Member{Name: name, Address: name, Incarnation: name + "1"}
 	d.election = twelection.New(twelection.Config{
 		Store: s, Self: self, Recorder: log, Apart: time.Second, Patience: patience,
-		LeaderHeard: func() bool { return d.crew.Informed() },
+		LeaderHeard: func() bool { return d.cluster.Informed() },
 		Ready:       func() bool { d.mu.Lock(); defer d.mu.Unlock(); return !d.stopping },
-		Elected:     func() { d.crew.Elected() },
+		Elected:     func() { d.cluster.Elected() },
 	})
 	none := func() int64 { return 0 }
-	d.crew = twcrew.New(twcrew.Config{
+	d.cluster = twcluster.New(twcluster.Config{
 		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
 		LeaseVersion: d.election.Version, LeaseTold: d.election.Told, StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
 		Stopping:     func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
@@ -191,12 +191,12 @@
 		},
 	})
 	n.mu.Lock()
-	n.crews[name] = d.crew
+	n.clusters[name] = d.cluster
 	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 2)
 	go func() { ends <- d.election.Run(ctx) }()
-	go func() { ends <- d.crew.Run(ctx) }()
+	go func() { ends <- d.cluster.Run(ctx) }()
 	var once sync.Once
 	d.stop = func() { once.Do(func() { cancel(); <-ends; <-ends }) }
 	t.Cleanup(d.stop)
@@ -209,7 +209,7 @@
 
 func hears(d *daemon, name string) func() bool {
 	return func() bool {
-		leader, _, ok := d.crew.Leader()
+		leader, _, ok := d.cluster.Leader()
 		return ok && leader.Name == name
 	}
 }
@@ -219,7 +219,7 @@
 // withLeader starts the daemon a, which becomes the leader.
 func withLeader(t *testing.T, g *WithT) (*store, *network, *daemon) {
 	t.Helper()
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
+	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), cut: make(map[string]bool)}
 	a := start(t, s, n, "a")
 	g.Eventually(keeps(a), patience).Should(BeTrue())
 	return s, n, a
@@ -232,8 +232,8 @@
 	b, c := start(t, s, n, "b"), start(t, s, n, "c")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 	g.Eventually(hears(c, "a"), patience).Should(BeTrue())
-	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
-	g.Eventually(b.crew.Daemons, patience).Should(Equal(3))
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(3))
+	g.Eventually(b.cluster.Daemons, patience).Should(Equal(3))
 	_, ok := a.election.Fence()
 	g.Expect(ok).To(BeTrue())
 	a.stop()
@@ -261,9 +261,9 @@
 	g.Eventually(func() bool { _, ok := a.election.Fence(); return ok }, patience).Should(BeTrue())
 }
 
-// The leader alone loses its way to the store, and its calls there are answered by nothing. It must go on beating, or all
+// The leader alone loses its way to the store, and its calls there are answered by nothing. It must go on sending heartbeats, or all
 // daemons place calls alone, each knowing a part of the load, until another one has taken the lease.
-func TestALeaderBeatsWhileTheStoreIsSilent(t *testing.T) {
+func TestALeaderSendsHeartbeatsWhileTheStoreIsSilent(t *testing.T) {
 	g := NewWithT(t)
 	s, n, _ := withLeader(t, g)
 	b := start(t, s, n, "b")
@@ -279,7 +279,7 @@
 	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
-	g.Eventually(a.crew.Daemons, patience).Should(Equal(2))
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(2))
 	n.setCut("b", true)
 	g.Eventually(a.lost, patience).Should(Equal([]string{"b1"}))
 	g.Eventually(hears(b, "a"), patience).Should(BeFalse())
@@ -297,7 +297,7 @@
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
-	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(3))
 	a.mu.Lock()
 	a.stopping = true
 	a.mu.Unlock()
@@ -307,7 +307,7 @@
 	go func() {
 		defer close(ended)
 		for ctx.Err() == nil {
-			if _, _, ok := c.crew.Leader(); !ok {
+			if _, _, ok := c.cluster.Leader(); !ok {
 				alone.Add(1)
 			}
 			time.Sleep(5 * time.Millisecond)
@@ -331,7 +331,7 @@
 	c := start(t, s, n, "c")
 	time.Sleep(20 * time.Millisecond)
 	b := start(t, s, n, "b")
-	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(3))
 	b.mu.Lock()
 	b.stopping = true
 	b.mu.Unlock()
@@ -343,13 +343,13 @@
 }
 
 // The leader dies before a daemon with a poor link and one with a good link. The good one takes the lease, though the
-// other has looked for a leader as long: on a poor link the beats to all daemons fill it, and nobody hears them.
+// other has looked for a leader as long: on a poor link the heartbeats to all daemons fill it, and nobody hears them.
 func TestADaemonWithABetterLinkTakesTheLeaseFirst(t *testing.T) {
 	g := NewWithT(t)
 	s, n, a := withLeader(t, g)
 	poor := startPatient(t, s, n, "poor", patience)
 	good := start(t, s, n, "good")
-	g.Eventually(a.crew.Daemons, patience).Should(Equal(3))
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(3))
 	a.stop()
 	n.setCut("a", true)
 	g.Eventually(keeps(good), patience).Should(BeTrue())
@@ -357,24 +357,24 @@
 	g.Expect(keeps(poor)()).To(BeFalse())
 }
 
-// The leader alone is cut off from the store. It still beats, but what it knows is old and it may not order. Another
+// The leader alone is cut off from the store. It still sends heartbeats, but what it knows is old and it may not order. Another
 // daemon that reads the store takes its place, and it gives way.
 func TestALeaderThatNoLongerReadsTheStoreIsReplaced(t *testing.T) {
 	g := NewWithT(t)
 	s, n, a := withLeader(t, g)
 	b := start(t, s, n, "b")
-	g.Eventually(b.crew.Informed, patience).Should(BeTrue())
+	g.Eventually(b.cluster.Informed, patience).Should(BeTrue())
 	a.mu.Lock()
 	a.blind = true
 	a.mu.Unlock()
-	g.Eventually(b.crew.Informed, patience).Should(BeFalse())
+	g.Eventually(b.cluster.Informed, patience).Should(BeFalse())
 	s.refuse("a")
 	g.Eventually(keeps(b), patience).Should(BeTrue())
 	g.Eventually(keeps(a), patience).Should(BeFalse())
 	g.Eventually(hears(a, "b"), patience).Should(BeTrue())
 }
 
-// A daemon becomes the leader while another of its loops, which holds the crew's lock, asks whether it is the leader. Told
+// A daemon becomes the leader while another of its loops, which holds the cluster's lock, asks whether it is the leader. Told
 // of the election under the election's own lock, the two waited for each other, and the daemon answered nobody any more.
 func TestWhoHearsOfAnElectionMayAskForIt(t *testing.T) {
 	g := NewWithT(t)
@@ -399,7 +399,7 @@
 // a poor leader is better than none.
 func TestADaemonWithAPoorLinkWaitsAndThenTakesTheLease(t *testing.T) {
 	g := NewWithT(t)
-	s, n := newStore(), &network{crews: make(map[string]*twcrew.Crew), cut: make(map[string]bool)}
+	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), cut: make(map[string]bool)}
 	poor := startPatient(t, s, n, "poor", 2*time.Second)
 	g.Consistently(keeps(poor), time.Second).Should(BeFalse())
 	g.Eventually(keeps(poor), patience).Should(BeTrue())
--- a/internal/membership/twcrew/beats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -1,4 +1,4 @@
-package twcrew
+package twcluster
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 )
 
 // rest forgets who is live while another daemon is the leader.
-func (c *Crew) rest() {
+func (c *Cluster) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.members {
@@ -17,38 +17,38 @@
 	}
 }
 
-// beatAll sends one beat to each daemon that has answered the one before.
-func (c *Crew) beatAll(ctx context.Context, term int64) {
-	beat := turmericwall.Beat{
+// sendHeartbeats sends one heartbeat to each daemon that has answered the one before.
+func (c *Cluster) sendHeartbeats(ctx context.Context, term int64) {
+	heartbeat := turmericwall.Heartbeat{
 		Leader: c.config.Self, Term: term, Daemons: c.Daemons(),
 		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
 		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
 	}
 	if c.config.Changing != nil {
-		beat.Changing = c.config.Changing()
+		heartbeat.Changing = c.config.Changing()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.config.Stopping != nil && c.config.Stopping() {
-		beat.Successor = c.successor()
+		heartbeat.Successor = c.successor()
 	}
 	for _, name := range c.names() {
 		m := c.members[name]
-		if m.live && time.Since(m.answeredAt) > lostSpan {
+		if m.live && time.Since(m.answeredAt) > memberTimeout {
 			c.lose(m)
 		}
 		if m.asked {
 			continue
 		}
 		m.asked = true
-		go c.beatOne(ctx, name, m.Address, beat)
+		go c.sendHeartbeat(ctx, name, m.Address, heartbeat)
 	}
 }
 
 // successor is the live daemon with the best link, and of these the one that started last, but for those that were asked
 // and did not take the lease; the lock is held. When daemons are restarted in turn, the one that was restarted last stays the longest: a leader chosen by chance
 // was stopped again a second or two later, and each time all daemons placed calls alone for two seconds.
-func (c *Crew) successor() turmericwall.Member {
+func (c *Cluster) successor() turmericwall.Member {
 	var next *member
 	for _, name := range c.names() {
 		m := c.members[name]
@@ -74,10 +74,10 @@
 	return m.startedAt.After(other.startedAt)
 }
 
-func (c *Crew) beatOne(ctx context.Context, name, address string, beat turmericwall.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, beatLimit)
+func (c *Cluster) sendHeartbeat(ctx context.Context, name, address string, heartbeat turmericwall.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	got, err := c.config.Peers.Beat(ctx, address, beat)
+	got, err := c.config.Peers.Heartbeat(ctx, address, heartbeat)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[name]
@@ -102,7 +102,7 @@
 }
 
 // lose notes that an incarnation no longer answers; the lock is held.
-func (c *Crew) lose(m *member) {
+func (c *Cluster) lose(m *member) {
 	m.live = false
 	c.config.Recorder.Record(turmericwall.EventPeerLost).Str("peer", m.Name).Str("incarnation", m.Incarnation).
 		Int("silentMillis", time.Since(m.answeredAt).Milliseconds()).Send()
@@ -111,7 +111,7 @@
 	}
 }
 
-func (c *Crew) names() []string {
+func (c *Cluster) names() []string {
 	names := make([]string, 0, len(c.members))
 	for name := range c.members {
 		names = append(names, name)
--- a/internal/membership/twcrew/rows.go
+++ b/internal/membership/twcluster/members.go
@@ -1,4 +1,4 @@
-package twcrew
+package twcluster
 
 import (
 	"context"
@@ -10,10 +10,10 @@
 
 // knowOthers writes this daemon's address, and reads the others' while it is the leader.
 //
-// It has a loop of its own: a leader that is cut off from the store waits 1.5 s for each call. Between two beats, that
+// It has a loop of its own: a leader that is cut off from the store waits 1.5 s for each call. Between two heartbeats, that
 // silenced it while it lived, and at the peak 208 calls were placed by daemons that each knew a part of the load.
-func (c *Crew) knowOthers(ctx context.Context) error {
-	tick := time.NewTicker(beatEvery)
+func (c *Cluster) knowOthers(ctx context.Context) error {
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	registered := false
 	var registerAt, readAt time.Time
@@ -38,7 +38,7 @@
 }
 
 // register writes this daemon's address, so that a leader finds it.
-func (c *Crew) register(ctx context.Context) bool {
+func (c *Cluster) register(ctx context.Context) bool {
 	value, err := json.Marshal(c.config.Self)
 	if err != nil {
 		return false
@@ -59,7 +59,7 @@
 }
 
 // read learns the daemons' addresses and returns the pause until the next read.
-func (c *Crew) read(ctx context.Context) time.Duration {
+func (c *Cluster) read(ctx context.Context) time.Duration {
 	snapshot, err := c.config.Store.Rows(ctx, table)
 	if err != nil {
 		c.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", table).Err(err).Send()
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -41,10 +41,10 @@
 	}}}
 }
 
-// Beat tells a daemon that this one is the leader.
-func (c *Client) Beat(ctx context.Context, address string, beat turmericwall.Beat) (turmericwall.BeatAnswer, error) {
-	var got turmericwall.BeatAnswer
-	return got, c.call(ctx, address, pathBeat, beat, &got)
+// Heartbeat tells a daemon that this one is the leader.
+func (c *Client) Heartbeat(ctx context.Context, address string, heartbeat turmericwall.Heartbeat) (turmericwall.HeartbeatReply, error) {
+	var got turmericwall.HeartbeatReply
+	return got, c.call(ctx, address, pathHeartbeat, heartbeat, &got)
 }
 
 // State asks a daemon for routes and upstreams.
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -8,11 +8,11 @@
 
 // The paths of the calls between daemons.
 const (
-	pathBeat   = "/peer/beat"
-	pathState  = "/peer/state"
-	pathPlace  = "/peer/place"
-	pathFinish = "/peer/finish"
-	pathRuns   = "/peer/runs"
+	pathHeartbeat = "/peer/heartbeat"
+	pathState     = "/peer/state"
+	pathPlace     = "/peer/place"
+	pathFinish    = "/peer/finish"
+	pathRuns      = "/peer/runs"
 )
 
 // wireAsk is an ask as it travels: daemons' clocks differ, so deadlines travel as what is left of them.
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -75,12 +75,12 @@
 	g := NewWithT(t)
 	var ended []turmericwall.PlacementEnd
 	var adopted []turmericwall.PlacedRun
-	me := turmericwall.BeatAnswer{Member: turmericwall.Member{Name: "b", Address: "b:1", Incarnation: "b1"}, UpMillis: 7}
+	me := turmericwall.HeartbeatReply{Member: turmericwall.Member{Name: "b", Address: "b:1", Incarnation: "b1"}, UpMillis: 7}
 	state := turmericwall.SharedState{Plan: &turmericwall.RoutePlan{Version: 4}, Upstreams: []turmericwall.Upstream{{ID: "u"}}, UpstreamsPosition: 9}
 	address := serve(t, twpeerhttp.Config{
-		Heard: func(beat turmericwall.Beat) turmericwall.BeatAnswer {
-			g.Expect(beat.Term).To(BeEquivalentTo(3))
-			g.Expect(beat.Changing).To(Equal([]turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, LeftMillis: 70}}))
+		Heard: func(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
+			g.Expect(heartbeat.Term).To(BeEquivalentTo(3))
+			g.Expect(heartbeat.Changing).To(Equal([]turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, LeftMillis: 70}}))
 			return me
 		},
 		State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
@@ -95,7 +95,7 @@
 	g.Expect(ended).To(Equal([]turmericwall.PlacementEnd{{ID: "1", Running: true, PromptRead: true, PromptMillis: 5}}))
 	g.Expect(c.Runs(ctx, address, []turmericwall.PlacedRun{{Ask: ask(), Engine: "d", AgeMillis: -40}})).To(Succeed())
 	g.Expect([]any{adopted[0].Engine, adopted[0].AgeMillis, adopted[0].Ask.ID}).To(Equal([]any{"d", int64(-40), "1/0"}))
-	got, err := c.Beat(ctx, address, turmericwall.Beat{
+	got, err := c.Heartbeat(ctx, address, turmericwall.Heartbeat{
 		Term: 3, Changing: []turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, LeftMillis: 70}},
 	})
 	g.Expect([]any{got, err}).To(Equal([]any{me, nil}))
@@ -116,7 +116,7 @@
 func TestUnreadableMessagesAreRefused(t *testing.T) {
 	g := NewWithT(t)
 	address := serve(t, twpeerhttp.Config{})
-	for _, path := range []string{"beat", "place", "finish", "runs", "state"} {
+	for _, path := range []string{"heartbeat", "place", "finish", "runs", "state"} {
 		response, err := http.Post("http://"+address+"/peer/"+path, "application/json", strings.NewReader("{"))
 		g.Expect(err).NotTo(HaveOccurred())
 		_ = response.Body.Close()
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -20,7 +20,7 @@
 
 // Config says who answers the calls.
 type Config struct {
-	Heard  func(turmericwall.Beat) turmericwall.BeatAnswer
+	Heard  func(turmericwall.Heartbeat) turmericwall.HeartbeatReply
 	State  func(turmericwall.StateAsk) turmericwall.SharedState
 	Keeps  func() bool
 	Place  func(context.Context, turmericwall.PlaceAsk) (turmericwall.Placement, error)
@@ -41,7 +41,7 @@
 // NewServer returns a handler.
 func NewServer(config Config) *Server {
 	s := &Server{config: config, mux: http.NewServeMux()}
-	s.mux.HandleFunc("POST "+pathBeat, s.beat)
+	s.mux.HandleFunc("POST "+pathHeartbeat, s.heartbeat)
 	s.mux.HandleFunc("POST "+pathState, s.state)
 	s.mux.HandleFunc("POST "+pathPlace, s.place)
 	s.mux.HandleFunc("POST "+pathFinish, s.finish)
@@ -52,10 +52,10 @@
 // ServeHTTP answers one call of a peer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, request *http.Request) { s.mux.ServeHTTP(w, request) }
 
-func (s *Server) beat(w http.ResponseWriter, request *http.Request) {
-	var beat turmericwall.Beat
-	if read(w, request, &beat) {
-		write(w, s.config.Heard(beat))
+func (s *Server) heartbeat(w http.ResponseWriter, request *http.Request) {
+	var heartbeat turmericwall.Heartbeat
+	if read(w, request, &heartbeat) {
+		write(w, s.config.Heard(heartbeat))
 	}
 }
 
@@ -78,7 +78,7 @@
 //
 // All daemons ask for a new plan in the same moment. Encoded for each of 75, a plan of many routes took the leader to
 // 89 MB of 112; shared, it is held once. Unpacked, it filled the leader's link of 10 Mbit/s for a second, in which no
-// beat came through; packed, it takes a tenth of that.
+// heartbeat came through; packed, it takes a tenth of that.
 func (s *Server) pack(plan *turmericwall.RoutePlan) ([]byte, error) {
 	if plan == nil {
 		return nil, nil
@@ -122,7 +122,7 @@
 		return
 	}
 	if !s.config.Keeps() {
-		http.Error(w, "this daemon is not the leader; wait for the next beat", http.StatusMisdirectedRequest)
+		http.Error(w, "this daemon is not the leader; wait for the next heartbeat", http.StatusMisdirectedRequest)
 		return
 	}
 	placement, err := s.config.Place(request.Context(), fromWire(time.Now(), ask))
--- a/peering.go
+++ b/peering.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// Beat is what the leader tells each daemon several times a second.
-type Beat struct {
+// Heartbeat is what the leader tells each daemon several times a second.
+type Heartbeat struct {
 	Leader Member `json:"leader"`
 	// Term grows with each leader.
 	Term int64 `json:"term"`
@@ -30,8 +30,8 @@
 	LeftMillis int64 `json:"leftMillis"`
 }
 
-// BeatAnswer is what a daemon answers to a beat.
-type BeatAnswer struct {
+// HeartbeatReply is what a daemon answers to a heartbeat.
+type HeartbeatReply struct {
 	Member
 	// UpMillis is how long ago the daemon started.
 	UpMillis int64 `json:"upMillis"`
@@ -75,7 +75,7 @@
 
 // PeerClient calls one other daemon.
 type PeerClient interface {
-	Beat(ctx context.Context, address string, beat Beat) (BeatAnswer, error)
+	Heartbeat(ctx context.Context, address string, heartbeat Heartbeat) (HeartbeatReply, error)
 	State(ctx context.Context, address string, ask StateAsk) (SharedState, error)
 	Place(ctx context.Context, address string, ask PlaceAsk) (Placement, error)
 	Finish(ctx context.Context, address string, ends []PlacementEnd) error
