feat: let the leader and its standbys alone read the store

Cause: every daemon read routes, upstreams and lease by itself until it heard a leader, and again whenever the leader's knowledge grew old.

Change: a pure state machine (twsource) decides where a daemon learns: the leader reads for all; two standbys, chosen by link, zone and start, read when its knowledge is three quarters stale or it is silent; the leader learns from whichever daemon has read later, so that followers stay informed, and hands the lease over when it alone can't renew it. Standbys that the store turns away are replaced in turn. Others ask standbys, seeds and the lease's holder for state and leader, and read by themselves only when nobody answers, spread over the fleet. Starting daemons join through their seeds; only seeds read the store at once. The table of daemons' addresses is gone: the leader's list of members is copied by the standbys. A restarted leader takes its old lease on a peer's word. How old knowledge may be follows configMillis and drainMillis.

The test of a leader that can't renew its lease uses a daemon that went blind a minute ago and stays as it was; three tests that name addresses by table rows now join.

--- a/events.go
+++ b/events.go
@@ -46,7 +46,7 @@
 	EventRoleOrdered        EventID = 7008
 	EventPeerState          EventID = 7009
 	EventInformedByLeader   EventID = 7010
-	EventReadsForItself     EventID = 7011
+	EventLeaderStale        EventID = 7011
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -93,7 +93,7 @@
 	EventLeaseUnreadable:    "Lease unreadable",
 	EventRoleOrdered:        "Role ordered",
 	EventInformedByLeader:   "Informed by leader",
-	EventReadsForItself:     "Reads for itself",
+	EventLeaderStale:        "Leader stale",
 	EventPeerState:          "Peer state",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// table holds one row for each daemon's address.
-	table = "daemons"
 	// heartbeatInterval is the pause between two heartbeats.
 	heartbeatInterval = 250 * time.Millisecond
 	// heartbeatTimeout ends one heartbeat: a leader that is slow to answer is no better than none.
@@ -20,46 +18,39 @@
 	leaderTimeout = 700 * time.Millisecond
 	// memberTimeout is how long after its last answer a daemon counts as live.
 	memberTimeout = 1500 * time.Millisecond
-	// maxStaleness is how old the leader's knowledge of the store may be: a change must be known within two seconds,
-	// and reading the store anew takes some hundred milliseconds.
-	maxStaleness = 1300 * time.Millisecond
+	// forgetSpan is how long a member that answers nothing is remembered; a daemon that hears no leader joins again.
+	forgetSpan = time.Minute
 	// maxNominations is how often a daemon is asked to take the lease before another one is: two may be lost.
 	maxNominations = 3
-	// readEvery is the pause between two reads of the daemons' rows by the leader.
-	readEvery = 4 * time.Second
-	// failedReadEvery is the pause after a read that failed.
-	failedReadEvery = time.Second
 )
 
-// Store is what the cluster reads and writes.
-type Store interface {
-	turmericwall.Feed
-	turmericwall.RowWriter
-}
-
 // Config says what the cluster works with.
 type Config struct {
-	Store    Store
 	Peers    turmericwall.PeerClient
 	Self     turmericwall.Member
 	Recorder turmericwall.Recorder
-	// Keeping tells that this daemon is the leader, and its term.
-	Keeping func() (term int64, ok bool)
+	// Leading tells that this daemon is the leader, and its term.
+	Leading func() (term int64, ok bool)
 	// LeaseVersion is the version of the lease's row as this daemon knows it, and LeaseTold takes it from the leader.
 	LeaseVersion func() int64
 	LeaseTold    func(version int64, leader turmericwall.Member)
+	// LeaseExpired tells that the leader could not renew its lease within the term; it may be nil.
+	LeaseExpired func() bool
 	// PlanVersion and UpstreamsPosition are how much this daemon knows.
 	PlanVersion       func() int64
 	UpstreamsPosition func() int64
-	// StoreRead is when the store was asked for the last answer that this daemon got.
-	StoreRead func() time.Time
-	// Behind is called when the leader knows newer state than this daemon.
-	Behind func(ctx context.Context, leader turmericwall.Member)
+	// ReadAt is when this daemon itself asked the store for the last answer that it got; zero when it never did.
+	ReadAt func() time.Time
+	// Staleness is the largest age of knowledge that a daemon acts on.
+	Staleness time.Duration
+	// Behind is called when another daemon knows newer state than this one.
+	Behind func(ctx context.Context, other turmericwall.Member)
 	// LinkMegabits is the rate of this daemon's network link in Mbit/s.
 	LinkMegabits float64
+	Zone         string
 	// Stopping tells that this daemon gives the lease up while it is the leader.
 	Stopping func() bool
-	// Nominated is called when the stopping leader asks this daemon to take its place.
+	// Nominated is called when the leader asks this daemon to take its place.
 	Nominated func()
 	// Outranked is called when another daemon is the leader of a later term.
 	Outranked func()
@@ -77,44 +68,39 @@
 	mu        sync.Mutex
 	heartbeat turmericwall.Heartbeat
 	heardAt   time.Time
+	// learnedAt is when the store was asked for the newest state that this daemon has from a peer.
+	learnedAt time.Time
 	// electedAt is when this daemon last became the leader.
 	electedAt time.Time
-	members   map[string]*member
+	// members are the other daemons by address.
+	members        map[string]*member
+	membersVersion int64
+	// copiedVersion is the version of the leader's list of members that this daemon has copied.
+	copiedVersion int64
+	standbys      []turmericwall.Member
 	// informed is what Informed last told.
 	informed bool
-	// behind wakes the daemon that has to learn what the leader knows.
-	behind chan struct{}
-	// elected wakes the loop that knows the others, and known the one that sends heartbeats, when this daemon becomes the leader.
-	elected, known chan struct{}
-}
-
-type member struct {
-	turmericwall.Member
-	answeredAt time.Time
-	// startedAt is when its incarnation started.
-	startedAt    time.Time
-	linkMegabits float64
-	// nominations counts how often it was asked to take the lease.
-	nominations int
-	live        bool
-	asked       bool
+	// ahead is the daemon whose state this one has to fetch.
+	ahead chan turmericwall.Member
+	// sendNow wakes the loop that sends heartbeats.
+	sendNow chan struct{}
 }
 
 // New returns a cluster that knows only this daemon.
 func New(config Config) *Cluster {
 	return &Cluster{
-		config: config, began: time.Now(), members: make(map[string]*member), behind: make(chan struct{}, 1),
-		elected: make(chan struct{}, 1), known: make(chan struct{}, 1),
+		config: config, began: time.Now(), members: make(map[string]*member),
+		ahead: make(chan turmericwall.Member, 1), sendNow: make(chan struct{}, 1),
 	}
 }
 
-// Elected tells that this daemon has become the leader. Until the others hear of it, they place calls with the former one
-// or alone, beside this daemon's. That lasted 450 ms while the first heartbeat waited for its turn.
+// Elected tells that this daemon has become the leader: the others must hear of it at once, or they place calls with the
+// former leader or alone, beside this daemon's.
 func (c *Cluster) Elected() {
 	c.mu.Lock()
 	c.electedAt = time.Now()
 	c.mu.Unlock()
-	wake(c.elected)
+	wake(c.sendNow)
 }
 
 func wake(waiting chan struct{}) {
@@ -124,24 +110,37 @@
 	}
 }
 
+// fetchFrom has this daemon fetch another one's state, unless such a fetch waits already.
+func (c *Cluster) fetchFrom(other turmericwall.Member) {
+	select {
+	case c.ahead <- other:
+	default:
+	}
+}
+
 // Heard takes a heartbeat and answers who this daemon is.
 func (c *Cluster) Heard(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
-	self := c.answer()
+	self := c.Self()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if heartbeat.Term < c.heartbeat.Term && time.Since(c.heardAt) < leaderTimeout {
 		return self
 	}
 	if heartbeat.Leader != c.heartbeat.Leader {
+		c.copiedVersion = 0
 		c.config.Recorder.Record(turmericwall.EventLeaderHeard).Str("leader", heartbeat.Leader.Name).Int("term", heartbeat.Term).Send()
 	}
 	c.heartbeat = heartbeat
 	c.heardAt = time.Now()
-	if term, keeping := c.config.Keeping(); keeping && heartbeat.Term > term && c.config.Outranked != nil {
+	if term, leading := c.config.Leading(); leading && heartbeat.Term > term && c.config.Outranked != nil {
 		c.config.Outranked()
 	}
-	if heartbeat.PlanVersion > c.config.PlanVersion() || heartbeat.UpstreamsPosition > c.config.UpstreamsPosition() {
-		wake(c.behind)
+	behind := heartbeat.PlanVersion > self.PlanVersion || heartbeat.UpstreamsPosition > self.UpstreamsPosition
+	if !behind {
+		c.learned(c.heardAt.Add(-time.Duration(heartbeat.StoreMillis) * time.Millisecond))
+	}
+	if behind || (c.isStandby() && heartbeat.MembersVersion != c.copiedVersion) {
+		c.fetchFrom(heartbeat.Leader)
 	}
 	c.config.LeaseTold(heartbeat.LeaseVersion, heartbeat.Leader)
 	if c.config.ChangingTold != nil {
@@ -153,20 +152,16 @@
 	return self
 }
 
-// Informed tells that the leader lives and reads the store, so that this daemon need not read it.
-//
-// Each daemon that reads the store by itself costs two calls each two seconds, which were a seventh of all that 75
-// daemons earned. The leader reads for all. A leader that is cut off from the store, or silent, informs nobody: its
-// followers read the store again before what they know is too old to act on.
+// Informed tells that another daemon leads and that its knowledge of the store is new enough.
 func (c *Cluster) Informed() bool {
 	heard := c.LeaderHeard()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := time.Since(c.heardAt) + time.Duration(c.heartbeat.StoreMillis)*time.Millisecond
-	informed := heard && age < maxStaleness
+	informed := heard && age < c.config.Staleness
 	if informed != c.informed {
 		c.informed = informed
-		event := turmericwall.EventReadsForItself
+		event := turmericwall.EventLeaderStale
 		if informed {
 			event = turmericwall.EventInformedByLeader
 		}
@@ -176,25 +171,47 @@
 	return informed
 }
 
-func (c *Cluster) answer() turmericwall.HeartbeatReply {
-	return turmericwall.HeartbeatReply{
+// Self is what this daemon tells others of itself.
+func (c *Cluster) Self() turmericwall.HeartbeatReply {
+	reply := turmericwall.HeartbeatReply{
 		Member: c.config.Self, UpMillis: time.Since(c.began).Milliseconds(), LinkMegabits: c.config.LinkMegabits,
+		Zone: c.config.Zone, Stopping: c.config.Stopping != nil && c.config.Stopping(),
+		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(), ReadMillis: -1,
+	}
+	if at := c.config.ReadAt(); !at.IsZero() {
+		reply.ReadMillis = time.Since(at).Milliseconds()
 	}
+	return reply
 }
 
-// StoreRead is when the leader asked the store for the last answer that it told of; the zero time before its first heartbeat.
-func (c *Cluster) StoreRead() time.Time {
+// FreshAt is when the store was asked for the newest state that this daemon has, by itself or by others; zero when there
+// is none.
+func (c *Cluster) FreshAt() time.Time {
+	at := c.config.ReadAt()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.heardAt.IsZero() {
-		return time.Time{}
+	if c.learnedAt.After(at) {
+		return c.learnedAt
+	}
+	return at
+}
+
+// Learned notes that this daemon has all that a peer knew, for which the store was asked at that time.
+func (c *Cluster) Learned(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned(at)
+}
+
+func (c *Cluster) learned(at time.Time) {
+	if at.After(c.learnedAt) {
+		c.learnedAt = at
 	}
-	return c.heardAt.Add(-time.Duration(c.heartbeat.StoreMillis) * time.Millisecond)
 }
 
 // Leader returns the live leader; self tells that it is this daemon.
 func (c *Cluster) Leader() (leader turmericwall.Member, self, ok bool) {
-	if _, keeping := c.config.Keeping(); keeping {
+	if _, leading := c.config.Leading(); leading {
 		return c.config.Self, true, true
 	}
 	c.mu.Lock()
@@ -218,7 +235,7 @@
 func (c *Cluster) Daemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, keeping := c.config.Keeping(); !keeping || time.Since(c.electedAt) < memberTimeout {
+	if _, leading := c.config.Leading(); !leading || time.Since(c.electedAt) < memberTimeout {
 		return c.heartbeat.Daemons
 	}
 	n := 1
@@ -230,11 +247,11 @@
 	return max(n, c.heartbeat.Daemons/2)
 }
 
-// Run makes this daemon known, and sends heartbeats to the others while it is the leader.
+// Run sends heartbeats while this daemon is the leader, and fetches what others know, until ctx ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan error, 1)
-	go func() { ended <- c.knowOthers(ctx) }()
+	go func() { ended <- c.fetch(ctx) }()
 	defer func() { cancel(); <-ended }()
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
@@ -242,14 +259,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-c.behind:
-			c.catchUp(ctx)
-			continue
-		case <-c.known:
+		case <-c.sendNow:
 		case <-tick.C:
 		}
-		term, keeping := c.config.Keeping()
-		if !keeping {
+		term, leading := c.config.Leading()
+		if !leading {
 			c.rest()
 			continue
 		}
@@ -257,10 +271,16 @@
 	}
 }
 
-// catchUp learns what the leader knows.
-func (c *Cluster) catchUp(ctx context.Context) {
-	leader, self, ok := c.Leader()
-	if ok && !self && c.config.Behind != nil {
-		c.config.Behind(ctx, leader)
+// fetch has a loop of its own: a peer that is slow to answer must not delay the heartbeats.
+func (c *Cluster) fetch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case other := <-c.ahead:
+			if c.config.Behind != nil {
+				c.config.Behind(ctx, other)
+			}
+		}
 	}
 }
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -117,8 +118,15 @@
 	return cluster.Heard(heartbeat), nil
 }
 
-func (n *network) State(context.Context, string, turmericwall.StateAsk) (turmericwall.SharedState, error) {
-	return turmericwall.SharedState{}, nil
+func (n *network) State(_ context.Context, address string, _ turmericwall.StateAsk) (turmericwall.SharedState, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cluster, ok := n.clusters[address]
+	if !ok || n.cut[address] {
+		return turmericwall.SharedState{}, errors.New("no path")
+	}
+	version, members := cluster.Members()
+	return turmericwall.SharedState{Members: members, MembersVersion: version}, nil
 }
 
 func (n *network) Place(context.Context, string, turmericwall.PlaceAsk) (turmericwall.Placement, error) {
@@ -128,6 +136,17 @@
 func (n *network) Finish(context.Context, string, []turmericwall.PlacementEnd) error { return nil }
 func (n *network) Runs(context.Context, string, []turmericwall.PlacedRun) error      { return nil }
 
+// join makes a daemon and all others known to each other, as seeds do.
+func (n *network) join(address string, cluster *twcluster.Cluster) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other, known := range n.clusters {
+		known.Join(turmericwall.Member{Address: address})
+		cluster.Join(turmericwall.Member{Address: other})
+	}
+	n.clusters[address] = cluster
+}
+
 func (n *network) setCut(address string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -143,15 +162,20 @@
 	stopping bool
 	// blind tells that this daemon can't read the store any more.
 	blind bool
+	// cutAt is when this daemon lost its way to the store.
+	cutAt time.Time
 	away  *twaway.Away
 }
 
-func (d *daemon) storeRead() time.Time {
+func (d *daemon) readAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.blind {
 		return time.Now().Add(-time.Minute)
 	}
+	if !d.cutAt.IsZero() {
+		return d.cutAt
+	}
 	return time.Now()
 }
 
@@ -172,15 +196,21 @@
 	d := &daemon{away: twaway.New()}
 	self := turmericwall.Member{Name: name, Address: name, Incarnation: name + "1"}
 	d.election = twelection.New(twelection.Config{
-		Store: s, Self: self, Recorder: log, Apart: time.Second, Patience: patience,
+		Store: s, Self: self, Recorder: log, Apart: time.Second, Patience: func() time.Duration { return patience },
 		LeaderHeard: func() bool { return d.cluster.Informed() },
 		Ready:       func() bool { d.mu.Lock(); defer d.mu.Unlock(); return !d.stopping },
 		Elected:     func() { d.cluster.Elected() },
 	})
 	none := func() int64 { return 0 }
 	d.cluster = twcluster.New(twcluster.Config{
-		Store: s, Peers: n, Self: self, Recorder: log, Keeping: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
-		LeaseVersion: d.election.Version, LeaseTold: d.election.Told, StoreRead: d.storeRead, Outranked: d.election.Yield, Nominated: d.election.Nominate,
+		Peers: n, Self: self, Recorder: log, Leading: d.election.Holds, PlanVersion: none, UpstreamsPosition: none,
+		LeaseVersion: d.election.Version, LeaseTold: d.election.Told, ReadAt: d.readAt, Outranked: d.election.Yield, Nominated: d.election.Nominate,
+		Behind: func(ctx context.Context, other turmericwall.Member) {
+			if state, err := n.State(ctx, other.Address, turmericwall.StateAsk{}); err == nil {
+				d.cluster.AddMembers(state.MembersVersion, state.Members)
+			}
+		},
+		LeaseExpired: d.election.Expired, Staleness: 1300 * time.Millisecond,
 		Stopping:     func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.stopping },
 		Changing:     func() []turmericwall.ChangingEngine { return d.away.List(time.Now()) },
 		ChangingTold: func(list []turmericwall.ChangingEngine) { d.away.Told(time.Now(), list) },
@@ -190,9 +220,7 @@
 			d.gone = append(d.gone, incarnation)
 		},
 	})
-	n.mu.Lock()
-	n.clusters[name] = d.cluster
-	n.mu.Unlock()
+	n.join(name, d.cluster)
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 2)
 	go func() { ends <- d.election.Run(ctx) }()
@@ -203,7 +231,7 @@
 	return d
 }
 
-func keeps(d *daemon) func() bool {
+func leads(d *daemon) func() bool {
 	return func() bool { _, ok := d.election.Holds(); return ok }
 }
 
@@ -221,7 +249,7 @@
 	t.Helper()
 	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), cut: make(map[string]bool)}
 	a := start(t, s, n, "a")
-	g.Eventually(keeps(a), patience).Should(BeTrue())
+	g.Eventually(leads(a), patience).Should(BeTrue())
 	return s, n, a
 }
 
@@ -238,7 +266,7 @@
 	g.Expect(ok).To(BeTrue())
 	a.stop()
 	n.setCut("a", true)
-	g.Eventually(func() bool { return keeps(b)() || keeps(c)() }, patience).Should(BeTrue())
+	g.Eventually(func() bool { return leads(b)() || leads(c)() }, patience).Should(BeTrue())
 	g.Eventually(func() bool {
 		return hears(b, "b")() && hears(c, "b")() || hears(b, "c")() && hears(c, "c")()
 	}, patience).Should(BeTrue())
@@ -283,7 +311,7 @@
 	n.setCut("b", true)
 	g.Eventually(a.lost, patience).Should(Equal([]string{"b1"}))
 	g.Eventually(hears(b, "a"), patience).Should(BeFalse())
-	g.Consistently(keeps(b), 2500*time.Millisecond).Should(BeFalse())
+	g.Consistently(leads(b), 2500*time.Millisecond).Should(BeFalse())
 	n.setCut("b", false)
 	g.Eventually(hears(b, "a"), patience).Should(BeTrue())
 }
@@ -314,12 +342,12 @@
 		}
 	}()
 	g.Eventually(func() bool { _, ok := a.election.Fence(); return ok }, patience).Should(BeFalse())
-	g.Eventually(keeps(b), patience).Should(BeTrue())
-	g.Eventually(keeps(a), patience).Should(BeFalse())
+	g.Eventually(leads(b), patience).Should(BeTrue())
+	g.Eventually(leads(a), patience).Should(BeFalse())
 	g.Eventually(hears(c, "b"), patience).Should(BeTrue())
 	stop()
 	<-ended
-	g.Expect(keeps(c)()).To(BeFalse())
+	g.Expect(leads(c)()).To(BeFalse())
 	g.Expect(alone.Load()).To(BeZero())
 }
 
@@ -338,8 +366,8 @@
 	a.mu.Lock()
 	a.stopping = true
 	a.mu.Unlock()
-	g.Eventually(keeps(c), patience).Should(BeTrue())
-	g.Expect(keeps(b)()).To(BeFalse())
+	g.Eventually(leads(c), patience).Should(BeTrue())
+	g.Expect(leads(b)()).To(BeFalse())
 }
 
 // The leader dies before a daemon with a poor link and one with a good link. The good one takes the lease, though the
@@ -352,9 +380,9 @@
 	g.Eventually(a.cluster.Daemons, patience).Should(Equal(3))
 	a.stop()
 	n.setCut("a", true)
-	g.Eventually(keeps(good), patience).Should(BeTrue())
+	g.Eventually(leads(good), patience).Should(BeTrue())
 	g.Eventually(hears(poor, "good"), patience).Should(BeTrue())
-	g.Expect(keeps(poor)()).To(BeFalse())
+	g.Expect(leads(poor)()).To(BeFalse())
 }
 
 // The leader alone is cut off from the store. It still sends heartbeats, but what it knows is old and it may not order. Another
@@ -369,8 +397,8 @@
 	a.mu.Unlock()
 	g.Eventually(b.cluster.Informed, patience).Should(BeFalse())
 	s.refuse("a")
-	g.Eventually(keeps(b), patience).Should(BeTrue())
-	g.Eventually(keeps(a), patience).Should(BeFalse())
+	g.Eventually(leads(b), patience).Should(BeTrue())
+	g.Eventually(leads(a), patience).Should(BeFalse())
 	g.Eventually(hears(a, "b"), patience).Should(BeTrue())
 }
 
@@ -384,6 +412,7 @@
 		Store: newStore(), Self: turmericwall.Member{Name: "a", Incarnation: "a1"}, Apart: time.Second,
 		Recorder:    tweventlog.New(tweventlog.Config{Output: io.Discard}),
 		LeaderHeard: func() bool { return false }, Ready: func() bool { return true },
+		Patience: func() time.Duration { return 0 },
 		Elected: func() {
 			_, holds := election.Holds()
 			held <- holds
@@ -401,8 +430,8 @@
 	g := NewWithT(t)
 	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), cut: make(map[string]bool)}
 	poor := startPatient(t, s, n, "poor", 2*time.Second)
-	g.Consistently(keeps(poor), time.Second).Should(BeFalse())
-	g.Eventually(keeps(poor), patience).Should(BeTrue())
+	g.Consistently(leads(poor), time.Second).Should(BeFalse())
+	g.Eventually(leads(poor), patience).Should(BeTrue())
 }
 
 // The leader orders an engine to change its role and dies within a second. Whoever places calls after it, alone or as the
@@ -417,3 +446,118 @@
 		return b.away.Is(time.Now(), turmericwall.Upstream{ID: "e", Role: turmericwall.RoleDecode})
 	}, "1s").Should(BeTrue())
 }
+
+// cutOff takes this daemon's way to the store.
+func (d *daemon) cutOff() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cutAt = time.Now()
+}
+
+func standbys(d *daemon) func() []string {
+	return func() []string {
+		var names []string
+		for _, s := range d.cluster.Standbys() {
+			names = append(names, s.Name)
+		}
+		return names
+	}
+}
+
+// The leader alone is cut off from the store; all its followers find their knowledge too old and read for themselves.
+func TestALeaderThatIsCutOffFromTheStoreLearnsFromAStandby(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withLeader(t, g)
+	b, c := start(t, s, n, "b"), start(t, s, n, "c")
+	g.Eventually(b.cluster.Informed, patience).Should(BeTrue())
+	g.Eventually(c.cluster.Informed, patience).Should(BeTrue())
+	a.cutOff()
+	g.Consistently(c.cluster.Informed, "2s").Should(BeTrue())
+}
+
+// The leader can't renew its lease for long while others could; no engine gets an order meanwhile.
+func TestALeaderThatCannotRenewHandsOverToAStandby(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withLeader(t, g)
+	b := start(t, s, n, "b")
+	g.Eventually(b.cluster.Informed, patience).Should(BeTrue())
+	a.cutOff()
+	s.refuse("a")
+	g.Eventually(leads(b), 2*patience).Should(BeTrue())
+	g.Eventually(hears(a, "b"), patience).Should(BeTrue())
+}
+
+// The store turns the leader and its standbys away and serves others; nobody tries, and a change is learned too late.
+func TestStandbysThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withLeader(t, g)
+	daemons := make(map[string]*daemon)
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		daemons[name] = start(t, s, n, name)
+	}
+	g.Eventually(standbys(daemons["f"]), patience).ShouldNot(BeEmpty())
+	g.Eventually(a.cluster.Daemons, patience).Should(Equal(6))
+	for name, d := range daemons {
+		if name != "d" {
+			d.cutOff()
+		}
+	}
+	a.cutOff()
+	g.Eventually(func() bool { return slices.Contains(standbys(daemons["b"])(), "d") }, "4s").Should(BeTrue())
+	g.Eventually(daemons["b"].cluster.Informed, "1s").Should(BeTrue())
+}
+
+// A leader that has just taken the lease knows no daemon, and all place calls alone until each has asked for it.
+func TestAStandbyKnowsAllMembers(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withLeader(t, g)
+	b := start(t, s, n, "b")
+	g.Eventually(b.cluster.Informed, patience).Should(BeTrue())
+	a.cluster.Join(turmericwall.Member{Address: "late"})
+	g.Eventually(func() []string { _, list := b.cluster.Members(); return list }, "2s").Should(ConsistOf("a", "b", "late"))
+}
+
+// A daemon that stops is the standby until it is gone, and nobody takes the lease when the leader ends meanwhile.
+func TestAStoppingDaemonIsNoStandby(t *testing.T) {
+	g := NewWithT(t)
+	s, n, _ := withLeader(t, g)
+	b, c, e := start(t, s, n, "b"), start(t, s, n, "c"), start(t, s, n, "e")
+	chosen := func() int {
+		count := 0
+		for _, d := range []*daemon{b, c, e} {
+			if d.cluster.StandbyRank() >= 0 {
+				count++
+			}
+		}
+		return count
+	}
+	g.Eventually(chosen, patience).Should(Equal(2))
+	b.mu.Lock()
+	b.stopping = true
+	b.mu.Unlock()
+	g.Eventually(b.cluster.StandbyRank, patience).Should(Equal(-1))
+	g.Eventually(chosen, patience).Should(Equal(2))
+}
+
+// All daemons lost power; the restarted leader is no reader, and everybody waits for its old lease to fall silent.
+func TestARestartedLeaderTakesItsLeaseOnAPeersWord(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := withLeader(t, g)
+	version := a.election.Version()
+	a.stop()
+	n.setCut("a", true)
+	election := twelection.New(twelection.Config{
+		Store: s, Self: turmericwall.Member{Name: "a", Address: "a", Incarnation: "a2"}, Apart: time.Second,
+		Recorder:    tweventlog.New(tweventlog.Config{Output: io.Discard}),
+		LeaderHeard: func() bool { return false }, Ready: func() bool { return true }, Seeks: func() bool { return false },
+		Patience: func() time.Duration { return time.Hour },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- election.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	election.Restarted(version, turmericwall.Member{Name: "b", Address: "b", Incarnation: "b1"})
+	g.Consistently(func() bool { _, ok := election.Holds(); return ok }, "300ms").Should(BeFalse(), "it is another's lease")
+	election.Restarted(version, turmericwall.Member{Name: "a", Address: "a", Incarnation: "a1"})
+	g.Eventually(func() bool { _, ok := election.Holds(); return ok }, "1s").Should(BeTrue())
+}
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -2,63 +2,56 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
 )
 
-// rest forgets who is live while another daemon is the leader.
-func (c *Cluster) rest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range c.members {
-		m.live = false
-	}
-}
-
 // sendHeartbeats sends one heartbeat to each daemon that has answered the one before.
 func (c *Cluster) sendHeartbeats(ctx context.Context, term int64) {
 	heartbeat := turmericwall.Heartbeat{
 		Leader: c.config.Self, Term: term, Daemons: c.Daemons(),
 		PlanVersion: c.config.PlanVersion(), UpstreamsPosition: c.config.UpstreamsPosition(),
-		StoreMillis: time.Since(c.config.StoreRead()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
+		StoreMillis: time.Since(c.FreshAt()).Milliseconds(), LeaseVersion: c.config.LeaseVersion(),
 	}
 	if c.config.Changing != nil {
 		heartbeat.Changing = c.config.Changing()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.config.Stopping != nil && c.config.Stopping() {
-		heartbeat.Successor = c.successor()
-	}
-	for _, name := range c.names() {
-		m := c.members[name]
-		if m.live && time.Since(m.answeredAt) > memberTimeout {
+	now := time.Now()
+	for address, m := range c.members {
+		if m.live && now.Sub(m.answeredAt) > memberTimeout {
 			c.lose(m)
 		}
-		if m.asked {
+		if now.Sub(m.answeredAt) > forgetSpan && now.Sub(m.knownAt) > forgetSpan {
+			delete(c.members, address)
+			c.membersVersion++
+		}
+	}
+	c.chooseStandbys(now)
+	heartbeat.Standbys = c.standbys
+	heartbeat.MembersVersion = c.membersVersion
+	heartbeat.Successor = c.nominee()
+	for _, address := range c.addresses() {
+		m := c.members[address]
+		if m.pending {
 			continue
 		}
-		m.asked = true
-		go c.sendHeartbeat(ctx, name, m.Address, heartbeat)
+		m.pending = true
+		go c.sendHeartbeat(ctx, address, heartbeat)
 	}
 }
 
-// successor is the live daemon with the best link, and of these the one that started last, but for those that were asked
-// and did not take the lease; the lock is held. When daemons are restarted in turn, the one that was restarted last stays the longest: a leader chosen by chance
-// was stopped again a second or two later, and each time all daemons placed calls alone for two seconds.
-func (c *Cluster) successor() turmericwall.Member {
-	var next *member
-	for _, name := range c.names() {
-		m := c.members[name]
-		if !m.live || m.Incarnation == "" || m.nominations >= maxNominations {
-			continue
-		}
-		if next == nil || m.before(next) {
-			next = m
-		}
+// nominee is the daemon that this leader asks to take the lease: when it stops, or when it alone can't renew the lease and
+// a standby reads the store; the lock is held.
+func (c *Cluster) nominee() turmericwall.Member {
+	stopping := c.config.Stopping != nil && c.config.Stopping()
+	expired := c.config.LeaseExpired != nil && c.config.LeaseExpired() && time.Since(c.config.ReadAt()) > c.config.Staleness
+	if !stopping && !expired {
+		return turmericwall.Member{}
 	}
+	next := c.successor(expired && !stopping)
 	if next == nil {
 		return turmericwall.Member{}
 	}
@@ -66,41 +59,63 @@
 	return next.Member
 }
 
-// before tells that the daemon is the better successor.
-func (m *member) before(other *member) bool {
-	if m.linkMegabits != other.linkMegabits {
-		return m.linkMegabits > other.linkMegabits
-	}
-	return m.startedAt.After(other.startedAt)
-}
-
-func (c *Cluster) sendHeartbeat(ctx context.Context, name, address string, heartbeat turmericwall.Heartbeat) {
+func (c *Cluster) sendHeartbeat(ctx context.Context, address string, heartbeat turmericwall.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	got, err := c.config.Peers.Heartbeat(ctx, address, heartbeat)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.members[name]
-	m.asked = false
+	m, ok := c.members[address]
+	if !ok {
+		return
+	}
+	m.pending = false
 	if err != nil {
 		return
 	}
+	c.answered(m, got)
+	c.catchUp(sentAt, got)
+}
+
+// answered notes a reply to a heartbeat; the lock is held.
+func (c *Cluster) answered(m *member, got turmericwall.HeartbeatReply) {
 	if m.Incarnation != "" && m.Incarnation != got.Incarnation && m.live {
 		c.lose(m)
 	}
 	if !m.live {
-		c.config.Recorder.Record(turmericwall.EventPeerLive).Str("peer", name).Str("incarnation", got.Incarnation).Send()
+		c.config.Recorder.Record(turmericwall.EventPeerLive).Str("peer", got.Name).Str("incarnation", got.Incarnation).Send()
 	}
 	if m.Incarnation != got.Incarnation {
 		m.nominations = 0
-		m.linkMegabits = got.LinkMegabits
 		m.startedAt = time.Now().Add(-time.Duration(got.UpMillis) * time.Millisecond)
 	}
-	m.Incarnation = got.Incarnation
+	m.HeartbeatReply = got
 	m.live = true
 	m.answeredAt = time.Now()
 }
 
+// catchUp learns from a daemon that has read the store later than this leader, which may be cut off from it; the lock is
+// held.
+func (c *Cluster) catchUp(sentAt time.Time, got turmericwall.HeartbeatReply) {
+	if got.ReadMillis < 0 {
+		return
+	}
+	at := sentAt.Add(-time.Duration(got.ReadMillis) * time.Millisecond)
+	own := c.config.ReadAt()
+	if c.learnedAt.After(own) {
+		own = c.learnedAt
+	}
+	if at.Sub(own) < c.config.Staleness/4 {
+		return
+	}
+	if got.PlanVersion > c.config.PlanVersion() || got.UpstreamsPosition > c.config.UpstreamsPosition() {
+		c.fetchFrom(got.Member)
+		return
+	}
+	c.learned(at)
+}
+
 // lose notes that an incarnation no longer answers; the lock is held.
 func (c *Cluster) lose(m *member) {
 	m.live = false
@@ -110,12 +125,3 @@
 		c.config.Gone(m.Incarnation)
 	}
 }
-
-func (c *Cluster) names() []string {
-	names := make([]string, 0, len(c.members))
-	for name := range c.members {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -1,83 +1,88 @@
 package twcluster
 
 import (
-	"context"
-	"encoding/json"
+	"sort"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
 )
 
-// knowOthers writes this daemon's address, and reads the others' while it is the leader.
-//
-// It has a loop of its own: a leader that is cut off from the store waits 1.5 s for each call. Between two heartbeats, that
-// silenced it while it lived, and at the peak 208 calls were placed by daemons that each knew a part of the load.
-func (c *Cluster) knowOthers(ctx context.Context) error {
-	tick := time.NewTicker(heartbeatInterval)
-	defer tick.Stop()
-	registered := false
-	var registerAt, readAt time.Time
-	for {
-		if now := time.Now(); !registered && !now.Before(registerAt) {
-			registered = c.register(ctx)
-			registerAt = now.Add(failedReadEvery)
-		}
-		if _, keeping := c.config.Keeping(); !keeping {
-			readAt = time.Time{}
-		} else if now := time.Now(); now.After(readAt) {
-			readAt = now.Add(c.read(ctx))
-			wake(c.known)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-c.elected:
-		case <-tick.C:
-		}
+// member is another daemon as the leader knows it.
+type member struct {
+	turmericwall.HeartbeatReply
+	// knownAt is when its address became known.
+	knownAt    time.Time
+	answeredAt time.Time
+	// startedAt is when its incarnation started.
+	startedAt time.Time
+	// chosenAt is when it last became a standby.
+	chosenAt time.Time
+	// nominations counts how often it was asked to take the lease.
+	nominations int
+	live        bool
+	// pending tells that its last heartbeat is not answered yet.
+	pending bool
+}
+
+// Join takes another daemon's address, so that it gets heartbeats while this daemon is the leader.
+func (c *Cluster) Join(other turmericwall.Member) {
+	c.mu.Lock()
+	known := c.add(other.Address)
+	c.mu.Unlock()
+	if !known {
+		wake(c.sendNow)
+	}
+}
+
+// AddMembers takes the addresses that another daemon knows, as of a version of its list.
+func (c *Cluster) AddMembers(version int64, addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.copiedVersion = version
+	for _, address := range addresses {
+		c.add(address)
 	}
 }
 
-// register writes this daemon's address, so that a leader finds it.
-func (c *Cluster) register(ctx context.Context) bool {
-	value, err := json.Marshal(c.config.Self)
-	if err != nil {
-		return false
+// Members are the addresses of all daemons that this one knows, and the version of that list.
+func (c *Cluster) Members() (version int64, addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.membersVersion, append(c.addresses(), c.config.Self.Address)
+}
+
+// add tells whether the address was known; the lock is held.
+func (c *Cluster) add(address string) (known bool) {
+	if address == "" || address == c.config.Self.Address {
+		return true
 	}
-	version := int64(0)
-	for range 3 {
-		_, current, ok, err := c.config.Store.Swap(ctx, table, c.config.Self.Name, version, value)
-		if err != nil {
-			c.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", table).Err(err).Send()
-			return false
-		}
-		if ok {
-			return true
-		}
-		version = current.Version
+	if _, ok := c.members[address]; ok {
+		return true
 	}
+	now := time.Now()
+	c.members[address] = &member{knownAt: now, answeredAt: now}
+	c.membersVersion++
 	return false
 }
 
-// read learns the daemons' addresses and returns the pause until the next read.
-func (c *Cluster) read(ctx context.Context) time.Duration {
-	snapshot, err := c.config.Store.Rows(ctx, table)
-	if err != nil {
-		c.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", table).Err(err).Send()
-		return failedReadEvery
+// addresses are those of all other members, in order; the lock is held.
+func (c *Cluster) addresses() []string {
+	list := make([]string, 0, len(c.members))
+	for address := range c.members {
+		list = append(list, address)
 	}
+	sort.Strings(list)
+	return list
+}
+
+// rest forgets who is live while another daemon is the leader.
+func (c *Cluster) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, row := range snapshot.Rows {
-		var m turmericwall.Member
-		if json.Unmarshal(row.Value, &m) != nil || m.Name == c.config.Self.Name || m.Address == "" {
-			continue
-		}
-		known, ok := c.members[m.Name]
-		if !ok {
-			c.members[m.Name] = &member{Member: m}
-			continue
-		}
-		known.Address = m.Address
+	now := time.Now()
+	for _, m := range c.members {
+		m.live = false
+		m.answeredAt = now
 	}
-	return readEvery
+	c.standbys = nil
 }
--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -35,7 +35,9 @@
 	// Apart is the least time between the orders of two holders.
 	Apart time.Duration
 	// Patience is how long no leader must be heard before this daemon seeks the lease.
-	Patience time.Duration
+	Patience func() time.Duration
+	// Seeks tells that this daemon is a candidate; nil tells that it always is.
+	Seeks func() bool
 	// LeaderHeard tells that another daemon lately said that it is the leader.
 	LeaderHeard func() bool
 	// Ready tells that this daemon knows enough to be the leader.
@@ -73,6 +75,20 @@
 	return e.lease.Fence(twboottime.Now())
 }
 
+// Expired tells that this daemon leads but could not renew the lease within its term.
+func (e *Election) Expired() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Expired(twboottime.Now())
+}
+
+// Holder is who holds the lease as last seen.
+func (e *Election) Holder() turmericwall.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Holder()
+}
+
 // Told takes the version of the lease's row that its holder tells of.
 func (e *Election) Told(version int64, holder turmericwall.Member) {
 	e.mu.Lock()
@@ -80,6 +96,16 @@
 	e.lease.Told(twboottime.Now(), version, holder)
 }
 
+// Restarted takes the lease's row as a peer saw it. A row that names an earlier incarnation of this daemon is taken at
+// once: nobody else may before it has been silent.
+func (e *Election) Restarted(version int64, holder turmericwall.Member) {
+	if holder.Name != e.config.Self.Name || holder == e.config.Self {
+		return
+	}
+	e.Told(version, holder)
+	e.Nominate()
+}
+
 // Version is the version of the lease's row as last seen.
 func (e *Election) Version() int64 {
 	e.mu.Lock()
@@ -135,7 +161,10 @@
 			heardAt = now
 			continue
 		}
-		if (now.Sub(heardAt) < e.config.Patience && !nominated) || !e.config.Ready() {
+		if e.config.Seeks != nil && !e.config.Seeks() && !nominated {
+			continue
+		}
+		if (now.Sub(heardAt) < e.config.Patience() && !nominated) || !e.config.Ready() {
 			continue
 		}
 		nextAt = now.Add(lookEvery)
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -186,6 +186,11 @@
 	return l.fence, true
 }
 
+// Expired tells that this daemon holds the lease, but that its last renewal was confirmed more than a term ago.
+func (l *Lease) Expired(now twboottime.Moment) bool {
+	return l.fence != 0 && l.termEnd != 0 && now >= l.termEnd
+}
+
 // Term is the number of the leader's term.
 func (l *Lease) Term() int64 { return l.fence }
 
--- a/internal/membership/twlease/lease_test.go
+++ b/internal/membership/twlease/lease_test.go
@@ -165,3 +165,16 @@
 	l.Told(start.Add(1900*time.Millisecond), 10, holder)
 	g.Expect(l.Version()).To(BeEquivalentTo(11), "old news")
 }
+
+// A leader that can't renew goes on for ever as if it might order.
+func TestALeaseExpiresWithoutRenewals(t *testing.T) {
+	g := NewWithT(t)
+	l := lease("a")
+	l.Seen(start, 0, nil)
+	g.Expect(l.Expired(start.Add(time.Hour))).To(BeFalse(), "it was never held")
+	take(g, l, start, 9)
+	g.Expect(l.Expired(start.Add(2900 * time.Millisecond))).To(BeFalse())
+	g.Expect(l.Expired(start.Add(3 * time.Second))).To(BeTrue())
+	take(g, l, start.Add(4*time.Second), 10)
+	g.Expect(l.Expired(start.Add(5 * time.Second))).To(BeFalse())
+}
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -42,6 +42,11 @@
 	Wait time.Duration
 	// Paused tells that another daemon reads the table for this one; nil never pauses.
 	Paused func() bool
+	// Known is the version up to which this daemon has all changes from others when its own reading begins; nil, or 0,
+	// lists all rows.
+	Known func() int64
+	// Noted takes the outcome of each read; it may be nil.
+	Noted func(err error)
 	// ReadElsewhere is when another daemon last read the table for this one; nil tells that none ever did.
 	ReadElsewhere func() time.Time
 }
@@ -60,6 +65,10 @@
 	readAt atomic.Pointer[time.Time]
 	// failing tells that the last read failed.
 	failing atomic.Bool
+	// relist asks for a listing of all rows at the next read.
+	relist atomic.Bool
+	// paused tells that others read for this daemon.
+	paused bool
 }
 
 // New returns a watch that has read nothing.
@@ -69,13 +78,15 @@
 func (w *Watch) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if w.config.Paused != nil && w.config.Paused() {
-			// What changes meanwhile is learned elsewhere; all rows are read again afterwards. An outage that this watch
-			// has seen is over: remembered until it reads again, it would pass for one of the whole time between.
+			// What changes meanwhile is learned elsewhere. An outage that this watch has seen is over: remembered until it
+			// reads again, it would pass for one of the whole time between.
+			w.paused = true
 			w.listed = false
 			w.regain()
 			sleep(ctx, pausedLook)
 			continue
 		}
+		w.resume()
 		began := time.Now()
 		err := w.step(ctx)
 		if err == nil {
@@ -85,6 +96,9 @@
 			break
 		}
 		w.note(err)
+		if w.config.Noted != nil {
+			w.config.Noted(err)
+		}
 		if err != nil && !sleep(ctx, w.pause) {
 			break
 		}
@@ -92,6 +106,29 @@
 	return ctx.Err()
 }
 
+// Relist has the next read list all rows.
+func (w *Watch) Relist() { w.relist.Store(true) }
+
+// resume goes on after a pause at the version that others have told.
+func (w *Watch) resume() {
+	if w.relist.Swap(false) {
+		w.listed = false
+		w.paused = false
+		return
+	}
+	if !w.paused {
+		return
+	}
+	w.paused = false
+	if w.config.Known == nil {
+		return
+	}
+	if version := w.config.Known(); version > 0 {
+		w.after = max(w.after, version)
+		w.listed = true
+	}
+}
+
 // ReadAt is when the last answered read was begun; the zero time before the first.
 func (w *Watch) ReadAt() time.Time {
 	if at := w.readAt.Load(); at != nil {
@@ -100,8 +137,8 @@
 	return time.Time{}
 }
 
-// Healthy tells that the last read was answered.
-func (w *Watch) Healthy() bool { return w.readAt.Load() != nil && !w.failing.Load() }
+// Failing tells that the last read was not answered.
+func (w *Watch) Failing() bool { return w.failing.Load() }
 
 // step reads all rows, or the changes since.
 func (w *Watch) step(ctx context.Context) error {
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -174,3 +174,40 @@
 	g.Eventually(func() int { return len(waits()) }, 5*time.Second).Should(BeNumerically(">=", 2))
 	g.Expect(waits()[:2]).To(Equal([]time.Duration{time.Second, 100 * time.Millisecond}))
 }
+
+// A daemon that others read for lists the whole table whenever it begins to read by itself.
+func TestReadingGoesOnAtTheVersionThatOthersTold(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{lists: []turmericwall.Snapshot{at(9, 3)}, changes: []any{at(8, 1)}}
+	follow := &follower{}
+	var reads atomic.Bool
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	noted := make(chan error, 100)
+	w := twwatch.New(twwatch.Config{
+		Feed: f, Table: "t", Follower: follow, Wait: time.Second, Known: func() int64 { return 7 },
+		Paused: func() bool { return !reads.Load() }, Noted: func(err error) { noted <- err },
+	})
+	go func() { done <- w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	g.Consistently(follow.all, "300ms").Should(BeEmpty())
+	reads.Store(true)
+	g.Eventually(follow.all).Should(Equal([]string{"change"}))
+	g.Eventually(noted).Should(Receive(BeNil()))
+	g.Eventually(func() []int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.afters }).Should(Equal([]int64{7, 8}))
+}
+
+// A standby that takes the lease keeps upstreams whose drops its former leader had still to judge.
+func TestRelistReadsAllRows(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{lists: []turmericwall.Snapshot{at(5, 2), at(6, 1)}, changes: []any{at(6, 0)}, slow: 10 * time.Millisecond}
+	follow := &follower{}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	w := twwatch.New(twwatch.Config{Feed: f, Table: "t", Follower: follow, Wait: 100 * time.Millisecond})
+	go func() { done <- w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	g.Eventually(follow.all).Should(Equal([]string{"reset"}))
+	w.Relist()
+	g.Eventually(follow.all).Should(Equal([]string{"reset", "reset"}))
+}
--- a/peering.go
+++ b/peering.go
@@ -18,6 +18,10 @@
 	LeaseVersion int64 `json:"leaseVersion"`
 	// Successor is the daemon that a stopping leader asks to take the lease; its name is empty else.
 	Successor Member `json:"successor"`
+	// Standbys read the store beside the leader, and one of them takes the lease when the leader ends.
+	Standbys []Member `json:"standbys,omitempty"`
+	// MembersVersion counts the changes of the leader's list of members.
+	MembersVersion int64 `json:"membersVersion"`
 	// Changing are the engines that change their role by the leader's orders.
 	Changing []ChangingEngine `json:"changing,omitempty"`
 }
@@ -37,6 +41,15 @@
 	UpMillis int64 `json:"upMillis"`
 	// LinkMegabits is the rate of the daemon's network link in Mbit/s.
 	LinkMegabits float64 `json:"linkMegabits"`
+	Zone         string  `json:"zone"`
+	// Stopping tells that the daemon was told to stop.
+	Stopping bool `json:"stopping,omitempty"`
+	// PlanVersion and UpstreamsPosition are how much the daemon knows.
+	PlanVersion       int64 `json:"planVersion"`
+	UpstreamsPosition int64 `json:"upstreamsPosition"`
+	// ReadMillis is how long ago the daemon itself asked the store for the last answer that it got; negative when it
+	// does not read the store.
+	ReadMillis int64 `json:"readMillis"`
 }
 
 // Member is one incarnation of a daemon.
@@ -52,6 +65,10 @@
 type StateAsk struct {
 	PlanVersion       int64 `json:"planVersion"`
 	UpstreamsPosition int64 `json:"upstreamsPosition"`
+	// Joining is the asking daemon, for a leader that does not know it yet.
+	Joining *HeartbeatReply `json:"joining,omitempty"`
+	// WantMembers asks for the list of members too.
+	WantMembers bool `json:"wantMembers,omitempty"`
 }
 
 // SharedState is what a daemon that does not read the store itself learns from a peer.
@@ -62,6 +79,18 @@
 	Upstreams         []Upstream `json:"upstreams,omitempty"`
 	Removed           []string   `json:"removed,omitempty"`
 	UpstreamsPosition int64      `json:"upstreamsPosition"`
+	// Leader is the live leader that the answering daemon hears; its name is empty when it hears none.
+	Leader Member `json:"leader"`
+	// LeaseVersion and LeaseHolder are the lease's row as the answering daemon last saw it.
+	LeaseVersion int64  `json:"leaseVersion,omitempty"`
+	LeaseHolder  Member `json:"leaseHolder"`
+	// Standbys are those of that leader.
+	Standbys []Member `json:"standbys,omitempty"`
+	// FreshMillis is how long ago the store was asked for this state; negative when that is unknown.
+	FreshMillis int64 `json:"freshMillis"`
+	// Members are the addresses that the answering daemon knows, as of MembersVersion.
+	Members        []string `json:"members,omitempty"`
+	MembersVersion int64    `json:"membersVersion,omitempty"`
 }
 
 // PlacedRun is a placed call that a daemon tells a new leader of.
