feat: eject engines that fail their calls, for all daemons at once

Cause: a decode engine that answers 500 at once, or takes calls and hangs, frees its memory in the leader's books at once and always looks emptiest: it drew ever more calls, while its health was good. The relay passed the 500 on without telling the placer; a failure closed an engine for 0.5 s, and the next prompt read for it, by another engine, cleared it.

Change: a pure package (twejection): one failure takes an engine out for 0.5 s, doubling to 4 s, then one call at a time tries it until one succeeds; failures and successes of calls that were under way change nothing; at most 0.4 of a role's engines are out. The relay tells errors of decode engines, first events that are 0.6 s overdue, and prompts that take more than twice the expected time and 0.6 s, which another engine then reads.

Ruled out: trying a failed call again elsewhere, since it has run.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -31,6 +31,8 @@
 	sends    []turmericwall.Outgoing
 	targets  []string
 	prefill  func(n int) (turmericwall.EngineExport, error)
+	// hanging engines never read a prompt to its end.
+	hanging map[string]bool
 	prefills int
 	full     map[string]bool
 	// silent engines answer no reservation.
@@ -48,7 +50,11 @@
 	return u.send(ctx, to, call)
 }
 
-func (u *upstreams) Prefill(context.Context, turmericwall.Upstream, turmericwall.Outgoing) (turmericwall.EngineExport, error) {
+func (u *upstreams) Prefill(ctx context.Context, to turmericwall.Upstream, _ turmericwall.Outgoing) (turmericwall.EngineExport, error) {
+	if u.hanging[to.ID] {
+		<-ctx.Done()
+		return turmericwall.EngineExport{}, &turmericwall.SendError{Sent: true, Err: ctx.Err()}
+	}
 	u.mu.Lock()
 	u.prefills++
 	n := u.prefills
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -17,6 +17,10 @@
 	// reserveLimit ends a reservation that is not answered: thirty times what it takes, and less than a third of the usual
 	// target, so that another engine can still be on time.
 	reserveLimit = 300 * time.Millisecond
+	// readSlack is how much longer than twice the expected time reading a prompt may take before another engine reads it.
+	readSlack = 600 * time.Millisecond
+	// stallSpan is how long after its send a first event may be missing before the engine is told to hang.
+	stallSpan = 600 * time.Millisecond
 	// cleanupLimit bounds the calls that free what a failed try left at an engine.
 	cleanupLimit = time.Second
 	// fullRetry is when a caller may come back after engines refused by surprise: one answer's time is unknown here.
@@ -105,6 +109,8 @@
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
 		return true, refuseLater(errNoBudget)
 	}
+	a.stall = r.watchStall(p, a.service.Name)
+	defer a.stall.Stop()
 	answer, err := r.config.Upstreams.Send(ctx, p.Decode, out)
 	if err != nil {
 		return r.sendFailed(ctx, p, err, &end, avoid)
@@ -112,6 +118,18 @@
 	return true, r.stream(ctx, a, p, answer, &end)
 }
 
+// watchStall tells the placer when the decode engine gives no first event. The call may run there and can't be sent again,
+// but others need not follow it.
+func (r *Relay) watchStall(p turmericwall.Placement, service string) *time.Timer {
+	wait := stallSpan
+	if p.Prefill.ID == "" {
+		wait += 2 * max(time.Until(p.ReadDeadline), 0)
+	}
+	return time.AfterFunc(wait, func() {
+		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: p.ID, Service: service, Running: true, Failed: p.Decode.ID})
+	})
+}
+
 var (
 	errNoRoom   = errors.New("the engine has no memory left")
 	errLeaving  = errors.New("the engine is leaving")
@@ -180,6 +198,8 @@
 	if a.read && !r.mayTry(a) {
 		return turmericwall.EngineExport{}, errNoBudget
 	}
+	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.ReadDeadline), 0)+readSlack)
+	defer cancel()
 	export, err := r.config.Upstreams.Prefill(ctx, p.Prefill, turmericwall.Outgoing{Call: a.call, Deadline: out.Deadline, Priority: out.Priority})
 	if err != nil && !a.read {
 		r.noteTry(a)
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -92,6 +92,8 @@
 	reason   string
 	// model is how a model call went.
 	model progress
+	// stall fires when the engine gives no first event.
+	stall *time.Timer
 }
 
 // progress is how a model call went, in milliseconds since the call was read; 0 for what did not happen.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -37,6 +37,9 @@
 		return settled(&turmericwall.SendError{Sent: true, Err: errEncoded})
 	}
 	if answer.Status >= http.StatusMultipleChoices {
+		if answer.Status >= http.StatusInternalServerError {
+			end.Failed = p.Decode.ID
+		}
 		buffered, whole, err := buffer(answer)
 		if err != nil {
 			return settled(err)
@@ -137,6 +140,7 @@
 	model := &s.attempt.model
 	if s.began.IsZero() {
 		s.began = now
+		s.attempt.stall.Stop()
 		model.first = s.attempt.since()
 		s.tellRead()
 	} else {
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/placement/twcost"
+	"github.com/turmericwall/turmericwall/internal/placement/twejection"
 	"github.com/turmericwall/turmericwall/internal/placement/twpauses"
 )
 
@@ -83,6 +84,8 @@
 	readersShort, answerersShort shortage
 	// cost is what calls take of the engines.
 	cost *twcost.Cost
+	// ejections tell which engines failed their calls.
+	ejections *twejection.Ejections
 	// invited are the times at which callers that were turned away may come back.
 	invited []time.Time
 }
@@ -119,6 +122,7 @@
 	return &Books{
 		tuning: tuning, engines: make(map[string]*engine), places: make(map[string]string),
 		callers: newCallers(), pauses: twpauses.New(), keptShare: firstKept, cost: twcost.New(),
+		ejections: twejection.New(),
 		bestSpeed: firstReadPerMilli, answerSpeed: firstTokensPerMilli, readSpeed: firstReadPerMilli,
 	}
 }
@@ -233,9 +237,11 @@
 		e.refusals = min(e.refusals+1, 4)
 		e.closedUntil = now.Add(millis(b.tuning.ClosedMillis * float64(e.refusals)))
 	}
-	if e, ok := b.engines[end.Failed]; ok {
-		e.refusals = min(e.refusals+1, 4)
-		e.closedUntil = now.Add(millis(500 * float64(e.refusals)))
+	if _, ok := b.engines[end.Failed]; ok {
+		b.ejections.Failed(now, end.Failed)
+	}
+	if at, ok := b.places[end.ID]; ok && end.AnswerTokens > 0 && end.Failed == "" {
+		b.ejections.Succeeded(now, at)
 	}
 	if end.AnswerMillis > minMeasuredMillis && end.AnswerTokens > 0 {
 		b.answered(end)
@@ -280,6 +286,7 @@
 	for run := range e.runs {
 		delete(b.places, run)
 	}
+	b.ejections.Forget(id)
 	delete(b.engines, id)
 }
 
--- a/internal/placement/twbooks/choose.go
+++ b/internal/placement/twbooks/choose.go
@@ -93,7 +93,7 @@
 const readerZoneShare = 0.1
 
 func (b *Books) open(now time.Time, e *engine, ask turmericwall.PlaceAsk) bool {
-	if e.upstream.Leaving || now.Before(e.closedUntil) {
+	if e.upstream.Leaving || e.ejected || now.Before(e.closedUntil) {
 		return false
 	}
 	for _, id := range ask.Avoid {
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -69,6 +69,8 @@
 	}
 	sortByID(st.prefills)
 	sortByID(st.decodes)
+	b.eject(now, st.prefills)
+	b.eject(now, st.decodes)
 	for _, e := range st.decodes {
 		if e.projected == nil || now.Sub(e.projected.origin) > projectionSpan {
 			e.projected = e.project(now, b.answerSpeedOf(e), b.tuning.LengthQuantile)
@@ -86,6 +88,29 @@
 	return st
 }
 
+// maxEjectedShare is the part of the engines of one role that may be ejected: when more fail, it is not the engines that are
+// at fault, and the others could not carry the load.
+const maxEjectedShare = 0.4
+
+// eject marks the engines that get no call because calls failed there.
+func (b *Books) eject(now time.Time, engines []*engine) {
+	left := int(maxEjectedShare * float64(len(engines)))
+	for _, e := range engines {
+		e.ejected = left > 0 && b.ejections.Out(now, e.upstream.ID)
+		if e.ejected {
+			left--
+		}
+	}
+}
+
+// tried notes that calls are placed on the engines: an ejected one gets one at a time.
+func (b *Books) tried(now time.Time, engines ...*engine) {
+	for _, e := range engines {
+		b.ejections.Tried(now, e.upstream.ID)
+		e.ejected = e.ejected || b.ejections.Out(now, e.upstream.ID)
+	}
+}
+
 // passed is how many milliseconds lie between the projection's origin and now.
 func (p *projection) passed(now time.Time) float64 { return float64(now.Sub(p.origin).Milliseconds()) }
 
@@ -190,6 +215,7 @@
 	st.used += added.at(added.end, decode.projected.speed)
 	decode.taken += added.at(added.end, decode.projected.speed)
 	b.places[ask.ID] = decode.upstream.ID
+	b.tried(st.now, decode, reader)
 	length := expectedLength(ask.Work.HintTokens, ask.Work.MaxTokens, 0, b.tuning.ReserveQuantile)
 	placement := turmericwall.Placement{
 		ID: ask.ID, Decode: decode.upstream, ReserveTokens: ask.Work.PromptTokens + int(length),
--- a/internal/placement/twbooks/engine.go
+++ b/internal/placement/twbooks/engine.go
@@ -57,7 +57,9 @@
 	answerSpeed float64
 	// readAt is when the engine last finished a prompt.
 	readAt time.Time
-	// closedUntil is when the engine may be tried again after it refused or failed.
+	// ejected tells that the engine gets no call in this step because calls failed there.
+	ejected bool
+	// closedUntil is when the engine may be tried again after it refused for want of memory.
 	closedUntil time.Time
 	refusals    int
 	// taken is the memory that all runs placed here so far needed, in tokens.
--- a/internal/placement/twbooks/speeds.go
+++ b/internal/placement/twbooks/speeds.go
@@ -52,6 +52,7 @@
 	if !ok {
 		return
 	}
+	b.ejections.Succeeded(now, r.readBy)
 	speed := b.speed(now, reader)
 	if !b.partial {
 		if reader.upstream.Role == turmericwall.RolePrefill && reader.readAt.After(r.placedAt) {
