feat: let callers that come back late wait for a reader

Cause: a late caller that came back was refused when, by the runs' ends, memory would not be free for it within 1.5 s, although a third of the memory was taken and it waited for an engine that reads its prompt. It has no further attempt: the refusal lost it for good. Mostly large prompts were hit. The reason named memory all the same.

Change: while the decode engines' memory is less than 0.8 taken, such a caller waits for a reader, up to 3 s. The reason tells reading from memory. Log lines of calls without a route no longer tell what is left of no deadline.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -26,13 +26,13 @@
 
 // upstreams plays all upstreams and counts what reaches them.
 type upstreams struct {
-	mu       sync.Mutex
-	send     sendFunc
-	sends    []turmericwall.Outgoing
-	targets  []string
-	prefill  func(n int) (turmericwall.EngineExport, error)
+	mu      sync.Mutex
+	send    sendFunc
+	sends   []turmericwall.Outgoing
+	targets []string
+	prefill func(n int) (turmericwall.EngineExport, error)
 	// hanging engines never read a prompt to its end.
-	hanging map[string]bool
+	hanging  map[string]bool
 	prefills int
 	full     map[string]bool
 	// silent engines answer no reservation.
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -210,7 +210,10 @@
 	entry := r.config.Recorder.Record(event).Str("request", a.call.ID).Str("result", outcome.Result).
 		Str("route", a.route.Name).Str("service", a.service.Name).Int("planVersion", a.version).
 		Int("upstreamsVersion", r.config.View.Version()).Str("upstream", a.upstream).Int("tries", int64(a.tries)).
-		Int("millis", outcome.Millis).Int("millisLeft", time.Until(a.deadline).Milliseconds())
+		Int("millis", outcome.Millis)
+	if !a.deadline.IsZero() {
+		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
+	}
 	if a.service.Engine != nil {
 		entry = entry.Str("reason", a.reason).Str("reader", a.model.reader).
 			Int("late", flag(a.model.late)).Int("expectedReadMillis", a.model.expected).
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -44,7 +44,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		LengthQuantile: 0.4, Deviations: 1.2, MemoryShare: 0.95, ReserveQuantile: 0.05, StartMarginMillis: 60,
-		OwnReadSlowdown: 2, GapShare: 0.8, LateReadWaitMillis: 100, LateShare: 0.8, WaitMillis: 1000, LateWaitMillis: 1500, ClosedMillis: 100,
+		OwnReadSlowdown: 2, GapShare: 0.8, LateReadWaitMillis: 100, LateShare: 0.8, WaitMillis: 1000, LateWaitMillis: 3000, ClosedMillis: 100,
 	}
 }
 
@@ -97,6 +97,8 @@
 	returned bool
 	// late tells that the first event can't be on time any more.
 	late bool
+	// unread tells that the last decision found no engine that reads the prompt in time.
+	unread bool
 }
 
 // Verdict turns one call away.
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -150,7 +150,8 @@
 		return placement, true
 	}
 	reader, toRead := b.reader(st, w.ask)
-	if reader != nil && b.onTime(st.now, w, toRead) {
+	w.unread = reader == nil || !b.onTime(st.now, w, toRead)
+	if !w.unread {
 		if decode := b.anyDecoder(st, w.ask, reader, toRead); decode != nil {
 			return b.take(st, w, decode, reader, toRead), true
 		}
--- a/internal/placement/twbooks/refuse.go
+++ b/internal/placement/twbooks/refuse.go
@@ -38,16 +38,24 @@
 		latest = w.ask.GiveUpDeadline
 	}
 	room := st.roomAt(ahead)
+	if w.late && w.returned && st.fill() <= b.tuning.LateShare {
+		// The call waits for its prompt to be read, not for memory.
+		room = st.now
+	}
 	if !room.After(latest) && st.now.Before(latest) {
 		return Verdict{}, false
 	}
-	return Verdict{ID: w.ask.ID, Reason: st.reason(ahead, room), RetryAt: b.invite(st, w, room)}, true
+	return Verdict{ID: w.ask.ID, Reason: st.reason(w, ahead, room), RetryAt: b.invite(st, w, room)}, true
 }
 
 // reason says what decided a refusal, for the log and the caller.
-func (s *step) reason(ahead int, room time.Time) string {
-	return fmt.Sprintf("no engine has memory in time: %.0f%% taken by %d runs, %d calls wait before, room in %d ms",
-		100*s.fill(), len(s.ends), ahead, room.Sub(s.now).Milliseconds())
+func (s *step) reason(w *waiter, ahead int, room time.Time) string {
+	missing := "no engine has memory in time"
+	if w.unread {
+		missing = "no engine reads the prompt in time"
+	}
+	return fmt.Sprintf("%s: %.0f%% taken by %d runs, %d calls wait before, room in %d ms",
+		missing, 100*s.fill(), len(s.ends), ahead, room.Sub(s.now).Milliseconds())
 }
 
 // roomAt is when so many runs will have ended that a call behind so many others has a place.
