feat: pack a whole list of upstreams once for all that ask

Cause: now that starting daemons learn from seeds, each answer encoded the whole list of upstreams anew; before 3,000 engines that is half a megabyte for each of 300 daemons in the same second. Change: the list is packed once for each position, like the routes, and the view lists its upstreams once for each change.

Test: a list of 3,000 upstreams travels in less than 64 KB, and a newer one is packed anew.

--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -55,9 +55,13 @@
 	if err := c.call(ctx, address, pathState, ask, &got); err != nil {
 		return turmericwall.SharedState{}, err
 	}
-	plan, err := unpack(got.PackedPlan)
-	got.Plan = plan
-	return got.SharedState, err
+	if err := unpack("plan", got.PackedPlan, &got.Plan); err != nil {
+		return turmericwall.SharedState{}, err
+	}
+	if err := unpack("upstreams", got.PackedUpstreams, &got.Upstreams); err != nil {
+		return turmericwall.SharedState{}, err
+	}
+	return got.SharedState, nil
 }
 
 // Place asks the leader for a place and waits for its decision.
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -73,8 +73,9 @@
 	}
 }
 
-// wireState is the state with its plan packed.
+// wireState is the state with its plan and a whole list of upstreams packed.
 type wireState struct {
 	turmericwall.SharedState
-	PackedPlan []byte `json:"packedPlan,omitempty"`
+	PackedPlan      []byte `json:"packedPlan,omitempty"`
+	PackedUpstreams []byte `json:"packedUpstreams,omitempty"`
 }
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -113,6 +114,30 @@
 	g.Expect(err).To(MatchError(ContainSubstring("unpack the plan")))
 }
 
+// All daemons start at once and ask for all upstreams; encoded for each, the list fills the memory and link of the one that
+// answers.
+func TestAWholeListOfUpstreamsIsPackedOnce(t *testing.T) {
+	g := NewWithT(t)
+	state := turmericwall.SharedState{UpstreamsPosition: 9}
+	for n := range 3000 {
+		state.Upstreams = append(state.Upstreams, turmericwall.Upstream{ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), Zone: "z"})
+	}
+	address := serve(t, twpeerhttp.Config{State: func(turmericwall.StateAsk) turmericwall.SharedState { return state }})
+	response, err := http.Post("http://"+address+"/peer/state", "application/json", strings.NewReader("{}"))
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(body)).To(BeNumerically("<", 64<<10))
+	learned, err := twpeerhttp.NewClient().State(context.Background(), address, turmericwall.StateAsk{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(learned.Upstreams).To(Equal(state.Upstreams))
+	state.UpstreamsPosition, state.Upstreams = 10, state.Upstreams[:1]
+	learned, err = twpeerhttp.NewClient().State(context.Background(), address, turmericwall.StateAsk{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(learned.Upstreams).To(HaveLen(1), "a newer list is packed anew")
+}
+
 func TestUnreadableMessagesAreRefused(t *testing.T) {
 	g := NewWithT(t)
 	address := serve(t, twpeerhttp.Config{})
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -33,9 +33,14 @@
 	config Config
 	mux    *http.ServeMux
 	mu     sync.Mutex
-	// plan was packed as packed.
-	plan   *turmericwall.RoutePlan
-	packed []byte
+	// plan is the newest plan, packed, and upstreams the newest list of all upstreams.
+	plan, upstreams packed
+}
+
+// packed is a message in the form in which it travels, and what it was made from.
+type packed struct {
+	key   any
+	bytes []byte
 }
 
 // NewServer returns a handler.
@@ -65,55 +70,67 @@
 		return
 	}
 	state := s.config.State(ask)
-	packed, err := s.pack(state.Plan)
+	answer := wireState{SharedState: state}
+	err := s.pack(&answer)
 	if err != nil {
-		http.Error(w, "the plan can't be encoded: "+err.Error(), http.StatusInternalServerError)
+		http.Error(w, "the state can't be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
 	}
-	state.Plan = nil
-	write(w, wireState{SharedState: state, PackedPlan: packed})
+	write(w, answer)
 }
 
-// pack returns the plan's packed bytes, the same ones for all peers.
+// pack replaces the plan and a whole list of upstreams by packed bytes, the same ones for all peers.
 //
-// All daemons ask for a new plan in the same moment. Encoded for each of 75, a plan of many routes took the leader to
-// 89 MB of 112; shared, it is held once. Unpacked, it filled the leader's link of 10 Mbit/s for a second, in which no
-// heartbeat came through; packed, it takes a tenth of that.
-func (s *Server) pack(plan *turmericwall.RoutePlan) ([]byte, error) {
-	if plan == nil {
-		return nil, nil
-	}
+// All daemons ask in the same moment. Encoded for each, the state takes the leader's memory and processor, and
+// unpacked it fills links on which heartbeats have to come through.
+func (s *Server) pack(answer *wireState) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.plan == plan {
-		return s.packed, nil
+	if answer.Plan != nil {
+		if err := s.plan.take(answer.Plan, answer.Plan); err != nil {
+			return err
+		}
+		answer.PackedPlan, answer.Plan = s.plan.bytes, nil
+	}
+	if !answer.Partial && len(answer.Upstreams) > 0 {
+		if err := s.upstreams.take(answer.UpstreamsPosition, answer.Upstreams); err != nil {
+			return err
+		}
+		answer.PackedUpstreams, answer.Upstreams = s.upstreams.bytes, nil
+	}
+	return nil
+}
+
+// take packs the message unless it was packed under the same key.
+func (p *packed) take(key, message any) error {
+	if p.key == key {
+		return nil
 	}
-	var packed bytes.Buffer
-	writer := gzip.NewWriter(&packed)
-	if err := json.NewEncoder(writer).Encode(plan); err != nil {
-		return nil, err
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if err := json.NewEncoder(writer).Encode(message); err != nil {
+		return err
 	}
 	if err := writer.Close(); err != nil {
-		return nil, err
+		return err
 	}
-	s.plan, s.packed = plan, packed.Bytes()
-	return s.packed, nil
+	p.key, p.bytes = key, buffer.Bytes()
+	return nil
 }
 
-// unpack reads a packed plan of at most maxMessage bytes.
-func unpack(packed []byte) (*turmericwall.RoutePlan, error) {
+// unpack reads a packed part of a message, of at most maxMessage bytes; without bytes it leaves into as it is.
+func unpack(part string, packed []byte, into any) error {
 	if len(packed) == 0 {
-		return nil, nil
+		return nil
 	}
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, fmt.Errorf("unpack the plan: %w", err)
+		return fmt.Errorf("unpack the %s: %w", part, err)
 	}
-	plan := &turmericwall.RoutePlan{}
-	if err := json.NewDecoder(io.LimitReader(reader, maxMessage)).Decode(plan); err != nil {
-		return nil, fmt.Errorf("decode the plan: %w", err)
+	if err := json.NewDecoder(io.LimitReader(reader, maxMessage)).Decode(into); err != nil {
+		return fmt.Errorf("decode the %s: %w", part, err)
 	}
-	return plan, nil
+	return nil
 }
 
 func (s *Server) place(w http.ResponseWriter, request *http.Request) {
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -31,6 +31,8 @@
 	mu       sync.RWMutex
 	entries  map[string]*entry
 	services map[string][]turmericwall.Upstream
+	// all lists all upstreams by id; nil after a change until it is asked for.
+	all []turmericwall.Upstream
 	// known is set by the first listing.
 	known bool
 	// away is set while the registry can't be read.
@@ -244,18 +246,26 @@
 	return v.services[service]
 }
 
-// All returns all upstreams, ordered by id.
+// All returns all upstreams, ordered by id. The slice is shared and never changed.
 func (v *View) All() []turmericwall.Upstream {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	all := make([]turmericwall.Upstream, 0, len(v.entries))
-	for _, e := range v.entries {
-		all = append(all, e.upstream)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	_, all := v.Whole()
 	return all
 }
 
+// Whole returns the position and all upstreams as of it, ordered by id. The slice is shared and never changed.
+func (v *View) Whole() (position int64, all []turmericwall.Upstream) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.all == nil {
+		v.all = make([]turmericwall.Upstream, 0, len(v.entries))
+		for _, e := range v.entries {
+			v.all = append(v.all, e.upstream)
+		}
+		sort.Slice(v.all, func(i, j int) bool { return v.all[i].ID < v.all[j].ID })
+	}
+	return v.position, v.all
+}
+
 // Takes tells that the incarnation is still known and takes new work.
 func (v *View) Takes(key turmericwall.UpstreamKey) bool {
 	v.mu.RLock()
@@ -287,6 +297,7 @@
 }
 
 func (v *View) rebuild() {
+	v.all = nil
 	services := make(map[string][]turmericwall.Upstream, len(v.services))
 	for _, e := range v.entries {
 		services[e.upstream.Service] = append(services[e.upstream.Service], e.upstream)
