fix: doubt an engine whose export lapsed in place of ejecting it

Cause: an import that is refused may be the fault of the engine that read the prompt, of its export's short life, or of the engine that answers. The reader was reported as failing, and ejections grow and outlast successes of other calls: while handles lapse, readers would be out for seconds. Change: such an engine is only doubted, and left alone for 0.5 s as before ejections came.

--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -149,7 +149,7 @@
 	case sent.NotRun && !sent.Gone && p.Prefill.ID != "":
 		// Either the export lapsed, or the decode engine takes no work though it granted the reservation. Both are
 		// left alone for this call; the one that works is cleared by its next success.
-		end.Full, end.Failed = p.Decode.ID, p.Prefill.ID
+		end.Full, end.Doubted = p.Decode.ID, p.Prefill.ID
 		*avoid = append(*avoid, p.Prefill.ID, p.Decode.ID)
 	case sent.NotRun && !sent.Gone:
 		end.Full = p.Decode.ID
--- a/internal/placement/twbooks/books.go
+++ b/internal/placement/twbooks/books.go
@@ -38,13 +38,15 @@
 	LateWaitMillis float64
 	// ClosedMillis is how long an engine that refused for want of memory is left alone.
 	ClosedMillis float64
+	// DoubtedMillis is how long an engine that may have failed a call is left alone.
+	DoubtedMillis float64
 }
 
 // DefaultTuning returns the limits in use.
 func DefaultTuning() Tuning {
 	return Tuning{
 		LengthQuantile: 0.4, Deviations: 1.2, MemoryShare: 0.95, ReserveQuantile: 0.05, StartMarginMillis: 60,
-		OwnReadSlowdown: 2, GapShare: 0.8, LateReadWaitMillis: 100, LateShare: 0.8, WaitMillis: 1000, LateWaitMillis: 3000, ClosedMillis: 100,
+		OwnReadSlowdown: 2, GapShare: 0.8, LateReadWaitMillis: 100, LateShare: 0.8, WaitMillis: 1000, LateWaitMillis: 3000, ClosedMillis: 100, DoubtedMillis: 500,
 	}
 }
 
@@ -239,6 +241,9 @@
 		e.refusals = min(e.refusals+1, 4)
 		e.closedUntil = now.Add(millis(b.tuning.ClosedMillis * float64(e.refusals)))
 	}
+	if e, ok := b.engines[end.Doubted]; ok {
+		e.closedUntil = now.Add(millis(b.tuning.DoubtedMillis))
+	}
 	if _, ok := b.engines[end.Failed]; ok {
 		b.ejections.Failed(now, end.Failed)
 	}
--- a/internal/placement/twbooks/ejection_test.go
+++ b/internal/placement/twbooks/ejection_test.go
@@ -66,3 +66,17 @@
 	}
 	g.Expect(len(used)).To(BeNumerically(">=", 12))
 }
+
+// Exports lapse one after the other, and the only reader that can be on time is out for seconds.
+func TestADoubtedEngineIsSoonUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := books(1, 2)
+	for millis := 0; millis < 2000; millis += 100 {
+		b.News(start.Add(time.Duration(millis)*time.Millisecond), turmericwall.PlacementEnd{ID: "none", Doubted: "p00"})
+	}
+	at := start.Add(2500 * time.Millisecond)
+	b.Ask(at, ask("call", at, 500, 300))
+	placed := b.Decide(at).Placed
+	g.Expect(placed).To(HaveLen(1))
+	g.Expect(placed[0].Prefill.ID).To(Equal("p00"))
+}
--- a/placements.go
+++ b/placements.go
@@ -52,6 +52,8 @@
 	Full string
 	// Failed names the engine that failed the call.
 	Failed string
+	// Doubted names an engine that may have failed the call, if another one did not.
+	Doubted string
 	// Running tells that the call goes on.
 	Running bool
 	// PromptRead tells that the prompt was read, PromptMillis how long that took.
