--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -90,8 +90,8 @@
 
 // Told takes the row's version as its holder tells it.
 //
-// The row must stay unchanged for silentSpan before another daemon takes it. Counted from the first read after the holder
-// fell silent, that lasted 0.7 s longer, in which all daemons placed calls alone.
+// The row must stay unchanged for silentSpan before another daemon takes it, counted from the holder's last news and not
+// from the first read after it fell silent.
 func (l *Lease) Told(now twboottime.Moment, version int64, holder turmericwall.Member) {
 	if l.fence != 0 || version <= l.version {
 		return
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -175,10 +175,8 @@
 	return nil
 }
 
-// adapt shortens the wait of the next read by what the store takes to answer, so that a read is over in the same time.
-//
-// With a store that takes 240 ms an answer, what the leader knew was over 1.3 s old at times, and all 75 daemons read the
-// store by themselves: 400 calls a second to a store that was slow already.
+// adapt shortens the wait of the next read by what the store takes to answer, so that a read is over in the same time:
+// what the leader knows must not grow stale with a slow store.
 func (w *Watch) adapt(answer time.Duration) {
 	w.wait = max(w.config.Wait-max(answer, 0), leastWait)
 }
