test: cut half of the daemons off from the store, standbys first

Cause: the test of replaced standbys let every daemon say that it reads the store, so that the leader found one at once. Change: its daemons read only as leader or standby, as the source decides; beside it, twenty daemons of which the leader, its standbys and half of the others are cut off, three seeds: all are informed again within five seconds and stay so. No code but tests.

--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -163,7 +163,10 @@
 	blind bool
 	// cutAt is when this daemon lost its way to the store.
 	cutAt time.Time
-	away  *twaway.Away
+	// reluctant daemons read the store only as the leader or as a standby; readLast is when this one last did.
+	reluctant bool
+	readLast  time.Time
+	away      *twaway.Away
 }
 
 func (d *daemon) readAt() time.Time {
@@ -175,7 +178,11 @@
 	if !d.cutAt.IsZero() {
 		return d.cutAt
 	}
-	return time.Now()
+	if _, leading := d.election.Holds(); d.reluctant && !leading && d.cluster.StandbyRank() < 0 {
+		return d.readLast
+	}
+	d.readLast = time.Now()
+	return d.readLast
 }
 
 func (d *daemon) lost() []string {
--- a/internal/membership/twcluster/standbys_test.go
+++ b/internal/membership/twcluster/standbys_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +23,49 @@
 	d.cutAt = time.Now()
 }
 
+func (d *daemon) setReluctant() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reluctant = true
+}
+
+// The store turns the leader, its standbys and half of all others away; daemons are informed again only by luck.
+func TestAllAreInformedWhileHalfAreCutOffFromTheStore(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 5))
+			s, n, a := withLeader(t, g)
+			var others []*daemon
+			for i := range 20 {
+				d := start(t, s, n, fmt.Sprint("d", i))
+				d.setReluctant()
+				others = append(others, d)
+			}
+			g.Eventually(a.cluster.Daemons, patience).Should(Equal(21))
+			a.cutOff()
+			for _, d := range others {
+				if d.cluster.StandbyRank() >= 0 || random.IntN(2) == 0 {
+					d.cutOff()
+				}
+			}
+			informed := func() int {
+				count := 0
+				for _, d := range others {
+					if d.cluster.Informed() {
+						count++
+					}
+				}
+				return count
+			}
+			g.Eventually(informed, "5s").Should(BeNumerically("<", 20), "the cut must be felt")
+			g.Eventually(informed, "5s").Should(Equal(20))
+			g.Consistently(informed, "3s").Should(Equal(20))
+		})
+	}
+}
+
 func standbys(d *daemon) func() []string {
 	return func() []string {
 		var names []string
@@ -61,6 +106,7 @@
 	daemons := make(map[string]*daemon)
 	for _, name := range []string{"b", "c", "d", "e", "f"} {
 		daemons[name] = start(t, s, n, name)
+		daemons[name].setReluctant()
 	}
 	g.Eventually(standbys(daemons["f"]), patience).ShouldNot(BeEmpty())
 	g.Eventually(a.cluster.Daemons, patience).Should(Equal(6))
