feat: keep client accounts within their quotas over all daemons

Cause: nothing counted what an account used.

Change: twquota. The leader holds a token bucket for each account. Model calls ask the leader for a place anyway and are charged there before they wait; a refused or unexecuted one is given back. Other calls are charged where they come in, against the levels in the leader's heartbeats, and reported in the replies as sums since the daemon's start, so that a lost or repeated reply counts once. Without a leader a daemon has its part of the rate, and of the burst with all that may run over the quota; the leader leaves the parts of daemons that don't answer it to them. A new leader goes on at the last levels it heard. 429 names the time at which that account's next call of that size can run, one caller after the other.

Ruled out: equal shares for each daemon (with 82 daemons a part of 30,000 tokens a second is 366, and one model call has 3,400); asking the leader for each plain call (183 a second more messages, and none served without it); levels alone, for model calls too: an account that asks four times its rate runs 1.7 of its rate more in the 0.4 s that a count is old.

--- a/clients.go
+++ b/clients.go
@@ -35,3 +35,24 @@
 	}
 	return float64(work.PromptTokens) + float64(work.MaxTokens)
 }
+
+// QuotaMeter counts what client accounts use, and refuses what is over their quotas.
+type QuotaMeter interface {
+	// Charge takes what a call counts as from its account's quota. The error is a *Problem that says when to come back.
+	Charge(account string, units float64) error
+	// Refund gives back what was taken for a call that did not run.
+	Refund(account string, units float64)
+}
+
+// AccountUse is what one daemon counted of an account's calls by itself, since the daemon's start.
+type AccountUse struct {
+	Account string `json:"account"`
+	Units   int64  `json:"units"`
+}
+
+// AccountLevel is what is left of an account's quota.
+type AccountLevel struct {
+	Account string `json:"account"`
+	// Units may be negative: what is used at the same time at many daemons is counted after it.
+	Units int64 `json:"units"`
+}
--- /dev/null
+++ b/internal/admission/twquota/meter.go
@@ -0,0 +1,342 @@
+// Package twquota keeps client accounts within their quotas over all daemons together.
+//
+// The leader holds one bucket for each account. Calls that ask it for a place are charged there, exactly. The others are
+// charged where they come in, against the levels that the leader's heartbeats carry, and reported with the replies. A
+// daemon without a leader has its part of each rate; the leader gives up the parts of daemons that don't answer it.
+package twquota
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+const (
+	// listedShare is the level, as a part of the capacity, below which an account is listed in heartbeats.
+	listedShare = 0.75
+	// restartedShare is the part of a capacity that a leader starts with that knows no level from before it.
+	restartedShare = 0.5
+	// unknownDaemons stands for the number of daemons while it is unknown.
+	unknownDaemons = 100
+	// youngSpan is the age up to which all that a daemon has counted is taken as recent.
+	youngSpan = 8 * time.Second
+	// reportSpan is how long an account is reported after its last call: replies may be lost.
+	reportSpan = 5 * time.Second
+	// countSpan is how long a count of the daemons is used.
+	countSpan = 100 * time.Millisecond
+	// maxReturn bounds the time to come back.
+	maxReturn = 5 * time.Second
+)
+
+// Config says what a meter works with.
+type Config struct {
+	// Account returns an account of the plan in force.
+	Account func(name string) (turmericwall.ClientAccount, bool)
+	// Leading tells that this daemon is the leader, and Led that it hears one.
+	Leading func() bool
+	Led     func() bool
+	// Daemons is the number of live daemons, 0 while it is unknown. Absent is how many more the leader heard of lately.
+	Daemons func() int
+	Absent  func() int
+	// WindowSeconds, Overage and Slack bound what may run over a quota, over all daemons: in any such window as much as the
+	// quota allows, a share of that, and the slack in units.
+	WindowSeconds, Overage, Slack float64
+	// Restarted tells that daemons ran before this one, so that an unknown level may be low.
+	Restarted bool
+	// Now is the time by the steady clock.
+	Now func() time.Time
+}
+
+// Meter is one daemon's part in the count.
+type Meter struct {
+	config Config
+	mu     sync.Mutex
+	// shared are the buckets of all daemons, while this one is the leader.
+	shared map[string]*bucket
+	// own are this daemon's buckets while it has no leader.
+	own map[string]*bucket
+	// heard are the levels of the last leader that was heard.
+	heard map[string]level
+	// used is what this daemon counted by itself.
+	used map[string]*use
+	// reported is what other daemons had counted when they last replied, by incarnation and account.
+	reported map[string]map[string]int64
+	// last is the situation at the last look.
+	last situation
+}
+
+// situation is this daemon's part, and how many others there are. It is asked for without the lock: those who know it call
+// the meter while they hold theirs.
+type situation struct {
+	now     time.Time
+	leading bool
+	led     bool
+	daemons int
+	absent  int
+	// countedAt is when the daemons were counted.
+	countedAt time.Time
+}
+
+type level struct {
+	units float64
+	at    time.Time
+}
+
+type use struct {
+	units float64
+	at    time.Time
+}
+
+// New returns a meter that has counted nothing.
+func New(config Config) *Meter {
+	return &Meter{
+		config: config, shared: make(map[string]*bucket), own: make(map[string]*bucket), heard: make(map[string]level),
+		used: make(map[string]*use), reported: make(map[string]map[string]int64),
+	}
+}
+
+// Charge takes units from the account's quota. The error is a *Problem that says when to come back.
+func (m *Meter) Charge(account string, units float64) error {
+	found, ok := m.config.Account(account)
+	if !ok || !found.Quota.Limits() || units <= 0 {
+		return nil
+	}
+	s := m.look()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(s)
+	switch {
+	case s.leading:
+		return m.chargeShared(s, found, units)
+	case s.led:
+		return m.chargeLed(s.now, found, units)
+	default:
+		return m.chargeAlone(s, found, units)
+	}
+}
+
+// Refund gives units back for a call that did not run.
+func (m *Meter) Refund(account string, units float64) {
+	found, ok := m.config.Account(account)
+	if !ok || !found.Quota.Limits() || units <= 0 {
+		return
+	}
+	s := m.look()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(s)
+	if s.leading {
+		m.sharedBucket(s, found).level += units
+		return
+	}
+	m.count(s.now, account, -units)
+	if b, ok := m.own[account]; ok && !s.led {
+		b.level += units
+	}
+}
+
+// look asks for the situation. The daemons are counted anew only now and then: a leader of hundreds is asked often.
+func (m *Meter) look() situation {
+	s := situation{now: m.config.Now(), leading: m.config.Leading(), led: m.config.Led()}
+	m.mu.Lock()
+	last := m.last
+	m.mu.Unlock()
+	if s.leading == last.leading && s.now.Sub(last.countedAt) < countSpan {
+		s.daemons, s.absent, s.countedAt = last.daemons, last.absent, last.countedAt
+		return s
+	}
+	s.daemons, s.countedAt = m.config.Daemons(), s.now
+	if s.leading {
+		s.absent = m.config.Absent()
+	}
+	return s
+}
+
+// observe takes a change of this daemon's part; the lock is held.
+func (m *Meter) observe(s situation) {
+	if s.leading && !m.last.leading {
+		m.shared = make(map[string]*bucket)
+		m.reported = make(map[string]map[string]int64)
+	}
+	if !s.leading && !s.led && (m.last.leading || m.last.led) {
+		m.own = make(map[string]*bucket)
+	}
+	m.last = s
+}
+
+// chargeShared takes units as the leader; the lock is held.
+func (m *Meter) chargeShared(s situation, account turmericwall.ClientAccount, units float64) error {
+	b := m.sharedBucket(s, account)
+	if b.level < min(units, b.capacity) {
+		return overLimit(account, b.invite(s.now, account.Quota.PerSecond, units))
+	}
+	b.level -= units
+	return nil
+}
+
+// sharedBucket is the account's bucket of all daemons, as of now; the lock is held.
+//
+// The part of daemons that don't answer is left to them: they may be cut off, and go on with their parts of the rate.
+func (m *Meter) sharedBucket(s situation, account turmericwall.ClientAccount) *bucket {
+	capacity := capacityOf(account.Quota)
+	b, ok := m.shared[account.Name]
+	if !ok {
+		b = &bucket{level: m.startLevel(account, capacity), capacity: capacity}
+		m.shared[account.Name] = b
+	}
+	b.refill(s.now, account.Quota.PerSecond*s.presentShare(), capacity)
+	return b
+}
+
+// startLevel is what a new leader takes to be left. What has flowed in since the last leader's word is not added: daemons
+// without a leader may have used it.
+func (m *Meter) startLevel(account turmericwall.ClientAccount, capacity float64) float64 {
+	if known, ok := m.heard[account.Name]; ok {
+		return min(known.units, capacity)
+	}
+	if m.config.Restarted && len(m.heard) == 0 {
+		return restartedShare * capacity
+	}
+	return capacity
+}
+
+// presentShare is the part of all daemons that answer the leader.
+func (s situation) presentShare() float64 {
+	daemons := max(s.daemons, 1)
+	return float64(daemons) / float64(daemons+s.absent)
+}
+
+// chargeLed takes units against the leader's last word; the lock is held.
+func (m *Meter) chargeLed(now time.Time, account turmericwall.ClientAccount, units float64) error {
+	if known, listed := m.heard[account.Name]; listed {
+		b := bucket{level: known.units, at: known.at, capacity: capacityOf(account.Quota)}
+		b.refill(now, account.Quota.PerSecond, b.capacity)
+		if b.level <= 0 {
+			return overLimit(account, b.invite(now, account.Quota.PerSecond, units))
+		}
+	}
+	m.count(now, account.Name, units)
+	return nil
+}
+
+// chargeAlone takes units from this daemon's part; the lock is held.
+//
+// The parts of all daemons add up to the rate, and to the burst with all that may run over the quota: nothing stops for an
+// account far below its limit. A part may be smaller than one call, which then takes a full part and goes into debt.
+func (m *Meter) chargeAlone(s situation, account turmericwall.ClientAccount, units float64) error {
+	daemons := s.daemons
+	if daemons == 0 {
+		daemons = unknownDaemons
+	}
+	quota := account.Quota
+	over := m.config.Overage*(quota.PerSecond*m.config.WindowSeconds+quota.Burst) + m.config.Slack
+	rate, capacity := quota.PerSecond/float64(daemons), (capacityOf(quota)+over)/float64(daemons)
+	b, ok := m.own[account.Name]
+	if !ok {
+		b = &bucket{level: capacity, capacity: capacity}
+		m.own[account.Name] = b
+	}
+	b.refill(s.now, rate, capacity)
+	if b.level < min(units, capacity) {
+		return overLimit(account, b.invite(s.now, rate, min(units, capacity)))
+	}
+	b.level -= units
+	m.count(s.now, account.Name, units)
+	return nil
+}
+
+// count adds to what this daemon counted by itself; the lock is held.
+func (m *Meter) count(now time.Time, account string, units float64) {
+	u, ok := m.used[account]
+	if !ok {
+		u = &use{}
+		m.used[account] = u
+	}
+	u.units += units
+	u.at = now
+}
+
+func overLimit(account turmericwall.ClientAccount, retryAt time.Time) error {
+	return turmericwall.NewProblem(turmericwall.KindOverLimit,
+		fmt.Sprintf("the client account %s is over its quota", account.Name), "come back at the time given").WithRetryAt(retryAt)
+}
+
+// Uses is what this daemon counted by itself of the accounts with recent calls, for the leader.
+func (m *Meter) Uses() []turmericwall.AccountUse {
+	now := m.config.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []turmericwall.AccountUse
+	for name, u := range m.used {
+		if now.Sub(u.at) < reportSpan {
+			list = append(list, turmericwall.AccountUse{Account: name, Units: int64(u.units)})
+		}
+	}
+	return list
+}
+
+// Report takes what another daemon, which started some time ago, counted by itself.
+func (m *Meter) Report(incarnation string, up time.Duration, uses []turmericwall.AccountUse) {
+	s := m.look()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(s)
+	if !s.leading {
+		return
+	}
+	before, known := m.reported[incarnation]
+	if !known {
+		before = make(map[string]int64)
+		m.reported[incarnation] = before
+	}
+	for _, u := range uses {
+		account, ok := m.config.Account(u.Account)
+		if !ok || !account.Quota.Limits() {
+			continue
+		}
+		if known || up < youngSpan {
+			m.sharedBucket(s, account).level -= float64(u.Units - before[u.Account])
+		}
+		before[u.Account] = u.Units
+	}
+}
+
+// Gone forgets a daemon that no longer answers.
+func (m *Meter) Gone(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.reported, incarnation)
+}
+
+// Levels are the accounts that have used a good part of their quotas, for the leader's heartbeats.
+func (m *Meter) Levels() []turmericwall.AccountLevel {
+	s := m.look()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(s)
+	var list []turmericwall.AccountLevel
+	for name := range m.shared {
+		account, ok := m.config.Account(name)
+		if !ok || !account.Quota.Limits() {
+			delete(m.shared, name)
+			continue
+		}
+		if b := m.sharedBucket(s, account); b.level < listedShare*b.capacity {
+			list = append(list, turmericwall.AccountLevel{Account: name, Units: int64(b.level)})
+		}
+	}
+	return list
+}
+
+// Heard takes the levels of the leader's heartbeat.
+func (m *Meter) Heard(levels []turmericwall.AccountLevel) {
+	now := m.config.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.heard)
+	for _, l := range levels {
+		m.heard[l.Account] = level{units: float64(l.Units), at: now}
+	}
+}
--- /dev/null
+++ b/internal/admission/twquota/meter_test.go
@@ -0,0 +1,174 @@
+package twquota_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/admission/twquota"
+)
+
+// fleet is some daemons' meters in virtual time.
+type fleet struct {
+	now    time.Time
+	quota  turmericwall.Quota
+	meters []*twquota.Meter
+	leader int
+	slack  float64
+	// cut daemons neither hear the leader nor answer it.
+	cut map[int]bool
+}
+
+func newFleet(daemons int, quota turmericwall.Quota) *fleet {
+	f := &fleet{slack: slackUnits, now: time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC), quota: quota, cut: make(map[int]bool)}
+	for i := range daemons {
+		f.meters = append(f.meters, f.meter(i, false))
+	}
+	return f
+}
+
+func (f *fleet) meter(i int, restarted bool) *twquota.Meter {
+	return twquota.New(twquota.Config{
+		Account: func(name string) (turmericwall.ClientAccount, bool) {
+			return turmericwall.ClientAccount{Name: name, Quota: f.quota}, name == "a" || name == "b"
+		},
+		Leading: func() bool { return f.leader == i },
+		Led:     func() bool { return f.leader >= 0 && f.leader != i && !f.cut[i] && !f.cut[f.leader] },
+		Daemons: func() int { return len(f.meters) - f.away(i) },
+		Absent:  func() int { return f.away(i) },
+		Now:     func() time.Time { return f.now }, Restarted: restarted,
+		WindowSeconds: windowSeconds, Overage: overage, Slack: f.slack,
+	})
+}
+
+// away is how many daemons the leader misses; the others know the number from before.
+func (f *fleet) away(i int) int {
+	if i != f.leader {
+		return 0
+	}
+	return len(f.cut)
+}
+
+// heartbeat plays one exchange between the leader and all that it reaches.
+func (f *fleet) heartbeat() {
+	if f.leader < 0 || f.cut[f.leader] {
+		return
+	}
+	levels := f.meters[f.leader].Levels()
+	for i, m := range f.meters {
+		if i != f.leader && !f.cut[i] {
+			m.Heard(levels)
+			f.meters[f.leader].Report(string(rune('A'+i)), time.Hour, m.Uses())
+		}
+	}
+}
+
+func charged(m *twquota.Meter, account string, units float64, calls int) (admitted int) {
+	for range calls {
+		if m.Charge(account, units) == nil {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+var quota = turmericwall.Quota{PerSecond: 1000, Burst: 2000, CountsTokens: true, PlainTokens: 200}
+
+func TestTheLeaderChargesExactly(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, quota)
+	g.Expect(charged(f.meters[0], "a", 300, 10)).To(Equal(6))
+	g.Expect(charged(f.meters[0], "b", 300, 10)).To(Equal(6), "an account that is over takes nothing from another one")
+	f.now = f.now.Add(time.Second)
+	g.Expect(charged(f.meters[0], "a", 300, 10)).To(Equal(4))
+	f.meters[0].Refund("a", 300)
+	g.Expect(charged(f.meters[0], "a", 300, 10)).To(Equal(1))
+}
+
+// Guards against callers of one account that are all told to come back in the same moment.
+func TestRefusedCallersOfAnAccountComeBackOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, quota)
+	charged(f.meters[0], "a", 1000, 2)
+	var last time.Time
+	for range 4 {
+		var p *turmericwall.Problem
+		g.Expect(errors.As(f.meters[0].Charge("a", 500), &p)).To(BeTrue())
+		g.Expect(p.Kind()).To(Equal(turmericwall.KindOverLimit))
+		g.Expect(p.Outcome()).To(Equal(turmericwall.OutcomeNotRun))
+		g.Expect(p.RetryAt().Sub(last)).To(BeNumerically(">=", 500*time.Millisecond))
+		last = p.RetryAt()
+	}
+}
+
+func TestACallLargerThanTheBurstIsAdmittedOnAFullBucket(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, quota)
+	g.Expect(charged(f.meters[0], "a", 5000, 2)).To(Equal(1))
+}
+
+func TestAnAccountWithoutAQuotaIsNeverRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, turmericwall.Quota{})
+	g.Expect(charged(f.meters[0], "a", 1e9, 50)).To(Equal(50))
+	g.Expect(charged(f.meters[0], "nobody", 1e9, 50)).To(Equal(50))
+}
+
+func TestCallsCountedAtOtherDaemonsReachTheLeader(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, quota)
+	f.heartbeat()
+	g.Expect(charged(f.meters[1], "a", 200, 6)).To(Equal(6))
+	g.Expect(charged(f.meters[2], "a", 200, 6)).To(Equal(6))
+	f.heartbeat()
+	g.Expect(charged(f.meters[0], "a", 200, 1)).To(BeZero())
+	f.heartbeat()
+	g.Expect(charged(f.meters[1], "a", 200, 1)).To(BeZero(), "the leader's word stops the others")
+	g.Expect(charged(f.meters[1], "b", 200, 1)).To(Equal(1))
+	f.now = f.now.Add(1300 * time.Millisecond)
+	g.Expect(charged(f.meters[1], "a", 200, 1)).To(Equal(1), "it goes on by the rate")
+}
+
+// Guards against a count that is added once more with each reply that repeats it.
+func TestARepeatedReportIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, quota)
+	f.heartbeat()
+	charged(f.meters[1], "a", 200, 5)
+	for range 5 {
+		f.heartbeat()
+	}
+	g.Expect(charged(f.meters[0], "a", 200, 10)).To(Equal(5))
+}
+
+// Guards against a new leader that begins with full buckets.
+func TestANewLeaderGoesOnAtTheLastLevels(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, quota)
+	charged(f.meters[0], "a", 200, 9)
+	f.heartbeat()
+	f.leader = 1
+	g.Expect(charged(f.meters[1], "a", 200, 10)).To(Equal(1))
+	g.Expect(charged(f.meters[1], "b", 200, 20)).To(Equal(10))
+}
+
+// Guards against a leader that takes all rates for full after a loss of power.
+func TestALeaderThatKnowsNoLevelsAfterARestartBeginsWithHalf(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, quota)
+	f.meters[0] = f.meter(0, true)
+	g.Expect(charged(f.meters[0], "a", 200, 20)).To(Equal(5))
+}
+
+func TestALoweredQuotaCutsTheLevelAndARaisedOneAddsToIt(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, quota)
+	charged(f.meters[0], "a", 200, 1)
+	f.quota.Burst = 600
+	g.Expect(charged(f.meters[0], "a", 200, 20)).To(Equal(3))
+	f.quota.Burst = 1000
+	g.Expect(charged(f.meters[0], "a", 200, 20)).To(Equal(2))
+}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -50,7 +50,7 @@
 	placement, err := r.config.Placer.Place(ctx, turmericwall.PlaceAsk{
 		ID: a.call.ID + "/" + strconv.Itoa(n), Service: a.service.Name, Owner: r.config.Daemon, Zone: r.config.Zone,
 		Work: a.call.Work, TargetDeadline: target, GiveUpDeadline: a.deadline, CallerDeadline: a.call.Deadline, Avoid: avoid,
-		EventGapMillis: a.route.EventGapMillis,
+		EventGapMillis: a.route.EventGapMillis, Account: a.call.Account, Units: a.units,
 	})
 	if err != nil {
 		return placement, err
@@ -69,7 +69,10 @@
 // try runs one placement; done tells that the call has its final outcome.
 func (r *Relay) try(ctx context.Context, a *attempt, p turmericwall.Placement, avoid *[]string) (done bool, err error) {
 	end := turmericwall.PlacementEnd{ID: p.ID, Service: a.service.Name}
-	defer func() { r.config.Placer.Finish(end) }()
+	defer func() {
+		end.NotRun = notExecuted(err)
+		r.config.Placer.Finish(end)
+	}()
 	a.upstream = p.Decode.ID
 	if err := r.config.Keys.Holds(a.credential); err != nil {
 		return true, err
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -38,8 +38,29 @@
 // good tells that the reply can be passed on as a success of the call.
 func (p reply) good() bool { return p.err == nil && p.answer.Status < http.StatusInternalServerError }
 
-// plain serves a call of a plain service.
+// plain serves a call of a plain service, within its account's quota.
 func (r *Relay) plain(ctx context.Context, a *attempt) error {
+	if a.units == 0 {
+		return r.route(ctx, a)
+	}
+	if err := r.config.Quotas.Charge(a.call.Account, a.units); err != nil {
+		return err
+	}
+	err := r.route(ctx, a)
+	if notExecuted(err) {
+		r.config.Quotas.Refund(a.call.Account, a.units)
+	}
+	return err
+}
+
+// notExecuted tells that the error says that no upstream ran the call.
+func notExecuted(err error) bool {
+	var p *turmericwall.Problem
+	return errors.As(err, &p) && p.Outcome() == turmericwall.OutcomeNotRun
+}
+
+// route serves a call by what may be repeated of it.
+func (r *Relay) route(ctx context.Context, a *attempt) error {
 	if a.route.Kind == turmericwall.CallIdempotent {
 		return r.repeatable(ctx, a)
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -43,6 +43,8 @@
 	Recorder  turmericwall.Recorder
 	// Keys judges the keys of calls.
 	Keys *twauthenticator.Authenticator
+	// Quotas is charged for calls of plain services; the placer charges the others.
+	Quotas turmericwall.QuotaMeter
 	// Daemons is the number of live daemons, which share the retry budget.
 	Daemons func() int
 	// Daemon names this daemon.
@@ -79,9 +81,11 @@
 	route turmericwall.Route
 	// credential is the call's key; it is empty where no key is needed.
 	credential twauthenticator.Credential
-	service    turmericwall.ServicePlan
-	version    int64
-	w          http.ResponseWriter
+	// units is what the call counts as for its account's quota; 0 when there is none.
+	units   float64
+	service turmericwall.ServicePlan
+	version int64
+	w       http.ResponseWriter
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	// begun tells that the answer's head was written.
@@ -183,6 +187,9 @@
 	}
 	a.credential = credential
 	a.call.Account = credential.Account.Name
+	if quota := credential.Account.Quota; quota.Limits() {
+		a.units = quota.Units(a.call.Work)
+	}
 	if priority := credential.Account.Priority; priority != nil {
 		a.route.Priority = *priority
 	}
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -61,6 +61,12 @@
 	// Changing are the engines that change their role, and ChangingTold takes them from the leader.
 	Changing     func() []turmericwall.ChangingEngine
 	ChangingTold func([]turmericwall.ChangingEngine)
+	// Uses is what this daemon counted for quotas by itself, and UsesHeard takes another one's. Levels is what is left of
+	// quotas by the leader's count, and LevelsHeard takes it from the leader.
+	Uses        func() []turmericwall.AccountUse
+	UsesHeard   func(incarnation string, up time.Duration, uses []turmericwall.AccountUse)
+	Levels      func() []turmericwall.AccountLevel
+	LevelsHeard func([]turmericwall.AccountLevel)
 	// Gone is called for an incarnation that is no longer live.
 	Gone func(incarnation string)
 }
@@ -153,6 +159,9 @@
 	if c.config.ChangingTold != nil {
 		c.config.ChangingTold(heartbeat.Changing)
 	}
+	if c.config.LevelsHeard != nil {
+		c.config.LevelsHeard(heartbeat.Levels)
+	}
 	if heartbeat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
@@ -190,6 +199,9 @@
 	if at := c.config.ReadAt(); !at.IsZero() {
 		reply.ReadMillis = time.Since(at).Milliseconds()
 	}
+	if c.config.Uses != nil {
+		reply.Uses = c.config.Uses()
+	}
 	reply.PlanVersion, reply.UpstreamsPosition = c.config.PlanVersion(), c.config.UpstreamsPosition()
 	return reply
 }
@@ -257,6 +269,22 @@
 	return max(n, c.heartbeat.Daemons/2)
 }
 
+// absentSpan is how long a member that does not answer counts as absent: it may be cut off.
+const absentSpan = 12 * time.Second
+
+// Absent is how many daemons this leader knows that don't answer it but did so lately.
+func (c *Cluster) Absent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, m := range c.members {
+		if !m.live && m.Incarnation != "" && !m.Stopping && time.Since(m.answeredAt) < absentSpan {
+			n++
+		}
+	}
+	return n
+}
+
 // Run sends heartbeats while this daemon is the leader, and fetches what others know, until ctx ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -19,6 +19,9 @@
 	if c.config.Changing != nil {
 		heartbeat.Changing = c.config.Changing()
 	}
+	if c.config.Levels != nil {
+		heartbeat.Levels = c.config.Levels()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -67,6 +70,9 @@
 	defer cancel()
 	sentAt, sentMoment := time.Now(), twboottime.Now()
 	got, err := c.config.Peers.Heartbeat(ctx, address, heartbeat)
+	if err == nil && c.config.UsesHeard != nil {
+		c.config.UsesHeard(got.Incarnation, time.Duration(got.UpMillis)*time.Millisecond, got.Uses)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[address]
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -71,6 +71,10 @@
 		return turmericwall.Placement{}, err
 	}
 	now := time.Now()
+	if got.OverLimit {
+		return turmericwall.Placement{}, turmericwall.NewProblem(turmericwall.KindOverLimit, got.Reason, "come back at the time given").
+			WithRetryAt(now.Add(time.Duration(got.RetryMillis) * time.Millisecond))
+	}
 	if got.Refused {
 		return turmericwall.Placement{}, turmericwall.Refused(turmericwall.Refusal{
 			Attempt: ask.ID, Reason: got.Reason, Never: got.Never,
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -28,6 +28,8 @@
 	CallerMillis int64                  `json:"callerMillis"`
 	Moving       bool                   `json:"moving,omitempty"`
 	Avoid        []string               `json:"avoid,omitempty"`
+	Account      string                 `json:"account,omitempty"`
+	Units        float64                `json:"units,omitempty"`
 }
 
 type wireRun struct {
@@ -46,6 +48,7 @@
 	Reason        string                `json:"reason"`
 	Refused       bool                  `json:"refused,omitempty"`
 	Never         bool                  `json:"never,omitempty"`
+	OverLimit     bool                  `json:"overLimit,omitempty"`
 	RetryMillis   int64                 `json:"retryMillis,omitempty"`
 }
 
@@ -58,6 +61,8 @@
 		CallerMillis: ask.CallerDeadline.Sub(now).Milliseconds(),
 		Moving:       ask.Moving,
 		Avoid:        ask.Avoid,
+		Account:      ask.Account,
+		Units:        ask.Units,
 	}
 }
 
@@ -70,6 +75,8 @@
 		CallerDeadline: now.Add(time.Duration(ask.CallerMillis) * time.Millisecond),
 		Moving:         ask.Moving,
 		Avoid:          ask.Avoid,
+		Account:        ask.Account,
+		Units:          ask.Units,
 	}
 }
 
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -147,7 +147,7 @@
 	var p *turmericwall.Problem
 	if errors.As(err, &p) {
 		write(w, wirePlaced{
-			Refused: true, Never: p.Kind() == turmericwall.KindTooLarge, Reason: p.Detail(),
+			Refused: true, Never: p.Kind() == turmericwall.KindTooLarge, OverLimit: p.Kind() == turmericwall.KindOverLimit, Reason: p.Detail(),
 			RetryMillis: max(p.RetryAt().Sub(now).Milliseconds(), 0),
 		})
 		return
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -21,6 +21,8 @@
 	Keeping func() bool
 	// Service returns the operator's plan of a service.
 	Service func(service string) (turmericwall.ServicePlan, bool)
+	// Quotas is charged for each call that is placed here.
+	Quotas turmericwall.QuotaMeter
 }
 
 // Coordinator gives the books their time, their input and a lock.
@@ -28,6 +30,8 @@
 	config   Config
 	mu       sync.Mutex
 	services map[string]*desk
+	// charged are the placed calls that were taken from quotas.
+	charged map[string]charge
 	// kept tells that this daemon was the leader at the last look, and learnedAt when a new leader's books are whole.
 	kept      bool
 	learnedAt time.Time
@@ -42,6 +46,16 @@
 	decidedAt time.Time
 }
 
+// charge is what a placed call was taken for.
+type charge struct {
+	account string
+	units   float64
+	at      time.Time
+}
+
+// chargeLimit is how long a charge can be given back.
+const chargeLimit = 30 * time.Second
+
 type decision struct {
 	placement turmericwall.Placement
 	verdict   *twbooks.Verdict
@@ -49,11 +63,49 @@
 
 // New returns a coordinator without books; they are begun with the first call of a service.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, services: make(map[string]*desk)}
+	return &Coordinator{config: config, services: make(map[string]*desk), charged: make(map[string]charge)}
 }
 
-// Place waits for the decision on one call.
+// Place takes one call from its account's quota and waits for the decision on it.
 func (c *Coordinator) Place(ctx context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
+	if ask.Units > 0 {
+		if err := c.config.Quotas.Charge(ask.Account, ask.Units); err != nil {
+			return turmericwall.Placement{}, err
+		}
+	}
+	placement, err := c.await(ctx, ask)
+	if ask.Units > 0 {
+		c.settle(ask, err)
+	}
+	return placement, err
+}
+
+// settle gives the units of a refused call back, and remembers those of a placed one.
+func (c *Coordinator) settle(ask turmericwall.PlaceAsk, err error) {
+	if err != nil {
+		c.config.Quotas.Refund(ask.Account, ask.Units)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.charged[ask.ID] = charge{account: ask.Account, units: ask.Units, at: time.Now()}
+}
+
+// refund gives the units of a placed call back when it did not run.
+func (c *Coordinator) refund(end turmericwall.PlacementEnd) {
+	if end.Running {
+		return
+	}
+	c.mu.Lock()
+	taken, ok := c.charged[end.ID]
+	delete(c.charged, end.ID)
+	c.mu.Unlock()
+	if ok && end.NotRun {
+		c.config.Quotas.Refund(taken.account, taken.units)
+	}
+}
+
+func (c *Coordinator) await(ctx context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
 	answer := c.ask(ask)
 	select {
 	case d := <-answer:
@@ -67,6 +119,7 @@
 
 // Finish takes what happened to a placed call.
 func (c *Coordinator) Finish(end turmericwall.PlacementEnd) {
+	c.refund(end)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,6 +174,11 @@
 	for _, d := range c.services {
 		d.books.Sweep(now)
 	}
+	for id, taken := range c.charged {
+		if now.Sub(taken.at) > chargeLimit {
+			delete(c.charged, id)
+		}
+	}
 }
 
 // Waiting is how many calls of the service wait.
--- a/peering.go
+++ b/peering.go
@@ -28,6 +28,8 @@
 	MembersVersion int64 `json:"membersVersion"`
 	// Changing are the engines that change their role by the leader's orders.
 	Changing []ChangingEngine `json:"changing,omitempty"`
+	// Levels are the client accounts that have used a good part of their quotas.
+	Levels []AccountLevel `json:"levels,omitempty"`
 }
 
 // Echo is a moment of one daemon by its own clock, which a peer hands back.
@@ -66,6 +68,8 @@
 	ProofMillis int64 `json:"proofMillis"`
 	// Moment is when the daemon replied, by its own clock, for the next heartbeat's echo.
 	Moment int64 `json:"moment"`
+	// Uses is what the daemon counted of client accounts' calls by itself.
+	Uses []AccountUse `json:"uses,omitempty"`
 }
 
 // Member is one incarnation of a daemon.
--- a/placements.go
+++ b/placements.go
@@ -14,6 +14,9 @@
 	Owner string
 	Zone  string
 	Work  ModelWork
+	// Account is the client account whose quota the call is taken from, and Units what it counts as.
+	Account string
+	Units   float64
 	// TargetDeadline is when the first event is due to be on time; a call that came back may have missed it.
 	TargetDeadline time.Time
 	// GiveUpDeadline is when waiting must end with a refusal.
@@ -54,6 +57,8 @@
 	Failed string
 	// Doubted names an engine that may have failed the call, if another one did not.
 	Doubted string
+	// NotRun tells that no engine ran the call, so that it counts for no quota.
+	NotRun bool
 	// Running tells that the call goes on.
 	Running bool
 	// PromptRead tells that the prompt was read, PromptMillis how long that took.
