fix: count what daemons use of a quota while they have no leader

Each daemon began its time without a leader with a full part of the burst, though the leader's last word was that little was left, and the next leader took a daemon's first report for old: what was used between the two leaders counted for neither.

Change: a daemon without a leader begins with its part of what was left of a listed account; it reports apart what it used since then, and a new leader counts that of a daemon that reports for the first time.

Ruled out: a later start of the new leader: what is used meanwhile grows with it.

--- a/clients.go
+++ b/clients.go
@@ -48,6 +48,8 @@
 type AccountUse struct {
 	Account string `json:"account"`
 	Units   int64  `json:"units"`
+	// Alone are the units since the daemon was last without a leader.
+	Alone int64 `json:"alone,omitempty"`
 }
 
 // AccountLevel is what is left of an account's quota.
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -89,7 +89,9 @@
 
 type use struct {
 	units float64
-	at    time.Time
+	// before is what was counted before the daemon was last without a leader.
+	before float64
+	at     time.Time
 }
 
 // New returns a meter that has counted nothing.
@@ -165,6 +167,9 @@
 	}
 	if !s.leading && !s.led && (m.last.leading || m.last.led) {
 		m.own = make(map[string]*bucket)
+		for _, u := range m.used {
+			u.before = u.units
+		}
 	}
 	m.last = s
 }
@@ -237,7 +242,7 @@
 // chargeAlone takes units from this daemon's part; the lock is held.
 //
 // The parts of all daemons add up to the rate, and to the burst with all that may run over the quota: nothing stops for an
-// account far below its limit. A part may be smaller than one call, which then takes a full part and goes into debt.
+// account far below its limit. Of an account that was listed they are parts of what the last leader had left. A part may be smaller than one call, which then takes a full part and goes into debt.
 func (m *Meter) chargeAlone(s situation, account turmericwall.ClientAccount, units float64) error {
 	daemons := s.daemons
 	if daemons == 0 {
@@ -247,7 +252,7 @@
 	rate, capacity := quota.PerSecond/float64(daemons), (quota.Burst+(1-toleratedShare)*m.tolerance(quota))/float64(daemons)
 	b, ok := m.own[account.Name]
 	if !ok {
-		b = &bucket{level: capacity, capacity: capacity}
+		b = &bucket{level: capacity * m.leftShare(account), capacity: capacity}
 		m.own[account.Name] = b
 	}
 	b.refill(s.now, rate, capacity)
@@ -259,6 +264,15 @@
 	return nil
 }
 
+// leftShare is the part of the account's capacity that was left at the last leader's word.
+func (m *Meter) leftShare(account turmericwall.ClientAccount) float64 {
+	known, listed := m.levels[account.Name]
+	if !listed {
+		return 1
+	}
+	return min(max(known.units/m.capacity(account.Quota), 0), 1)
+}
+
 // count adds to what this daemon counted by itself; the lock is held.
 func (m *Meter) count(now time.Time, account string, units float64) {
 	u, ok := m.used[account]
@@ -285,13 +299,14 @@
 	var list []turmericwall.AccountUse
 	for name, u := range m.used {
 		if now.Sub(u.at) < reportSpan {
-			list = append(list, turmericwall.AccountUse{Account: name, Units: int64(u.units)})
+			list = append(list, turmericwall.AccountUse{Account: name, Units: int64(u.units), Alone: int64(u.units - u.before)})
 		}
 	}
 	return list
 }
 
-// Report takes what another daemon, which started some time ago, counted by itself.
+// Report takes what another daemon, which started some time ago, counted by itself. Of a daemon that reports for the first
+// time, the leader before this one has counted all but what it used without a leader.
 func (m *Meter) Report(incarnation string, up time.Duration, uses []turmericwall.AccountUse) {
 	s := m.look()
 	m.mu.Lock()
@@ -310,9 +325,11 @@
 		if !ok || !account.Quota.Limits() {
 			continue
 		}
-		if known || up < youngSpan {
-			m.sharedBucket(s, account).report(s.now, float64(u.Units-before[u.Account]))
+		recent := u.Units - before[u.Account]
+		if !known && up >= youngSpan {
+			recent = u.Alone
 		}
+		m.sharedBucket(s, account).report(s.now, float64(recent))
 		before[u.Account] = u.Units
 	}
 }
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -197,3 +197,29 @@
 	f.quota.Burst = 1000
 	g.Expect(charged(f.meters[0], "a", 200, 20)).To(Equal(2))
 }
+
+// Guards against daemons that spend an account's burst once more while there is no leader.
+func TestWithoutALeaderOnlyWhatWasLeftIsShared(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, quota)
+	charged(f.meters[0], "a", 200, 10)
+	f.heartbeat()
+	f.leader = -1
+	g.Expect(charged(f.meters[1], "a", 200, 20)).To(BeZero(), "nothing of the burst was left")
+	g.Expect(charged(f.meters[1], "b", 200, 20)).To(Equal(5), "half of the burst")
+	f.now = f.now.Add(time.Second)
+	g.Expect(charged(f.meters[1], "a", 200, 20)).To(Equal(2), "half of the rate")
+}
+
+// Guards against a new leader that gives away what daemons used while there was none.
+func TestWhatIsUsedWithoutALeaderIsReportedToTheNextOne(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, quota)
+	charged(f.meters[1], "a", 200, 5)
+	f.heartbeat()
+	f.leader = -1
+	charged(f.meters[1], "a", 200, 3)
+	f.leader = 0
+	f.heartbeat()
+	g.Expect(charged(f.meters[0], "a", 200, 20)).To(BeNumerically("<=", 2), "5 and 3 of 10 were used")
+}
