feat: let the priority of an account order the calls that wait

Cause: the account's priority replaced the route's in the engines' queues only; calls that wait for a place were ordered by their deadlines alone, so that calls of an urgent account stood behind those of others while memory was short.

Change: the priority travels with the ask; of calls that can be on time the more urgent one is placed first.

Ruled out: late calls by priority too: they come after all others anyway.

--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -51,6 +51,7 @@
 		ID: a.call.ID + "/" + strconv.Itoa(n), Service: a.service.Name, Owner: r.config.Daemon, Zone: r.config.Zone,
 		Work: a.call.Work, TargetDeadline: target, GiveUpDeadline: a.deadline, CallerDeadline: a.call.Deadline, Avoid: avoid,
 		EventGapMillis: a.route.EventGapMillis, Account: a.call.Account, Units: a.units,
+		Priority: a.route.Priority,
 	})
 	if err != nil {
 		return placement, err
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -30,6 +30,7 @@
 	Avoid        []string               `json:"avoid,omitempty"`
 	Account      string                 `json:"account,omitempty"`
 	Units        float64                `json:"units,omitempty"`
+	Priority     int                    `json:"priority,omitempty"`
 }
 
 type wireRun struct {
@@ -63,6 +64,7 @@
 		Avoid:        ask.Avoid,
 		Account:      ask.Account,
 		Units:        ask.Units,
+		Priority:     ask.Priority,
 	}
 }
 
@@ -77,6 +79,7 @@
 		Avoid:          ask.Avoid,
 		Account:        ask.Account,
 		Units:          ask.Units,
+		Priority:       ask.Priority,
 	}
 }
 
--- a/internal/placement/twbooks/books_test.go
+++ b/internal/placement/twbooks/books_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Guards against calls of an urgent account that wait behind those of others while memory is short.
+func TestTheMoreUrgentCallGetsTheLastPlace(t *testing.T) {
+	g := NewWithT(t)
+	b := books(4, 1)
+	for i := range 12 {
+		call := ask(fmt.Sprintf("a%02d", i), start, 5000, 3000)
+		call.Priority = 2
+		b.Ask(start, call)
+	}
+	urgent := ask("urgent", start.Add(300*time.Millisecond), 5000, 3000)
+	urgent.Priority = 1
+	b.Ask(start, urgent)
+	d := b.Decide(start)
+	g.Expect(len(d.Placed)).To(BeNumerically("<", 13), "memory is short")
+	g.Expect(d.Placed[0].ID).To(Equal("urgent"))
+}
+
 func TestACallIsPlacedOnEnginesOfBothRoles(t *testing.T) {
 	g := NewWithT(t)
 	b := books(1, 2)
--- a/internal/placement/twbooks/decide.go
+++ b/internal/placement/twbooks/decide.go
@@ -122,7 +122,7 @@
 	return s.used / s.all
 }
 
-// order puts calls that can be on time first, and of these the ones that are due first.
+// order puts calls that can be on time first, of these the more urgent ones, and of equal ones those that are due first.
 func (b *Books) order(now time.Time) {
 	for _, w := range b.waiting {
 		fastest := float64(w.ask.Work.PromptTokens)/b.poolSpeed(now) + b.tuning.StartMarginMillis
@@ -133,6 +133,9 @@
 		if x.late != y.late {
 			return y.late
 		}
+		if x.ask.Priority != y.ask.Priority {
+			return x.ask.Priority < y.ask.Priority
+		}
 		return x.ask.TargetDeadline.Before(y.ask.TargetDeadline)
 	})
 }
--- a/placements.go
+++ b/placements.go
@@ -17,6 +17,8 @@
 	// Account is the client account whose quota the call is taken from, and Units what it counts as.
 	Account string
 	Units   float64
+	// Priority is the call's rank; 0 goes first.
+	Priority int
 	// TargetDeadline is when the first event is due to be on time; a call that came back may have missed it.
 	TargetDeadline time.Time
 	// GiveUpDeadline is when waiting must end with a refusal.
