fix: don't call an account over its quota while the number of daemons is unknown

Before the first leader is heard a daemon doesn't know how many share a quota and takes a hundredth; beyond that it said "over its quota", which it can't know.

Change: it answers 503 with a time to come back, and says that it doesn't know yet what is left. Its part stays a hundredth.

Ruled out: a larger part: after a loss of power all of hundreds of daemons are in that state, and an account that was at its limit before would run several times over it.

--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -18,6 +18,8 @@
 	listedShare = 0.75
 	// restartedShare is the part of a capacity that a leader starts with that knows no level from before it.
 	restartedShare = 0.5
+	// unknownRetry is when a caller may come back to a daemon that doesn't know how many share a quota.
+	unknownRetry = 300 * time.Millisecond
 	// unknownDaemons stands for the number of daemons while it is unknown.
 	unknownDaemons = 100
 	// youngSpan is the age up to which all that a daemon has counted is taken as recent.
@@ -256,6 +258,11 @@
 		m.own[account.Name] = b
 	}
 	b.refill(s.now, rate, capacity)
+	if b.level < min(units, capacity) && s.daemons == 0 {
+		return turmericwall.NewProblem(turmericwall.KindNotReady,
+			"this daemon doesn't know yet what is left of the quota of client account "+account.Name,
+			"come back at the time given").WithRetryAt(s.now.Add(unknownRetry))
+	}
 	if b.level < min(units, capacity) {
 		return overLimit(account, units, b.level, "of this daemon's part, without a leader", b.invite(s.now, rate, min(units, capacity)))
 	}
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -18,6 +18,8 @@
 	meters         []*twquota.Meter
 	leader         int
 	overage, slack float64
+	// uncounted daemons don't know how many they are.
+	uncounted bool
 	// cut daemons neither hear the leader nor answer it.
 	cut map[int]bool
 }
@@ -42,9 +44,14 @@
 		},
 		Leading: func() bool { return f.leader == i },
 		Led:     func() bool { return f.leader >= 0 && f.leader != i && !f.cut[i] && !f.cut[f.leader] },
-		Daemons: func() int { return len(f.meters) - f.away(i) },
-		Absent:  func() int { return f.away(i) },
-		Now:     func() time.Time { return f.now }, Restarted: restarted,
+		Daemons: func() int {
+			if f.uncounted {
+				return 0
+			}
+			return len(f.meters) - f.away(i)
+		},
+		Absent: func() int { return f.away(i) },
+		Now:    func() time.Time { return f.now }, Restarted: restarted,
 		WindowSeconds: windowSeconds, Overage: f.overage, Slack: f.slack,
 	})
 }
@@ -223,3 +230,16 @@
 	f.heartbeat()
 	g.Expect(charged(f.meters[0], "a", 200, 20)).To(BeNumerically("<=", 2), "5 and 3 of 10 were used")
 }
+
+// Guards against callers far below their quota that a starting daemon tells that they are over it.
+func TestADaemonThatDoesNotKnowHowManyShareAQuotaDoesNotSayThatItIsUsedUp(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, quota)
+	f.leader, f.uncounted = -1, true
+	g.Expect(f.meters[0].Charge("a", 200)).To(Succeed(), "its part, and a debt")
+	err := f.meters[0].Charge("a", 200)
+	g.Expect(turmericwall.IsKind(err, turmericwall.KindNotReady)).To(BeTrue(), "%v", err)
+	f.uncounted = false
+	f.now = f.now.Add(time.Second)
+	g.Expect(f.meters[0].Charge("a", 200)).To(Succeed(), "a quarter of the rate")
+}
