--- a/internal/membership/twcluster/proof_test.go
+++ b/internal/membership/twcluster/proof_test.go
@@ -1,13 +1,19 @@
 package twcluster_test
 
 import (
+	"context"
+	"errors"
+	"io"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twcluster"
+	"github.com/turmericwall/turmericwall/internal/membership/twproof"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
+	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 )
 
 func TestTheLeadersProofReachesItsFollowers(t *testing.T) {
@@ -49,3 +55,46 @@
 	b.cluster.Heard(heartbeat)
 	g.Expect(b.proof.AgeMillis(twboottime.Now())).To(BeNumerically("<", time.Second.Milliseconds()))
 }
+
+// Guards against a read of the store that ends between two looks and vouches for the plan from before it.
+func TestTheAgeOfAProofIsTakenBeforeThePlan(t *testing.T) {
+	g := NewWithT(t)
+	sent := make(chan turmericwall.Heartbeat, 1)
+	none := func() int64 { return 0 }
+	reading := func() *twcluster.Cluster {
+		proof := twproof.New(twproof.Config{Incarnation: "a1"})
+		return twcluster.New(twcluster.Config{
+			Self: turmericwall.Member{Name: "a", Address: "a", Incarnation: "a1"}, Proof: proof, Peers: recording{sent: sent},
+			Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}), Leading: func() (int64, bool) { return 1, true },
+			ReadAt: func() time.Time { return time.Time{} }, LeaseVersion: none, UpstreamsPosition: none,
+			PlanVersion: func() int64 {
+				proof.Confirm(twboottime.Now())
+				return 0
+			},
+		})
+	}
+	g.Expect(reading().Self().ProofMillis).To(BeEquivalentTo(-1), "the read ended after the age was taken")
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	leader := reading()
+	go func() { ended <- leader.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	leader.Join(turmericwall.Member{Address: "b"})
+	var first turmericwall.Heartbeat
+	g.Eventually(sent, "3s").Should(Receive(&first))
+	g.Expect(first.ProofMillis).To(BeEquivalentTo(-1))
+}
+
+// recording hands on the heartbeats that are sent and answers none.
+type recording struct {
+	turmericwall.PeerClient
+	sent chan turmericwall.Heartbeat
+}
+
+func (r recording) Heartbeat(_ context.Context, _ string, heartbeat turmericwall.Heartbeat) (turmericwall.HeartbeatReply, error) {
+	select {
+	case r.sent <- heartbeat:
+	default:
+	}
+	return turmericwall.HeartbeatReply{}, errors.New("no answer")
+}
--- /dev/null
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -0,0 +1,60 @@
+package twpeerhttp_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/admission/twquota"
+	"github.com/turmericwall/turmericwall/internal/membership/twpeerhttp"
+	"github.com/turmericwall/turmericwall/internal/membership/twproof"
+	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
+)
+
+// Guards against a message of a peer that ends the daemon, or that makes a proof newer than now.
+func FuzzMessages(f *testing.F) {
+	f.Add("/peer/heartbeat", []byte(`{"leader":{"name":"a"},"term":3,"proofMillis":-5,"echo":{"incarnation":"i","moment":9223372036854775807},"levels":[{"account":"a","units":-9}]}`))
+	f.Add("/peer/heartbeat", []byte(`{"proofMillis":9223372036854775807,"echo":{"incarnation":"i","moment":1}}`))
+	f.Add("/peer/place", []byte(`{"id":"x","account":"a","units":-1e308,"targetMillis":-9223372036854775808}`))
+	f.Add("/peer/finish", []byte(`[{"ID":"x","NotRun":true}]`))
+	f.Add("/peer/state", []byte(`{"planVersion":-1,"joining":{"moment":-1}}`))
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		proof := twproof.New(twproof.Config{Incarnation: "i", MaxAge: time.Second})
+		quotas := twquota.New(twquota.Config{
+			Account: func(name string) (turmericwall.ClientAccount, bool) {
+				return turmericwall.ClientAccount{Name: name, Quota: turmericwall.Quota{PerSecond: 10, Burst: 10, CountsTokens: true}}, true
+			},
+			Leading: func() bool { return true }, Led: func() bool { return false }, Daemons: func() int { return 1 },
+			Absent: func() int { return 0 }, Now: time.Now,
+		})
+		server := twpeerhttp.NewServer(twpeerhttp.Config{
+			Heard: func(h turmericwall.Heartbeat) turmericwall.HeartbeatReply {
+				now := twboottime.Now()
+				proof.ConfirmEcho(now, h.Echo, h.ProofMillis)
+				if age := proof.AgeMillis(now); age < -1 {
+					t.Fatalf("a proof of %d ms", age)
+				}
+				quotas.TakeLevels(h.Levels)
+				return turmericwall.HeartbeatReply{}
+			},
+			State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
+				if ask.Joining != nil {
+					quotas.Report(ask.Joining.Incarnation, time.Duration(ask.Joining.UpMillis)*time.Millisecond, ask.Joining.Uses)
+				}
+				return turmericwall.SharedState{}
+			},
+			Keeps: func() bool { return true },
+			Place: func(_ context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
+				return turmericwall.Placement{ID: ask.ID}, quotas.Charge(ask.Account, ask.Units)
+			},
+			Finish: func(turmericwall.PlacementEnd) {}, Adopt: func(turmericwall.PlacedRun) {},
+		})
+		request := httptest.NewRequest(http.MethodPost, "/peer/heartbeat", bytes.NewReader(body))
+		request.URL.Path = path
+		server.ServeHTTP(httptest.NewRecorder(), request)
+	})
+}
--- a/internal/membership/twproof/proof.go
+++ b/internal/membership/twproof/proof.go
@@ -12,6 +12,10 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
+// maxAgeMillis is the oldest word of a peer that is taken, a day: spans beyond some centuries overflow and would turn an old
+// proof into a new one.
+const maxAgeMillis = 24 * 60 * 60 * 1000
+
 // Config bounds how old a proof may be.
 type Config struct {
 	// Incarnation names this daemon's process in the echoes that it takes.
@@ -46,7 +50,7 @@
 // ConfirmAged takes the word of a peer that was asked at the moment and whose own proof was so many milliseconds old when
 // it answered; a negative age is no word.
 func (p *Proof) ConfirmAged(askedAt twboottime.Moment, ageMillis int64) {
-	if ageMillis >= 0 {
+	if ageMillis >= 0 && ageMillis <= maxAgeMillis {
 		p.Confirm(askedAt.Add(-time.Duration(ageMillis) * time.Millisecond))
 	}
 }
--- a/internal/membership/twproof/proof_test.go
+++ b/internal/membership/twproof/proof_test.go
@@ -1,6 +1,7 @@
 package twproof_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -66,3 +67,12 @@
 	p.ConfirmEcho(at(9000), turmericwall.Echo{}, 0)
 	g.Expect(p.AgeMillis(at(9000))).To(BeEquivalentTo(-1))
 }
+
+// Guards against a peer's word whose age overflows and makes the proof newer than now.
+func TestAnAgeBeyondAllReasonProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	p := newProof()
+	p.ConfirmAged(at(1000), math.MaxInt64)
+	p.ConfirmEcho(at(9000), turmericwall.Echo{Incarnation: "i-1", Moment: int64(at(1000))}, math.MaxInt64/int64(time.Millisecond)+1)
+	g.Expect(p.AgeMillis(at(9000))).To(BeEquivalentTo(-1))
+}
