docs: say in the usual terms what proofs and quotas do

Comments of twproof, twquota and twauthenticator spoke of words, looks and parts; they say now what is recorded, read and shared. No line of code is changed.

--- a/internal/admission/twauthenticator/authenticator.go
+++ b/internal/admission/twauthenticator/authenticator.go
@@ -42,7 +42,7 @@
 	return &Authenticator{config: config, waiting: make(chan struct{}, maxUnknown)}
 }
 
-// Credential is a call's key and what it was judged by.
+// Credential is a call's key and the account that holds it.
 type Credential struct {
 	key string
 	// Account holds the key; its name is empty when the call needs none and has none.
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -1,8 +1,9 @@
 // Package twquota keeps client accounts within their quotas over all daemons together.
 //
-// The leader holds one bucket for each account. Calls that ask it for a place are charged there, exactly. The others are
-// charged where they come in, against the levels that the leader's heartbeats carry, and reported with the replies. A
-// daemon without a leader has its part of each rate; the leader gives up the parts of daemons that don't answer it.
+// The leader holds one token bucket for each account. Calls that are placed by the leader are charged there, exactly. Other
+// calls are charged by the daemon that received them, against the levels in the leader's heartbeats, and reported in the
+// replies. A daemon without a leader has an equal share of each rate; the leader leaves the shares of unreachable daemons
+// to them.
 package twquota
 
 import (
@@ -72,8 +73,8 @@
 	last situation
 }
 
-// situation is this daemon's part, and how many others there are. It is asked for without the lock: those who know it call
-// the meter while they hold theirs.
+// situation is the daemon's role and the size of the cluster. It is read without holding the meter's lock, since the
+// cluster calls the meter while it holds its own.
 type situation struct {
 	now     time.Time
 	leading bool
@@ -144,7 +145,8 @@
 	}
 }
 
-// look asks for the situation. The daemons are counted anew only now and then: a leader of hundreds is asked often.
+// look reads the situation. The cluster's size is cached for countSpan, since counting hundreds of members for each call is
+// costly.
 func (m *Meter) look() situation {
 	s := situation{now: m.config.Now(), leading: m.config.Leading(), led: m.config.Led()}
 	m.mu.Lock()
@@ -161,7 +163,7 @@
 	return s
 }
 
-// observe takes a change of this daemon's part; the lock is held.
+// observe resets what a change of the daemon's role makes obsolete; the lock is held.
 func (m *Meter) observe(s situation) {
 	if s.leading && !m.last.leading {
 		m.shared = make(map[string]*bucket)
@@ -188,7 +190,7 @@
 
 // sharedBucket is the account's bucket of all daemons, as of now; the lock is held.
 //
-// The part of daemons that don't answer is left to them: they may be cut off, and go on with their parts of the rate.
+// Daemons that don't answer may be partitioned and go on with their shares, so that the leader refills without these.
 func (m *Meter) sharedBucket(s situation, account turmericwall.ClientAccount) *bucket {
 	capacity := m.capacity(account.Quota)
 	b, ok := m.shared[account.Name]
@@ -210,8 +212,8 @@
 	return max(q.Burst, leastCapacity*q.PerSecond) + toleratedShare*m.tolerance(q)
 }
 
-// startLevel is what a new leader takes to be left. What has flowed in since the last leader's word is not added: daemons
-// without a leader may have used it.
+// startLevel is a new leader's first level of a bucket. It is not refilled for the time without a leader, in which daemons
+// may have used their shares.
 func (m *Meter) startLevel(account turmericwall.ClientAccount, capacity float64) float64 {
 	if known, ok := m.levels[account.Name]; ok {
 		return min(known.units, capacity)
@@ -228,7 +230,7 @@
 	return float64(daemons) / float64(daemons+s.absent)
 }
 
-// chargeLed takes units against the leader's last word; the lock is held.
+// chargeLed charges a call against the levels of the leader's last heartbeat; the lock is held.
 func (m *Meter) chargeLed(now time.Time, account turmericwall.ClientAccount, units float64) error {
 	if known, listed := m.levels[account.Name]; listed {
 		b := bucket{level: known.units, at: known.at, capacity: m.capacity(account.Quota)}
@@ -241,10 +243,11 @@
 	return nil
 }
 
-// chargeAlone takes units from this daemon's part; the lock is held.
+// chargeAlone charges a call to this daemon's own share; the lock is held.
 //
-// The parts of all daemons add up to the rate, and to the burst with all that may run over the quota: nothing stops for an
-// account far below its limit. Of an account that was listed they are parts of what the last leader had left. A part may be smaller than one call, which then takes a full part and goes into debt.
+// All shares together allow the rate, and the burst with what is tolerated beyond the quota, so that accounts far below their
+// limits are not held up. For an account that was listed, the share is one of what was left. A share may be smaller than a
+// call, which is then admitted by a full share and leaves it in debt.
 func (m *Meter) chargeAlone(s situation, account turmericwall.ClientAccount, units float64) error {
 	daemons := s.daemons
 	if daemons == 0 {
@@ -271,7 +274,7 @@
 	return nil
 }
 
-// leftShare is the part of the account's capacity that was left at the last leader's word.
+// leftShare is the part of the account's capacity that was left by the last heartbeat.
 func (m *Meter) leftShare(account turmericwall.ClientAccount) float64 {
 	known, listed := m.levels[account.Name]
 	if !listed {
@@ -280,7 +283,7 @@
 	return min(max(known.units/m.capacity(account.Quota), 0), 1)
 }
 
-// count adds to what this daemon counted by itself; the lock is held.
+// count adds to the daemon's own count, which is reported to the leader; the lock is held.
 func (m *Meter) count(now time.Time, account string, units float64) {
 	u, ok := m.used[account]
 	if !ok {
--- a/internal/membership/twproof/proof.go
+++ b/internal/membership/twproof/proof.go
@@ -1,4 +1,4 @@
-// Package twproof keeps until when a daemon's plan is proved to be the one in force.
+// Package twproof tracks the moment up to which a daemon's copy of the plan is known to be current.
 //
 // It has no clock, socket or goroutine. Times are by the clock that goes on while a VM is suspended: by the steady clock a
 // daemon that was suspended would take its knowledge for newer than it is, and admit keys that are long removed.
@@ -12,8 +12,8 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
-// maxAgeMillis is the oldest word of a peer that is taken, a day: spans beyond some centuries overflow and would turn an old
-// proof into a new one.
+// maxAgeMillis bounds the age that a peer may report, at one day. A larger one could overflow and turn an old proof into a
+// new one.
 const maxAgeMillis = 24 * 60 * 60 * 1000
 
 // Config bounds how old a proof may be.
@@ -37,7 +37,8 @@
 // New returns a proof of nothing.
 func New(config Config) *Proof { return &Proof{config: config} }
 
-// Confirm takes the moment before which the store, or a peer that has a proof, was asked for what the daemon knows now.
+// Confirm records that the daemon's plan holds all changes that were acknowledged before the moment. An older moment than
+// the one on record is ignored.
 func (p *Proof) Confirm(at twboottime.Moment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -47,18 +48,18 @@
 	}
 }
 
-// ConfirmAged takes the word of a peer that was asked at the moment and whose own proof was so many milliseconds old when
-// it answered; a negative age is no word.
+// ConfirmAged records a peer's proof, which had the age when the peer answered a request sent at askedAt. A negative age
+// means that the peer has no proof.
 func (p *Proof) ConfirmAged(askedAt twboottime.Moment, ageMillis int64) {
 	if ageMillis >= 0 && ageMillis <= maxAgeMillis {
 		p.Confirm(askedAt.Add(-time.Duration(ageMillis) * time.Millisecond))
 	}
 }
 
-// ConfirmEcho takes the word of a peer that had seen this daemon's own moment before it wrote.
+// ConfirmEcho records the proof in a heartbeat whose sender had received the echoed moment from this daemon before.
 //
-// A heartbeat may lie in a socket for seconds, while its receiver is suspended or its sender's link is cut. Counted from
-// when it is read, its proof would seem new; counted from the echoed moment it is never newer than it is.
+// A heartbeat can stay unread in a socket for seconds, while its receiver is suspended or a link is cut. Dated by its
+// arrival, the proof would look new; dated by the echoed moment, it is never newer than it was when it was written.
 func (p *Proof) ConfirmEcho(now twboottime.Moment, echo turmericwall.Echo, ageMillis int64) {
 	if echo.Incarnation == p.config.Incarnation && twboottime.Moment(echo.Moment) <= now {
 		p.ConfirmAged(twboottime.Moment(echo.Moment), ageMillis)
