--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -90,7 +90,7 @@
 	if o.Leader || now.Before(s.readUntil) || (o.Standby && s.relieves(now, o)) {
 		return true
 	}
-	if s.Fresh(now, o) || (o.LeaderLive && !s.starved(now, o)) {
+	if o.LeaderLive || s.Fresh(now, o) {
 		s.retryAt = time.Time{}
 		return false
 	}
@@ -111,14 +111,6 @@
 	return true
 }
 
-// starved tells that this daemon started a while ago and knows nothing although a leader lives.
-//
-// When hundreds of daemons start at once, all fetch the whole state from the leader. Its link carries it to few of them
-// within the time that a fetch may take, and the others' bytes are wasted; they would serve nobody for half a minute.
-func (s *Source) starved(now time.Time, o Observation) bool {
-	return o.FreshAt.IsZero() && now.Sub(s.config.StartedAt) >= bootstrapWait
-}
-
 // relieves tells that a standby must read: early enough for the others to learn from it before they are stale, and
 // whenever it may have to take the lease.
 func (s *Source) relieves(now time.Time, o Observation) bool {
