feat: log the rate of requests that upstreams state in their answers

Nothing told from when on a daemon knew of a stated rate, nor how many calls went to upstreams that state one, so logs could not tell daemons that don't read the rate from daemons that each keep it alone. Calls are sent as before.

--- a/events.go
+++ b/events.go
@@ -47,6 +47,7 @@
 	EventPeerState          EventID = 7009
 	EventInformedByLeader   EventID = 7010
 	EventLeaderStale        EventID = 7011
+	EventUpstreamRate       EventID = 7012
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -95,6 +96,7 @@
 	EventInformedByLeader:   "Informed by leader",
 	EventLeaderStale:        "Leader stale",
 	EventPeerState:          "Peer state",
+	EventUpstreamRate:       "Upstream rate",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- /dev/null
+++ b/internal/membership/twrates/rates.go
@@ -0,0 +1,156 @@
+// Package twrates keeps the rates of requests that upstreams state in their answers.
+package twrates
+
+import (
+	"sync"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// listSpan is how long a statement of this daemon's own, or a lifted rate, is told to peers: several heartbeats.
+const listSpan = 5 * time.Second
+
+// forgetSpan is how long the statement of an upstream that is no longer listed is kept: its entry may lapse and come back.
+const forgetSpan = time.Minute
+
+// Config says what the rates work with.
+type Config struct {
+	Recorder turmericwall.Recorder
+	// Now is the time by the steady clock.
+	Now func() time.Time
+}
+
+// Rates hold the newest statement of each upstream.
+//
+// Answers overtake each other. A lower rate is taken at once; a higher one, or none, only from an answer to a call that was
+// sent after the last lower statement was heard.
+type Rates struct {
+	config Config
+	mu     sync.Mutex
+	known  map[turmericwall.UpstreamKey]*statement
+}
+
+type statement struct {
+	perSecond float64
+	lifted    bool
+	// at is when the upstream said so, at the earliest for a lifted rate and at the latest else.
+	at time.Time
+	// ownAt is when this daemon last heard it from the upstream itself; zero when only peers did.
+	ownAt time.Time
+}
+
+// New returns rates of no upstream.
+func New(config Config) *Rates {
+	return &Rates{config: config, known: make(map[turmericwall.UpstreamKey]*statement)}
+}
+
+// Take takes what an answer to this daemon states.
+func (r *Rates) Take(from turmericwall.UpstreamKey, s turmericwall.UpstreamStatement) {
+	next := statement{perSecond: s.PerSecond, lifted: !s.RateStated, at: s.HeardAt, ownAt: s.HeardAt}
+	if next.lifted {
+		next.at = s.SentAt
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.supersedes(from, next, s.SentAt) {
+		r.put(from, next, "answer")
+	}
+}
+
+// TakeList takes what a peer knows.
+func (r *Rates) TakeList(list []turmericwall.UpstreamRate) {
+	if len(list) == 0 {
+		return
+	}
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range list {
+		next := statement{perSecond: u.PerSecond, lifted: u.Lifted, at: now.Add(-time.Duration(u.AgeMillis) * time.Millisecond)}
+		if r.supersedes(u.Key(), next, next.at) {
+			r.put(u.Key(), next, "peer")
+		}
+	}
+}
+
+// supersedes tells that the statement replaces the known one; since is when the call was sent that it answers. The lock is
+// held.
+func (r *Rates) supersedes(key turmericwall.UpstreamKey, next statement, since time.Time) bool {
+	known, ok := r.known[key]
+	if !ok {
+		return !next.lifted
+	}
+	if next.lifted || (!known.lifted && next.perSecond > known.perSecond) {
+		return since.After(known.at)
+	}
+	return next.at.After(known.at)
+}
+
+// put keeps a statement; the lock is held.
+func (r *Rates) put(key turmericwall.UpstreamKey, next statement, source string) {
+	known, ok := r.known[key]
+	r.known[key] = &next
+	if ok && known.lifted == next.lifted && known.perSecond == next.perSecond {
+		if next.ownAt.IsZero() {
+			next.ownAt = known.ownAt
+		}
+		return
+	}
+	lifted := int64(0)
+	if next.lifted {
+		lifted = 1
+	}
+	r.config.Recorder.Record(turmericwall.EventUpstreamRate).Str("upstream", key.ID).Float("perSecond", next.perSecond).
+		Int("lifted", lifted).Int("ageMillis", r.config.Now().Sub(next.at).Milliseconds()).Str("source", source).Send()
+}
+
+// Rate is the rate that the upstream states, in requests a second of all daemons; ok is false when it states none.
+func (r *Rates) Rate(key turmericwall.UpstreamKey) (perSecond float64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.known[key]
+	if !ok || known.lifted {
+		return 0, false
+	}
+	return known.perSecond, true
+}
+
+// List is what this daemon tells all others while it is the leader: the rates in force, and those lifted lately.
+func (r *Rates) List() []turmericwall.UpstreamRate {
+	return r.list(func(s *statement, now time.Time) bool { return !s.lifted || now.Sub(s.at) < listSpan })
+}
+
+// Own is what this daemon lately heard from upstreams itself, for the leader.
+func (r *Rates) Own() []turmericwall.UpstreamRate {
+	return r.list(func(s *statement, now time.Time) bool { return !s.ownAt.IsZero() && now.Sub(s.ownAt) < listSpan })
+}
+
+func (r *Rates) list(wanted func(s *statement, now time.Time) bool) []turmericwall.UpstreamRate {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []turmericwall.UpstreamRate
+	for key, s := range r.known {
+		if !wanted(s, now) {
+			continue
+		}
+		list = append(list, turmericwall.UpstreamRate{
+			ID: key.ID, StartedMillis: key.StartedMillis, PerSecond: s.perSecond, Lifted: s.lifted,
+			AgeMillis: max(now.Sub(s.at).Milliseconds(), 0),
+		})
+	}
+	return list
+}
+
+// Forget drops the upstreams that are no longer known and stated nothing lately.
+func (r *Rates) Forget(known func(turmericwall.UpstreamKey) bool) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, s := range r.known {
+		if now.Sub(s.at) > forgetSpan && !known(key) {
+			delete(r.known, key)
+		}
+	}
+}
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -274,6 +274,14 @@
 	return ok && e.upstream.Key() == key && !e.upstream.Leaving
 }
 
+// Has tells that the incarnation is still known, leaving or not.
+func (v *View) Has(key turmericwall.UpstreamKey) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e, ok := v.entries[key.ID]
+	return ok && e.upstream.Key() == key
+}
+
 // note counts a change and keeps it for followers; the lock is held.
 func (v *View) note(position int64, id string) {
 	v.position = max(v.position, position)
--- a/upstreams.go
+++ b/upstreams.go
@@ -54,6 +54,31 @@
 	NotRun bool
 }
 
+// UpstreamStatement is what one answer of an upstream says of the upstream itself.
+type UpstreamStatement struct {
+	// SentAt is when the call was sent, and HeardAt when the head of its answer came.
+	SentAt, HeardAt time.Time
+	// PerSecond is the rate of requests that the upstream takes from all daemons together; RateStated is false when the
+	// answer states none.
+	PerSecond  float64
+	RateStated bool
+}
+
+// UpstreamRate is the newest statement on an upstream's rate that one daemon tells another.
+type UpstreamRate struct {
+	ID            string `json:"id"`
+	StartedMillis int64  `json:"startedMillis,omitempty"`
+	// PerSecond is in requests a second.
+	PerSecond float64 `json:"perSecond,omitempty"`
+	// Lifted tells that the upstream no longer states a rate.
+	Lifted bool `json:"lifted,omitempty"`
+	// AgeMillis is how long ago the upstream said so.
+	AgeMillis int64 `json:"ageMillis"`
+}
+
+// Key names the upstream's incarnation.
+func (r UpstreamRate) Key() UpstreamKey { return UpstreamKey{ID: r.ID, StartedMillis: r.StartedMillis} }
+
 // KeptPrompt is the part of a prompt that an engine still holds.
 type KeptPrompt struct {
 	// Subject is the part's name, as in ModelWork.
