fix: keep the sends of all daemons within the rates that upstreams state

What callers and upstreams saw: an upstream that says in its answers that it takes 3 requests a second got 84 in 4 s (23 allowed), and nothing told it from others.

Cause: what an answer says of its upstream was read by nobody. The choice of an upstream rests on answer times, failures and open calls, the placement of model calls on memory; only the registry could say that an upstream takes less. Class: a statement of a peer that the protocol lets it make in its answers, and that no part of the router owns.

Evidence: one daemon alone sent up to 70 calls in 4 s, 64 of 69 as first sends, which rules out that each daemon keeps the rate alone and that only repeats go over it.

Change: twrates spreads the newest statements with heartbeats and their replies; twthrottle counts them at the leader, at a standby without one, and by slots of each daemon without both. First sends, repeats, second sends, prompts and moved runs take a send before they are made; what is above the rate goes to another upstream or is refused at once with a time to come back. Model calls take both engines before anything is reserved or read.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -146,11 +146,35 @@
 	p.ended = append(p.ended, end)
 }
 
+// throttle plays the rates of upstreams: those in closedUntil take no call.
+type throttle struct {
+	mu          sync.Mutex
+	closedUntil map[string]time.Time
+	admitted    map[string]int
+}
+
+func (t *throttle) Admit(_ context.Context, upstream turmericwall.UpstreamKey) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until, closed := t.closedUntil[upstream.ID]; closed {
+		return turmericwall.NewProblem(turmericwall.KindOverloaded, upstream.ID+" takes no more", "come back at the time given").WithRetryAt(until)
+	}
+	t.admitted[upstream.ID]++
+	return nil
+}
+
+func (t *throttle) Return(upstream turmericwall.UpstreamKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.admitted[upstream.ID]--
+}
+
 // site is a relay with played surroundings.
 type site struct {
 	relay     *twrelay.Relay
 	upstreams *upstreams
 	placer    *placer
+	throttle  *throttle
 	view      *twupstreams.View
 	outcomes  []twrelay.Outcome
 	stopsAt   time.Time
@@ -164,7 +188,7 @@
 var errPlain = errors.New("connection reset")
 
 func newSite(kind turmericwall.CallKind) *site {
-	s := &site{upstreams: &upstreams{}, placer: &placer{}, view: twupstreams.New(twupstreams.Config{}), slack: 50}
+	s := &site{upstreams: &upstreams{}, placer: &placer{}, throttle: &throttle{closedUntil: make(map[string]time.Time), admitted: make(map[string]int)}, view: twupstreams.New(twupstreams.Config{}), slack: 50}
 	s.proof = twproof.New(twproof.Config{MaxAge: time.Minute, Current: time.Minute})
 	s.proof.Confirm(twboottime.Now())
 	s.log = &bytes.Buffer{}
@@ -198,7 +222,7 @@
 	})
 	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
 	s.relay = twrelay.New(twrelay.Config{
-		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(""), Placer: s.placer,
+		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(""), Placer: s.placer, Throttle: s.throttle,
 		Retries:  s.retries,
 		Keys:     twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
 		Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Daemons: func() int { return 1 }, Daemon: "me",
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -42,6 +42,9 @@
 		}
 		last = err
 	}
+	if a.refusal != nil && errors.Is(last, a.refusal) {
+		return last
+	}
 	return refuseLater(last)
 }
 
@@ -78,8 +81,14 @@
 	if err := r.config.Keys.Holds(a.credential); err != nil {
 		return true, err
 	}
+	if limited, err := r.admit(ctx, p); err != nil {
+		*avoid = append(*avoid, limited)
+		a.throttled(err)
+		return false, a.refusal
+	}
 	reservation, err := r.reserve(ctx, p)
 	if err != nil {
+		r.unused(p.Decode, p.Prefill)
 		if errors.Is(err, errNoRoom) {
 			end.Full = p.Decode.ID
 		} else {
@@ -92,6 +101,9 @@
 	if p.Prefill.ID != "" {
 		began := time.Now()
 		out.Export, err = r.prefill(ctx, a, p, out)
+		if err != nil {
+			r.unused(p.Decode)
+		}
 		if errors.Is(err, errNoBudget) {
 			go r.cleanup(p.Decode, reservation, p.Prefill, turmericwall.EngineExport{})
 			return true, refuseLater(err)
@@ -109,14 +121,17 @@
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: p.ID, Service: end.Service, Running: true, PromptRead: true, PromptMillis: end.PromptMillis})
 	}
 	if !r.config.View.Takes(p.Decode.Key()) {
+		r.unused(p.Decode)
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
 		return false, notRun(errLeaving)
 	}
 	if err := r.config.Keys.Holds(a.credential); err != nil {
+		r.unused(p.Decode)
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
 		return true, err
 	}
 	if !r.mayTry(a) {
+		r.unused(p.Decode)
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
 		return true, refuseLater(errNoBudget)
 	}
@@ -129,6 +144,31 @@
 	return true, r.stream(ctx, a, p, answer, &end)
 }
 
+// admit takes the placement's sends before anything is sent: a prompt that is read for an engine that takes no further call is
+// thrown away. When it fails, limited is the engine that takes none.
+func (r *Relay) admit(ctx context.Context, p turmericwall.Placement) (limited string, err error) {
+	if err := r.config.Throttle.Admit(ctx, p.Decode.Key()); err != nil {
+		return p.Decode.ID, err
+	}
+	if p.Prefill.ID == "" {
+		return "", nil
+	}
+	if err := r.config.Throttle.Admit(ctx, p.Prefill.Key()); err != nil {
+		r.config.Throttle.Return(p.Decode.Key())
+		return p.Prefill.ID, err
+	}
+	return "", nil
+}
+
+// unused gives back sends that were admitted and not made.
+func (r *Relay) unused(engines ...turmericwall.Upstream) {
+	for _, e := range engines {
+		if e.ID != "" {
+			r.config.Throttle.Return(e.Key())
+		}
+	}
+}
+
 // watchStall tells the placer when the decode engine gives no first event. The call may run there and can't be sent again,
 // but others need not follow it.
 func (r *Relay) watchStall(p turmericwall.Placement, service string) *time.Timer {
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -93,6 +93,10 @@
 	if err != nil {
 		return moved{err: err}
 	}
+	if err := r.config.Throttle.Admit(ctx, placement.Decode.Key()); err != nil {
+		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
+		return moved{err: err}
+	}
 	if !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
 		return moved{err: errNoBudget}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -91,6 +92,9 @@
 			break
 		}
 	}
+	if last == nil {
+		return a.unsent()
+	}
 	return notRun(last)
 }
 
@@ -106,7 +110,7 @@
 		if sent >= max(a.route.MaxUpstreams, 1) {
 			return
 		}
-		upstream, ok := r.pick(a, avoid)
+		upstream, ok := r.pick(ctx, a, avoid)
 		if !ok {
 			return
 		}
@@ -143,7 +147,7 @@
 		return r.pass(a, failure)
 	}
 	if failure.err == nil {
-		return noUpstream()
+		return a.unsent()
 	}
 	return settled(failure.err)
 }
@@ -158,7 +162,7 @@
 }
 
 func (r *Relay) sendPlain(ctx context.Context, a *attempt, avoid map[string]bool) (reply, bool) {
-	upstream, ok := r.pick(a, avoid)
+	upstream, ok := r.pick(ctx, a, avoid)
 	if !ok {
 		return reply{}, false
 	}
@@ -166,17 +170,43 @@
 	return r.send(ctx, a, upstream), true
 }
 
-// pick takes an upstream for one more send, if the budget allows it.
-func (r *Relay) pick(a *attempt, avoid map[string]bool) (turmericwall.Upstream, bool) {
-	upstream, ok := r.config.Picker.Pick(time.Now(), r.config.View.Upstreams(a.service.Name), avoid)
-	if !ok {
-		return upstream, false
+// pick takes an upstream for one more send, if it takes one more call and the budget allows it.
+func (r *Relay) pick(ctx context.Context, a *attempt, avoid map[string]bool) (turmericwall.Upstream, bool) {
+	avoid = maps.Clone(avoid)
+	for {
+		upstream, ok := r.config.Picker.Pick(time.Now(), r.config.View.Upstreams(a.service.Name), avoid)
+		if !ok {
+			return upstream, false
+		}
+		if err := r.config.Throttle.Admit(ctx, upstream.Key()); err != nil {
+			r.config.Picker.Withdrawn(upstream)
+			a.throttled(err)
+			avoid[upstream.ID] = true
+			continue
+		}
+		if !r.mayTry(a) {
+			r.config.Throttle.Return(upstream.Key())
+			r.config.Picker.Withdrawn(upstream)
+			return upstream, false
+		}
+		return upstream, true
 	}
-	if !r.mayTry(a) {
-		r.config.Picker.Withdrawn(upstream)
-		return upstream, false
+}
+
+// throttled notes that an upstream takes no call now; of several, the one that takes the next call first counts.
+func (a *attempt) throttled(err error) {
+	var p *turmericwall.Problem
+	if errors.As(err, &p) && (a.refusal == nil || p.RetryAt().Before(a.refusal.RetryAt())) {
+		a.refusal = p
+	}
+}
+
+// unsent refuses a call for which no upstream was found.
+func (a *attempt) unsent() error {
+	if a.refusal != nil {
+		return a.refusal
 	}
-	return upstream, true
+	return noUpstream()
 }
 
 // send sends the call to one upstream and reads the beginning of its answer.
@@ -262,9 +292,6 @@
 
 // notRun refuses a call that no upstream ran.
 func notRun(cause error) error {
-	if cause == nil {
-		return noUpstream()
-	}
 	return turmericwall.NewProblem(turmericwall.KindOverloaded, "no upstream took the call",
 		"come back at the time given").WithRetryAt(time.Now().Add(busyRetry)).WithCause(cause)
 }
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -45,6 +45,8 @@
 	Keys *twauthenticator.Authenticator
 	// Quotas is charged for calls of plain services; the placer charges the others.
 	Quotas turmericwall.QuotaMeter
+	// Throttle admits each send to an upstream.
+	Throttle turmericwall.UpstreamThrottle
 	// Daemons is the number of live daemons, which share the retry budget.
 	Daemons func() int
 	// Daemon names this daemon.
@@ -101,6 +103,8 @@
 	// upstream is the last one.
 	upstream string
 	reason   string
+	// refusal is why an upstream took no further call; nil when none said so.
+	refusal *turmericwall.Problem
 	// model is how a model call went.
 	model progress
 	// stall fires when the engine gives no first event.
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -67,6 +67,10 @@
 	TakeUses   func(incarnation string, up time.Duration, uses []turmericwall.AccountUse)
 	Levels     func() []turmericwall.AccountLevel
 	TakeLevels func([]turmericwall.AccountLevel)
+	// Rates are those that upstreams state, and OwnRates those that this daemon heard itself; TakeRates takes another one's.
+	Rates     func() []turmericwall.UpstreamRate
+	OwnRates  func() []turmericwall.UpstreamRate
+	TakeRates func([]turmericwall.UpstreamRate)
 	// Gone is called for an incarnation that is no longer live.
 	Gone func(incarnation string)
 }
@@ -162,6 +166,9 @@
 	if c.config.TakeLevels != nil {
 		c.config.TakeLevels(heartbeat.Levels)
 	}
+	if c.config.TakeRates != nil {
+		c.config.TakeRates(heartbeat.Rates)
+	}
 	if heartbeat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
@@ -202,6 +209,9 @@
 	if c.config.Uses != nil {
 		reply.Uses = c.config.Uses()
 	}
+	if c.config.OwnRates != nil {
+		reply.Rates = c.config.OwnRates()
+	}
 	reply.PlanVersion, reply.UpstreamsPosition = c.config.PlanVersion(), c.config.UpstreamsPosition()
 	return reply
 }
@@ -269,6 +279,14 @@
 	return max(n, c.heartbeat.Daemons/2)
 }
 
+// Rank is this daemon's place among all by the last heartbeat, how many there were, and when it came. There are none before
+// the first one.
+func (c *Cluster) Rank() (rank, daemons int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heartbeat.Rank, c.heartbeat.Daemons, c.heardAt
+}
+
 // absentSpan is how long a member that does not answer counts as absent: it may be cut off.
 const absentSpan = 12 * time.Second
 
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -136,6 +136,10 @@
 func (n *network) Finish(context.Context, string, []turmericwall.PlacementEnd) error { return nil }
 func (n *network) Runs(context.Context, string, []turmericwall.PlacedRun) error      { return nil }
 
+func (n *network) Admit(context.Context, string, turmericwall.AdmitAsk) (turmericwall.AdmitReply, error) {
+	return turmericwall.AdmitReply{}, nil
+}
+
 // join makes a daemon and all others known to each other, as seeds do.
 func (n *network) join(address string, cluster *twcluster.Cluster) {
 	n.mu.Lock()
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -22,6 +22,9 @@
 	if c.config.Levels != nil {
 		heartbeat.Levels = c.config.Levels()
 	}
+	if c.config.Rates != nil {
+		heartbeat.Rates = c.config.Rates()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -40,6 +43,9 @@
 	heartbeat.Successor = c.nominee()
 	for _, address := range c.addresses() {
 		m := c.members[address]
+		if m.live {
+			heartbeat.Rank++
+		}
 		if m.pending {
 			continue
 		}
@@ -73,6 +79,9 @@
 	if err == nil && c.config.TakeUses != nil {
 		c.config.TakeUses(got.Incarnation, time.Duration(got.UpMillis)*time.Millisecond, got.Uses)
 	}
+	if err == nil && c.config.TakeRates != nil {
+		c.config.TakeRates(got.Rates)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[address]
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -106,6 +106,12 @@
 	return c.call(ctx, address, pathRuns, list, nil)
 }
 
+// Admit asks the daemon that counts for all for sends to an upstream.
+func (c *Client) Admit(ctx context.Context, address string, ask turmericwall.AdmitAsk) (turmericwall.AdmitReply, error) {
+	var got turmericwall.AdmitReply
+	return got, c.call(ctx, address, pathAdmit, ask, &got)
+}
+
 func (c *Client) call(ctx context.Context, address, path string, ask, got any) error {
 	body, err := json.Marshal(ask)
 	if err != nil {
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -13,6 +13,7 @@
 	pathPlace     = "/peer/place"
 	pathFinish    = "/peer/finish"
 	pathRuns      = "/peer/runs"
+	pathAdmit     = "/peer/admit"
 )
 
 // wireAsk is an ask as it travels: daemons' clocks differ, so deadlines travel as what is left of them.
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -26,6 +26,7 @@
 	Place  func(context.Context, turmericwall.PlaceAsk) (turmericwall.Placement, error)
 	Finish func(turmericwall.PlacementEnd)
 	Adopt  func(turmericwall.PlacedRun)
+	Admit  func(turmericwall.AdmitAsk) turmericwall.AdmitReply
 }
 
 // Server is the HTTP handler for peers.
@@ -51,6 +52,7 @@
 	s.mux.HandleFunc("POST "+pathPlace, s.place)
 	s.mux.HandleFunc("POST "+pathFinish, s.finish)
 	s.mux.HandleFunc("POST "+pathRuns, s.runs)
+	s.mux.HandleFunc("POST "+pathAdmit, s.admit)
 	return s
 }
 
@@ -181,6 +183,13 @@
 	write(w, struct{}{})
 }
 
+func (s *Server) admit(w http.ResponseWriter, request *http.Request) {
+	var ask turmericwall.AdmitAsk
+	if read(w, request, &ask) {
+		write(w, s.config.Admit(ask))
+	}
+}
+
 func read(w http.ResponseWriter, request *http.Request, into any) bool {
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxMessage))
 	if err == nil {
--- a/internal/membership/twrates/rates.go
+++ b/internal/membership/twrates/rates.go
@@ -116,6 +116,26 @@
 	return known.perSecond, true
 }
 
+// Statement is the rate that the upstream states, as it is told to peers; ok is false when it states none.
+func (r *Rates) Statement(key turmericwall.UpstreamKey) (statement turmericwall.UpstreamRate, ok bool) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.known[key]
+	if !ok || known.lifted {
+		return turmericwall.UpstreamRate{}, false
+	}
+	return known.shared(key, now), true
+}
+
+// shared is the statement as peers are told.
+func (s *statement) shared(key turmericwall.UpstreamKey, now time.Time) turmericwall.UpstreamRate {
+	return turmericwall.UpstreamRate{
+		ID: key.ID, StartedMillis: key.StartedMillis, PerSecond: s.perSecond, Lifted: s.lifted,
+		AgeMillis: max(now.Sub(s.at).Milliseconds(), 0),
+	}
+}
+
 // List is what this daemon tells all others while it is the leader: the rates in force, and those lifted lately.
 func (r *Rates) List() []turmericwall.UpstreamRate {
 	return r.list(func(s *statement, now time.Time) bool { return !s.lifted || now.Sub(s.at) < listSpan })
@@ -135,10 +155,7 @@
 		if !wanted(s, now) {
 			continue
 		}
-		list = append(list, turmericwall.UpstreamRate{
-			ID: key.ID, StartedMillis: key.StartedMillis, PerSecond: s.perSecond, Lifted: s.lifted,
-			AgeMillis: max(now.Sub(s.at).Milliseconds(), 0),
-		})
+		list = append(list, s.shared(key, now))
 	}
 	return list
 }
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	Upstreams func(service string) []turmericwall.Upstream
 	// Away tells that an engine is changing its role and takes no work.
 	Away func(now time.Time, engine turmericwall.Upstream) bool
+	// Open tells that an engine takes a call now.
+	Open func(engine turmericwall.UpstreamKey) bool
 	// Keeping tells that this daemon places the calls of all.
 	Keeping func() bool
 	// Service returns the operator's plan of a service.
@@ -272,19 +275,24 @@
 	d.books.List(now, c.engines(now, service))
 }
 
-// engines lists the service's engines; those that change their role have none for now.
+// engines lists the service's engines as the books see them: those that change their role have none for now, and those that
+// take no call now get no new work.
 func (c *Coordinator) engines(now time.Time, service string) []turmericwall.Upstream {
 	list := c.config.Upstreams(service)
 	copied := false
 	for i, u := range list {
-		if !c.config.Away(now, u) {
+		away, open := c.config.Away(now, u), c.config.Open(u.Key())
+		if !away && open {
 			continue
 		}
 		if !copied {
-			list = append([]turmericwall.Upstream(nil), list...)
+			list = slices.Clone(list)
 			copied = true
 		}
-		list[i].Role = ""
+		if away {
+			list[i].Role = ""
+		}
+		list[i].Leaving = u.Leaving || !open
 	}
 	return list
 }
--- a/internal/placement/twcoordinator/coordinator_test.go
+++ b/internal/placement/twcoordinator/coordinator_test.go
@@ -27,6 +27,7 @@
 			return turmericwall.ServicePlan{Name: name, Engine: &engine}, true
 		},
 		Away: func(time.Time, turmericwall.Upstream) bool { return false }, Keeping: keeping.Load,
+		Open: func(turmericwall.UpstreamKey) bool { return true },
 	})
 }
 
--- a/internal/placement/twdelegate/delegate_test.go
+++ b/internal/placement/twdelegate/delegate_test.go
@@ -44,6 +44,10 @@
 	return nil
 }
 
+func (k *leader) Admit(context.Context, string, turmericwall.AdmitAsk) (turmericwall.AdmitReply, error) {
+	return turmericwall.AdmitReply{}, nil
+}
+
 func (k *leader) Runs(_ context.Context, _ string, runs []turmericwall.PlacedRun) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -91,6 +95,7 @@
 		{ID: "p", Service: "s", Slots: 4, Role: turmericwall.RolePrefill}, {ID: "d", Service: "s", Slots: 4, Role: turmericwall.RoleDecode},
 	}
 	own := twcoordinator.New(twcoordinator.Config{
+		Open:      func(turmericwall.UpstreamKey) bool { return true },
 		Tuning:    twbooks.DefaultTuning(),
 		Upstreams: func(string) []turmericwall.Upstream { return engines },
 		Service: func(string) (turmericwall.ServicePlan, bool) {
--- a/peering.go
+++ b/peering.go
@@ -30,6 +30,10 @@
 	Changing []ChangingEngine `json:"changing,omitempty"`
 	// Levels are the client accounts that have used a good part of their quotas.
 	Levels []AccountLevel `json:"levels,omitempty"`
+	// Rates are those that upstreams state, and those lifted lately.
+	Rates []UpstreamRate `json:"rates,omitempty"`
+	// Rank is the receiver's place among Daemons, from 0 on; no two have the same.
+	Rank int `json:"rank,omitempty"`
 }
 
 // Echo is a moment of one daemon by its own clock, which a peer hands back.
@@ -70,6 +74,8 @@
 	Moment int64 `json:"moment"`
 	// Uses is what the daemon counted of client accounts' calls by itself.
 	Uses []AccountUse `json:"uses,omitempty"`
+	// Rates are those that the daemon lately heard from upstreams itself.
+	Rates []UpstreamRate `json:"rates,omitempty"`
 }
 
 // Member is one incarnation of a daemon.
@@ -124,6 +130,25 @@
 	AgeMillis int64
 }
 
+// AdmitAsk asks the daemon that counts for all for sends to an upstream that states a rate.
+type AdmitAsk struct {
+	// Rate is the statement as the asking daemon knows it.
+	Rate UpstreamRate `json:"rate"`
+	// Count is how many sends are asked for.
+	Count int `json:"count"`
+}
+
+// AdmitReply is the answer to an AdmitAsk.
+type AdmitReply struct {
+	// Declined tells that the answering daemon doesn't count for all.
+	Declined bool `json:"declined,omitempty"`
+	// Granted is how many sends may be made at once.
+	Granted int `json:"granted,omitempty"`
+	// NextMillis is when the asking daemon may ask again after it was granted none, RetryMillis when the caller may come back.
+	NextMillis  int64 `json:"nextMillis,omitempty"`
+	RetryMillis int64 `json:"retryMillis,omitempty"`
+}
+
 // PeerClient calls one other daemon.
 type PeerClient interface {
 	Heartbeat(ctx context.Context, address string, heartbeat Heartbeat) (HeartbeatReply, error)
@@ -131,4 +156,5 @@
 	Place(ctx context.Context, address string, ask PlaceAsk) (Placement, error)
 	Finish(ctx context.Context, address string, ends []PlacementEnd) error
 	Runs(ctx context.Context, address string, runs []PlacedRun) error
+	Admit(ctx context.Context, address string, ask AdmitAsk) (AdmitReply, error)
 }
--- a/upstreams.go
+++ b/upstreams.go
@@ -135,6 +135,14 @@
 	ChangeRole(ctx context.Context, to Upstream, order RoleOrder) (accepted bool, err error)
 }
 
+// UpstreamThrottle keeps the sends of all daemons within the rates that upstreams state.
+type UpstreamThrottle interface {
+	// Admit takes one send to the upstream. The error is a *Problem that says when to come back.
+	Admit(ctx context.Context, upstream UpstreamKey) error
+	// Return gives back a send that was not made.
+	Return(upstream UpstreamKey)
+}
+
 // SendError tells how far a failed send got.
 type SendError struct {
 	// Sent tells that a byte of the call may have reached the upstream.
