feat: log when an upstream announces its end in an answer

Nothing told when a daemon could first have known that an upstream leaves, so logs could not tell daemons that don't read the announcement from daemons that undo it by the registry's older entry. Calls are sent as before. A statement now says apart that a rate is stated, lifted or not spoken of.

--- a/events.go
+++ b/events.go
@@ -48,6 +48,7 @@
 	EventInformedByLeader   EventID = 7010
 	EventLeaderStale        EventID = 7011
 	EventUpstreamRate       EventID = 7012
+	EventUpstreamLeaving    EventID = 7013
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -97,6 +98,7 @@
 	EventLeaderStale:        "Leader stale",
 	EventPeerState:          "Peer state",
 	EventUpstreamRate:       "Upstream rate",
+	EventUpstreamLeaving:    "Upstream leaving",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/membership/twrates/rates.go
+++ b/internal/membership/twrates/rates.go
@@ -47,7 +47,10 @@
 
 // Take takes what an answer to this daemon states.
 func (r *Rates) Take(from turmericwall.UpstreamKey, s turmericwall.UpstreamStatement) {
-	next := statement{perSecond: s.PerSecond, lifted: !s.RateStated, at: s.HeardAt, ownAt: s.HeardAt}
+	if !s.RateStated && !s.RateLifted {
+		return
+	}
+	next := statement{perSecond: s.PerSecond, lifted: s.RateLifted, at: s.HeardAt, ownAt: s.HeardAt}
 	if next.lifted {
 		next.at = s.SentAt
 	}
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -44,6 +44,8 @@
 	changed []change
 	// base is the position after which all changes are kept.
 	base int64
+	// announced are the incarnations that announced their end in an answer.
+	announced map[turmericwall.UpstreamKey]bool
 }
 
 // change is one upstream that was put or removed at a position.
@@ -64,7 +66,7 @@
 
 // New returns a view that knows no upstream.
 func New(config Config) *View {
-	return &View{config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream)}
+	return &View{config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream), announced: make(map[turmericwall.UpstreamKey]bool)}
 }
 
 // Lost tells that the registry can't be read.
@@ -239,6 +241,15 @@
 	return v.position
 }
 
+// Announced notes that an incarnation announced its end in an answer; first tells that it had not done so before.
+func (v *View) Announced(key turmericwall.UpstreamKey) (first bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	first = !v.announced[key]
+	v.announced[key] = true
+	return first
+}
+
 // Upstreams returns the service's upstreams, leaving ones included. The slice is shared and never changed.
 func (v *View) Upstreams(service string) []turmericwall.Upstream {
 	v.mu.RLock()
--- a/upstreams.go
+++ b/upstreams.go
@@ -58,10 +58,13 @@
 type UpstreamStatement struct {
 	// SentAt is when the call was sent, and HeardAt when the head of its answer came.
 	SentAt, HeardAt time.Time
-	// PerSecond is the rate of requests that the upstream takes from all daemons together; RateStated is false when the
-	// answer states none.
+	// PerSecond is the rate of requests that the upstream takes from all daemons together, if RateStated. RateLifted tells
+	// that the answer would state a rate and states none; refusals and answers to calls of the router's own say neither.
 	PerSecond  float64
 	RateStated bool
+	RateLifted bool
+	// Leaving tells that the upstream announces its end.
+	Leaving bool
 }
 
 // UpstreamRate is the newest statement on an upstream's rate that one daemon tells another.
