fix: send nothing to upstreams that announced their end in answers

What callers and upstreams saw: an upstream said in its answers that it leaves while the store was away, and daemons that had passed such answers on sent it 70 calls in the 11 s until the store took its entry; two seconds are allowed.

Cause: the announcement was read by nobody; the registry alone could say that an upstream leaves. Class: as with stated rates, a statement that the protocol lets a peer make in its answers and that no part of the router owns. Ruled out: that the registry's entry undid what was known (nothing was known), and calls on their way (they went on for 11 s).

Change: the view takes an incarnation that announced its end for leaving from that answer on, whatever the registry or a peer lists later, until another incarnation has the id; it remembers so for ten minutes after the entry is gone. Replies to heartbeats and heartbeats tell all daemons. The position of the view stays, because followers count it by the registry's changes. All sends ask the view already, and runs are moved off such engines; the target of a moved run is now asked for right before the move.

--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -93,6 +93,10 @@
 	if err != nil {
 		return moved{err: err}
 	}
+	if !r.config.View.Takes(placement.Decode.Key()) {
+		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
+		return moved{err: errLeaving}
+	}
 	if err := r.config.Throttle.Admit(ctx, placement.Decode.Key()); err != nil {
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
 		return moved{err: err}
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -71,6 +71,9 @@
 	Rates     func() []turmericwall.UpstreamRate
 	OwnRates  func() []turmericwall.UpstreamRate
 	TakeRates func([]turmericwall.UpstreamRate)
+	// Leaving are the upstreams that announced their end in answers, and TakeLeaving takes those that another daemon knows.
+	Leaving     func() []turmericwall.UpstreamKey
+	TakeLeaving func([]turmericwall.UpstreamKey)
 	// Gone is called for an incarnation that is no longer live.
 	Gone func(incarnation string)
 }
@@ -169,6 +172,9 @@
 	if c.config.TakeRates != nil {
 		c.config.TakeRates(heartbeat.Rates)
 	}
+	if c.config.TakeLeaving != nil {
+		c.config.TakeLeaving(heartbeat.Leaving)
+	}
 	if heartbeat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
@@ -212,6 +218,9 @@
 	if c.config.OwnRates != nil {
 		reply.Rates = c.config.OwnRates()
 	}
+	if c.config.Leaving != nil {
+		reply.Leaving = c.config.Leaving()
+	}
 	reply.PlanVersion, reply.UpstreamsPosition = c.config.PlanVersion(), c.config.UpstreamsPosition()
 	return reply
 }
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -25,6 +25,9 @@
 	if c.config.Rates != nil {
 		heartbeat.Rates = c.config.Rates()
 	}
+	if c.config.Leaving != nil {
+		heartbeat.Leaving = c.config.Leaving()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -82,6 +85,9 @@
 	if err == nil && c.config.TakeRates != nil {
 		c.config.TakeRates(got.Rates)
 	}
+	if err == nil && c.config.TakeLeaving != nil {
+		c.config.TakeLeaving(got.Leaving)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[address]
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -13,6 +13,10 @@
 // gone. Upstreams beat every 1.2 s and are back within about two seconds, by the registry's own promise.
 const returnSpan = 2 * time.Second
 
+// announcedSpan is how long an announced end is remembered after the upstream is no longer known: its entry may lapse and
+// come back.
+const announcedSpan = 10 * time.Minute
+
 // A position counts the registry's versions, and between two of them the drops of entries that did not come back.
 //
 // A drop that took the registry's next version would hide the change that comes with it: followers would believe that
@@ -44,8 +48,9 @@
 	changed []change
 	// base is the position after which all changes are kept.
 	base int64
-	// announced are the incarnations that announced their end in an answer.
-	announced map[turmericwall.UpstreamKey]bool
+	// announced tells when incarnations announced their end in an answer. The registry's entries don't undo it: an upstream
+	// that leaves may write its last entry late, or never.
+	announced map[turmericwall.UpstreamKey]time.Time
 }
 
 // change is one upstream that was put or removed at a position.
@@ -66,7 +71,7 @@
 
 // New returns a view that knows no upstream.
 func New(config Config) *View {
-	return &View{config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream), announced: make(map[turmericwall.UpstreamKey]bool)}
+	return &View{config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream), announced: make(map[turmericwall.UpstreamKey]time.Time)}
 }
 
 // Lost tells that the registry can't be read.
@@ -108,7 +113,7 @@
 	seen := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
 		seen[u.ID] = true
-		v.entries[u.ID] = &entry{upstream: u}
+		v.keep(u)
 	}
 	for id := range v.entries {
 		if !seen[id] {
@@ -123,7 +128,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.note(version*dropsPerVersion, upstream.ID)
-	v.entries[upstream.ID] = &entry{upstream: upstream}
+	v.keep(upstream)
 	v.rebuild()
 }
 
@@ -140,6 +145,7 @@
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.forgetAnnounced(now)
 	if v.away || now.Before(v.trustedAt) {
 		return
 	}
@@ -192,7 +198,7 @@
 	}
 	for _, u := range put {
 		v.note(position, u.ID)
-		v.entries[u.ID] = &entry{upstream: u}
+		v.keep(u)
 	}
 	for _, id := range removed {
 		v.note(position, id)
@@ -215,7 +221,7 @@
 	v.changed = nil
 	v.entries = make(map[string]*entry, len(upstreams))
 	for _, u := range upstreams {
-		v.entries[u.ID] = &entry{upstream: u}
+		v.keep(u)
 	}
 	v.rebuild()
 }
@@ -241,13 +247,50 @@
 	return v.position
 }
 
-// Announced notes that an incarnation announced its end in an answer; first tells that it had not done so before.
-func (v *View) Announced(key turmericwall.UpstreamKey) (first bool) {
+// Announced notes that an incarnation announced its end in an answer, and takes it for leaving from now on; first tells that
+// this wasn't known. The position stays: followers count it by the registry's changes alone.
+func (v *View) Announced(now time.Time, key turmericwall.UpstreamKey) (first bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	first = !v.announced[key]
-	v.announced[key] = true
-	return first
+	if _, known := v.announced[key]; known {
+		return false
+	}
+	v.announced[key] = now
+	if e, ok := v.entries[key.ID]; ok && e.upstream.Key() == key && !e.upstream.Leaving {
+		e.upstream.Leaving = true
+		v.rebuild()
+	}
+	return true
+}
+
+// AllAnnounced are the known incarnations that announced their end in an answer.
+func (v *View) AllAnnounced() []turmericwall.UpstreamKey {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list []turmericwall.UpstreamKey
+	for key := range v.announced {
+		if e, ok := v.entries[key.ID]; ok && e.upstream.Key() == key {
+			list = append(list, key)
+		}
+	}
+	return list
+}
+
+// keep takes an entry; the lock is held.
+func (v *View) keep(u turmericwall.Upstream) {
+	if _, announced := v.announced[u.Key()]; announced {
+		u.Leaving = true
+	}
+	v.entries[u.ID] = &entry{upstream: u}
+}
+
+// forgetAnnounced drops what is no longer known and announced its end long ago; the lock is held.
+func (v *View) forgetAnnounced(now time.Time) {
+	for key, at := range v.announced {
+		if e, ok := v.entries[key.ID]; now.Sub(at) > announcedSpan && (!ok || e.upstream.Key() != key) {
+			delete(v.announced, key)
+		}
+	}
 }
 
 // Upstreams returns the service's upstreams, leaving ones included. The slice is shared and never changed.
--- a/internal/membership/twupstreams/view_test.go
+++ b/internal/membership/twupstreams/view_test.go
@@ -146,3 +146,51 @@
 	v.List(start, 9, []turmericwall.Upstream{upstream("a", false)})
 	g.Expect(ids(v)).To(Equal([]string{"a"}))
 }
+
+// Guards against a registry's older entry that undoes what an upstream announced in its answers.
+func TestAnAnnouncedEndIsNotUndoneByTheRegistry(t *testing.T) {
+	a := upstream("a", false)
+	for _, c := range []struct {
+		name string
+		then func(v *twupstreams.View)
+	}{
+		{"nothing", func(*twupstreams.View) {}},
+		{"a list", func(v *twupstreams.View) { v.List(start, 6, []turmericwall.Upstream{a}) }},
+		{"an entry", func(v *twupstreams.View) { v.Put(6, a) }},
+		{"a peer's changes", func(v *twupstreams.View) { v.Follow(v.Position()+1, []turmericwall.Upstream{a}, nil) }},
+		{"a peer's whole view", func(v *twupstreams.View) { v.FollowAll(v.Position()+1, []turmericwall.Upstream{a}) }},
+		{"an entry that lapsed and came back", func(v *twupstreams.View) {
+			v.Remove(start, 6, "a")
+			v.Sweep(start.Add(time.Minute))
+			v.Put(7, a)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+			v.List(start, 5, []turmericwall.Upstream{a, upstream("b", false)})
+			position := v.Position()
+			g.Expect(v.Announced(start, a.Key())).To(BeTrue())
+			g.Expect(v.Announced(start, a.Key())).To(BeFalse(), "told once")
+			g.Expect(v.Position()).To(Equal(position), "followers count changes by the registry's alone")
+			c.then(v)
+			g.Expect(v.Takes(a.Key())).To(BeFalse())
+			g.Expect(v.Upstreams("s")[0].Leaving).To(BeTrue())
+			g.Expect(v.AllAnnounced()).To(Equal([]turmericwall.UpstreamKey{a.Key()}))
+		})
+	}
+}
+
+func TestAnUpstreamThatStartsAgainAnnouncedNothing(t *testing.T) {
+	g := NewWithT(t)
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+	a := upstream("a", false)
+	v.List(start, 5, []turmericwall.Upstream{a})
+	v.Announced(start, a.Key())
+	a.StartedMillis++
+	v.Put(6, a)
+	g.Expect(v.Takes(a.Key())).To(BeTrue())
+	g.Expect(v.AllAnnounced()).To(BeEmpty())
+	v.Sweep(start.Add(11 * time.Minute))
+	g.Expect(v.Announced(start, upstream("a", false).Key())).To(BeTrue(), "forgotten by then")
+}
--- a/peering.go
+++ b/peering.go
@@ -32,6 +32,8 @@
 	Levels []AccountLevel `json:"levels,omitempty"`
 	// Rates are those that upstreams state, and those lifted lately.
 	Rates []UpstreamRate `json:"rates,omitempty"`
+	// Leaving are the upstreams that announced their end in answers.
+	Leaving []UpstreamKey `json:"leaving,omitempty"`
 	// Rank is the receiver's place among Daemons, from 0 on; no two have the same.
 	Rank int `json:"rank,omitempty"`
 }
@@ -76,6 +78,8 @@
 	Uses []AccountUse `json:"uses,omitempty"`
 	// Rates are those that the daemon lately heard from upstreams itself.
 	Rates []UpstreamRate `json:"rates,omitempty"`
+	// Leaving are the upstreams of which the daemon knows that they announced their end in answers.
+	Leaving []UpstreamKey `json:"leaving,omitempty"`
 }
 
 // Member is one incarnation of a daemon.
--- a/routes.go
+++ b/routes.go
@@ -108,8 +108,8 @@
 
 // UpstreamKey names one incarnation of an upstream.
 type UpstreamKey struct {
-	ID            string
-	StartedMillis int64
+	ID            string `json:"id"`
+	StartedMillis int64  `json:"startedMillis,omitempty"`
 }
 
 // Key names the upstream's incarnation.
