fix: send nothing to upstreams that asked this daemon to back off

What upstreams saw: one that turns calls away with 503 and says for how long it wants none from this daemon got the next call at once: a decode engine 26 calls of four daemons in 4 s of a pause of 60 s, of which two of each daemon are allowed.

Cause: the header of a refusal was dropped with the refusal; a busy engine was left alone for 100 ms at most by the leader, and a plain upstream not at all. Class: the same as with rates and announced ends.

The leader places for daemons that it can't know this of: they name such engines as ones to avoid. Before an answer is sent, whose prompt was read meanwhile, the time is asked again. When every engine that answers wants no call, the call is refused at once with the earliest time.

Not covered: role orders and look-ups of kept prompts, a few a minute by the leader alone, are sent all the same.

--- a/events.go
+++ b/events.go
@@ -49,6 +49,7 @@
 	EventLeaderStale        EventID = 7011
 	EventUpstreamRate       EventID = 7012
 	EventUpstreamLeaving    EventID = 7013
+	EventUpstreamBackOff    EventID = 7014
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -99,6 +100,7 @@
 	EventPeerState:          "Peer state",
 	EventUpstreamRate:       "Upstream rate",
 	EventUpstreamLeaving:    "Upstream leaving",
+	EventUpstreamBackOff:    "Upstream back-off",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/admission/twquota/rate_fleet_test.go
+++ b/internal/admission/twquota/rate_fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twthrottle"
+	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
 	"github.com/turmericwall/turmericwall/internal/membership/twrates"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 )
@@ -81,7 +82,7 @@
 	d.heardAt, d.leader, d.rank, d.daemons, d.standbys = time.Time{}, turmericwall.Member{}, 0, 0, nil
 	d.rates = twrates.New(twrates.Config{Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}), Now: d.clock})
 	d.throttle = twthrottle.New(twthrottle.Config{
-		Rates: d.rates, Peers: d.fleet, Self: d.member(), Leader: d.lead, Now: d.clock, Daemons: d.count, Absent: d.absent,
+		Rates: d.rates, Backoffs: twbackoff.New(), Peers: d.fleet, Self: d.member(), Leader: d.lead, Now: d.clock, Daemons: d.count, Absent: d.absent,
 		Standbys: func() []turmericwall.Member {
 			var others []turmericwall.Member
 			for _, s := range d.standbys {
--- a/internal/admission/twthrottle/throttle.go
+++ b/internal/admission/twthrottle/throttle.go
@@ -1,4 +1,5 @@
-// Package twthrottle keeps the sends of all daemons within the rates that upstreams state.
+// Package twthrottle keeps sends within what upstreams say that they take: the rate for all daemons together, and the time in
+// which an upstream wants no call from this one.
 //
 // One daemon counts for all, with a token bucket for each upstream that states a rate: the leader, or a standby while there is
 // no leader. The others ask it before they send. A daemon that reaches none of them uses its own slots of the rate; the leader
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
 	"github.com/turmericwall/turmericwall/internal/membership/twrates"
 )
 
@@ -42,7 +44,8 @@
 
 // Config says what a throttle works with.
 type Config struct {
-	Rates *twrates.Rates
+	Rates    *twrates.Rates
+	Backoffs *twbackoff.Backoffs
 	// Peers carries asks to other daemons.
 	Peers turmericwall.PeerClient
 	Self  turmericwall.Member
@@ -103,6 +106,10 @@
 
 // Admit takes one send to the upstream. The error is a *Problem that says when to come back.
 func (t *Throttle) Admit(ctx context.Context, upstream turmericwall.UpstreamKey) error {
+	if until := t.ClosedUntil(upstream); !until.IsZero() {
+		return turmericwall.NewProblem(turmericwall.KindOverloaded,
+			fmt.Sprintf("the upstream %s wants no call from this daemon for now", upstream.ID), "come back at the time given").WithRetryAt(until)
+	}
 	stated, limited := t.config.Rates.Statement(upstream)
 	if !limited {
 		return nil
@@ -123,6 +130,11 @@
 	return t.takeSlot(upstream, rate)
 }
 
+// ClosedUntil is when an upstream that wants no call from this daemon takes one again; zero when it takes one now.
+func (t *Throttle) ClosedUntil(upstream turmericwall.UpstreamKey) time.Time {
+	return t.config.Backoffs.Until(t.config.Now(), upstream)
+}
+
 // takeGranted takes a send that was granted before; else count tells how many to ask for, and is 0 when it is too early to ask.
 func (t *Throttle) takeGranted(upstream turmericwall.UpstreamKey, rate float64) (count int, err error) {
 	now, daemons := t.config.Now(), t.count().daemons
--- /dev/null
+++ b/internal/delivery/twbackoff/backoffs.go
@@ -0,0 +1,54 @@
+// Package twbackoff keeps for how long upstreams want no call from this daemon.
+package twbackoff
+
+import (
+	"sync"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// maxSpan bounds what an upstream may ask for: it may have mistaken the unit.
+const maxSpan = time.Hour
+
+// Backoffs hold the latest time that each upstream asked for. They have no clock of their own.
+type Backoffs struct {
+	mu    sync.Mutex
+	until map[turmericwall.UpstreamKey]time.Time
+}
+
+// New returns backoffs of no upstream.
+func New() *Backoffs { return &Backoffs{until: make(map[turmericwall.UpstreamKey]time.Time)} }
+
+// Take notes that the upstream wants no call before the time until.
+func (b *Backoffs) Take(now time.Time, upstream turmericwall.UpstreamKey, until time.Time) {
+	if latest := now.Add(maxSpan); until.After(latest) {
+		until = latest
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.until[upstream]) {
+		b.until[upstream] = until
+	}
+}
+
+// Until is when the upstream takes calls again; it is zero when it takes them now.
+func (b *Backoffs) Until(now time.Time, upstream turmericwall.UpstreamKey) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := b.until[upstream]; until.After(now) {
+		return until
+	}
+	return time.Time{}
+}
+
+// Forget drops what is over.
+func (b *Backoffs) Forget(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, until := range b.until {
+		if !until.After(now) {
+			delete(b.until, key)
+		}
+	}
+}
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -150,7 +150,9 @@
 type throttle struct {
 	mu          sync.Mutex
 	closedUntil map[string]time.Time
-	admitted    map[string]int
+	// backOffs are upstreams that want no call from this daemon.
+	backOffs map[string]time.Time
+	admitted map[string]int
 }
 
 func (t *throttle) Admit(_ context.Context, upstream turmericwall.UpstreamKey) error {
@@ -163,6 +165,19 @@
 	return nil
 }
 
+func (t *throttle) ClosedUntil(upstream turmericwall.UpstreamKey) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.backOffs[upstream.ID]
+}
+
+func (t *throttle) backOff(id string, span time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.backOffs[id] = time.Now().Add(span)
+	t.closedUntil[id] = t.backOffs[id]
+}
+
 func (t *throttle) Return(upstream turmericwall.UpstreamKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -188,7 +203,7 @@
 var errPlain = errors.New("connection reset")
 
 func newSite(kind turmericwall.CallKind) *site {
-	s := &site{upstreams: &upstreams{}, placer: &placer{}, throttle: &throttle{closedUntil: make(map[string]time.Time), admitted: make(map[string]int)}, view: twupstreams.New(twupstreams.Config{}), slack: 50}
+	s := &site{upstreams: &upstreams{}, placer: &placer{}, throttle: &throttle{closedUntil: make(map[string]time.Time), backOffs: make(map[string]time.Time), admitted: make(map[string]int)}, view: twupstreams.New(twupstreams.Config{}), slack: 50}
 	s.proof = twproof.New(twproof.Config{MaxAge: time.Minute, Current: time.Minute})
 	s.proof.Confirm(twboottime.Now())
 	s.log = &bytes.Buffer{}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,6 +50,11 @@
 }
 
 func (r *Relay) place(ctx context.Context, a *attempt, n int, avoid []string) (turmericwall.Placement, error) {
+	closed, err := r.closedEngines(a)
+	if err != nil {
+		return turmericwall.Placement{}, err
+	}
+	avoid = slices.Concat(avoid, closed)
 	target := a.call.ReceivedAt.Add(time.Duration(a.route.TargetMillis) * time.Millisecond)
 	placement, err := r.config.Placer.Place(ctx, turmericwall.PlaceAsk{
 		ID: a.call.ID + "/" + strconv.Itoa(n), Service: a.service.Name, Owner: r.config.Daemon, Zone: r.config.Zone,
@@ -70,6 +76,40 @@
 	return placement, nil
 }
 
+// closedEngines are those that want no call from this daemon. The leader doesn't know them. When no engine that answers is left, the
+// call is refused with the time at which the first one takes calls again.
+func (r *Relay) closedEngines(a *attempt) (ids []string, err error) {
+	open := false
+	var first time.Time
+	for _, u := range r.config.View.Upstreams(a.service.Name) {
+		until := r.config.Throttle.ClosedUntil(u.Key())
+		if until.IsZero() {
+			open = open || (u.Role == turmericwall.RoleDecode && !u.Leaving)
+			continue
+		}
+		ids = append(ids, u.ID)
+		if u.Role == turmericwall.RoleDecode && (first.IsZero() || until.Before(first)) {
+			first = until
+		}
+	}
+	if open || first.IsZero() {
+		return ids, nil
+	}
+	return nil, turmericwall.NewProblem(turmericwall.KindOverloaded, "no engine wants a call from this daemon for now",
+		"come back at the time given").WithRetryAt(first)
+}
+
+// takes tells that the engine may get a call that was admitted before.
+func (r *Relay) takes(engine turmericwall.Upstream) error {
+	if !r.config.View.Takes(engine.Key()) {
+		return errLeaving
+	}
+	if !r.config.Throttle.ClosedUntil(engine.Key()).IsZero() {
+		return errBackOff
+	}
+	return nil
+}
+
 // try runs one placement; done tells that the call has its final outcome.
 func (r *Relay) try(ctx context.Context, a *attempt, p turmericwall.Placement, avoid *[]string) (done bool, err error) {
 	end := turmericwall.PlacementEnd{ID: p.ID, Service: a.service.Name}
@@ -120,10 +160,10 @@
 		a.model.read = a.since()
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: p.ID, Service: end.Service, Running: true, PromptRead: true, PromptMillis: end.PromptMillis})
 	}
-	if !r.config.View.Takes(p.Decode.Key()) {
+	if err := r.takes(p.Decode); err != nil {
 		r.unused(p.Decode)
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
-		return false, notRun(errLeaving)
+		return false, notRun(err)
 	}
 	if err := r.config.Keys.Holds(a.credential); err != nil {
 		r.unused(p.Decode)
@@ -184,6 +224,7 @@
 var (
 	errNoRoom   = errors.New("the engine has no memory left")
 	errLeaving  = errors.New("the engine is leaving")
+	errBackOff  = errors.New("the engine wants no call from this daemon for now")
 	errNoBudget = errors.New("the budget of repeated sends is used up")
 )
 
@@ -242,8 +283,8 @@
 }
 
 func (r *Relay) prefill(ctx context.Context, a *attempt, p turmericwall.Placement, out turmericwall.Outgoing) (turmericwall.EngineExport, error) {
-	if !r.config.View.Takes(p.Prefill.Key()) {
-		return turmericwall.EngineExport{}, &turmericwall.SendError{Err: errLeaving}
+	if err := r.takes(p.Prefill); err != nil {
+		return turmericwall.EngineExport{}, &turmericwall.SendError{Err: err}
 	}
 	// The first prompt that an engine reads for another one is no attempt; further ones and refused ones are.
 	if a.read && !r.mayTry(a) {
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -78,6 +78,9 @@
 // move finds a place for a run and copies its memory there. The send that goes on there is paid for before the run is
 // stopped: without it the answer would be lost.
 func (r *Relay) move(ctx context.Context, a *attempt, ask moveAsk) moved {
+	if !r.config.Throttle.ClosedUntil(ask.from.Key()).IsZero() {
+		return moved{err: errBackOff}
+	}
 	ctx, cancel := context.WithTimeout(ctx, moveLimit)
 	defer cancel()
 	work := a.call.Work
@@ -93,9 +96,9 @@
 	if err != nil {
 		return moved{err: err}
 	}
-	if !r.config.View.Takes(placement.Decode.Key()) {
+	if err := r.takes(placement.Decode); err != nil {
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
-		return moved{err: errLeaving}
+		return moved{err: err}
 	}
 	if err := r.config.Throttle.Admit(ctx, placement.Decode.Key()); err != nil {
 		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: placement.ID, Service: a.service.Name})
--- a/upstreams.go
+++ b/upstreams.go
@@ -65,6 +65,8 @@
 	RateLifted bool
 	// Leaving tells that the upstream announces its end.
 	Leaving bool
+	// BackOffUntil is when the upstream takes calls of this daemon again; zero when it said nothing of it.
+	BackOffUntil time.Time
 }
 
 // UpstreamRate is the newest statement on an upstream's rate that one daemon tells another.
@@ -138,12 +140,14 @@
 	ChangeRole(ctx context.Context, to Upstream, order RoleOrder) (accepted bool, err error)
 }
 
-// UpstreamThrottle keeps the sends of all daemons within the rates that upstreams state.
+// UpstreamThrottle keeps sends within what upstreams say that they take.
 type UpstreamThrottle interface {
 	// Admit takes one send to the upstream. The error is a *Problem that says when to come back.
 	Admit(ctx context.Context, upstream UpstreamKey) error
 	// Return gives back a send that was not made.
 	Return(upstream UpstreamKey)
+	// ClosedUntil is when an upstream that wants no call from this daemon takes one again; zero when it takes one now.
+	ClosedUntil(upstream UpstreamKey) time.Time
 }
 
 // SendError tells how far a failed send got.
