fix: charge calls that a dead leader gave no answer to to the daemon's own part

Cause: for 0.7 s a dead leader counts as live. Model calls that it gave no answer to were placed by each daemon and charged against the level of its last heartbeat, which nobody took from; 518,000 tokens ran so in 0.45 s. They counted as told to the dead leader, so that its successor never heard of them.

Change: such calls take from the daemon's own part at once; levels count for 0.4 s; reports say apart what the leader before can't have counted, from the reply to its last heartbeat but one; a listed account's call larger than the part runs by chance, as often as the part allows.

Ruled out: the new leader's first level (its 86,000 and 65,000 tokens were paid back by reports within 0.3 s) and restarted daemons (a hundredth of a part).

--- a/clients.go
+++ b/clients.go
@@ -40,6 +40,8 @@
 type QuotaMeter interface {
 	// Charge takes what a call counts as from its account's quota. The error is a *Problem that says when to come back.
 	Charge(account string, units float64) error
+	// ChargeAlone does so for a call that the leader gave no answer to.
+	ChargeAlone(account string, units float64) error
 	// Refund gives back what was taken for a call that did not run.
 	Refund(account string, units float64)
 }
@@ -48,7 +50,7 @@
 type AccountUse struct {
 	Account string `json:"account"`
 	Units   int64  `json:"units"`
-	// Alone are the units since the daemon was last without a leader.
+	// Alone are the units that the leader before the present one can't have counted.
 	Alone int64 `json:"alone,omitempty"`
 }
 
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -32,6 +32,10 @@
 	toleratedShare = 0.5
 	// countSpan is how long a count of the daemons is used.
 	countSpan = 100 * time.Millisecond
+	// levelSpan is how long the leader's levels are acted on: a heartbeat and its way.
+	levelSpan = 400 * time.Millisecond
+	// missedSpan is how long after its last heartbeat a leader counts what a daemon used as a new one does.
+	missedSpan = 700 * time.Millisecond
 	// maxReturn bounds the time to come back.
 	maxReturn = 5 * time.Second
 )
@@ -51,6 +55,8 @@
 	WindowSeconds, Overage, Slack float64
 	// Restarted tells that daemons ran before this one, so that an unknown level may be low.
 	Restarted bool
+	// Random draws from 0 to 1.
+	Random func() float64
 	// Now is the time by the steady clock.
 	Now func() time.Time
 }
@@ -61,10 +67,13 @@
 	mu     sync.Mutex
 	// shared are the buckets of all daemons, while this one is the leader.
 	shared map[string]*bucket
-	// own are this daemon's buckets while it has no leader.
-	own map[string]*bucket
-	// levels are the last ones that a leader sent.
-	levels map[string]level
+	// own are this daemon's buckets while it has no leader, as of the levels that were heard at ownAt.
+	own   map[string]*bucket
+	ownAt time.Time
+	// levels are the last ones that a leader sent, and levelsAt is when they came; leader is the leader's incarnation.
+	levels   map[string]level
+	levelsAt time.Time
+	leader   string
 	// used is what this daemon counted by itself.
 	used map[string]*use
 	// reported is what other daemons had counted when they last replied, by incarnation and account.
@@ -92,7 +101,10 @@
 
 type use struct {
 	units float64
-	// before is what was counted before the daemon was last without a leader.
+	// told are the units at the last reply to the present leader, and toldBefore those at the reply before that. What the
+	// leader sends after a reply may not contain it yet.
+	told, toldBefore float64
+	// before is what the leader before the present one had counted in the last levels that it sent.
 	before float64
 	at     time.Time
 }
@@ -118,13 +130,30 @@
 	switch {
 	case s.leading:
 		return m.chargeShared(s, found, units)
-	case s.led:
+	case s.led && s.now.Sub(m.levelsAt) < levelSpan:
 		return m.chargeLed(s.now, found, units)
 	default:
 		return m.chargeAlone(s, found, units)
 	}
 }
 
+// ChargeAlone takes units for a call that the leader should have charged and gave no answer to: it may be gone and not missed yet,
+// and what it last sent says nothing of what others take at the same time.
+func (m *Meter) ChargeAlone(account string, units float64) error {
+	found, ok := m.config.Account(account)
+	if !ok || !found.Quota.Limits() || units <= 0 {
+		return nil
+	}
+	s := m.look()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(s)
+	if s.leading {
+		return m.chargeShared(s, found, units)
+	}
+	return m.chargeAlone(s, found, units)
+}
+
 // Refund gives units back for a call that did not run.
 func (m *Meter) Refund(account string, units float64) {
 	found, ok := m.config.Account(account)
@@ -140,7 +169,7 @@
 		return
 	}
 	m.count(s.now, account, -units)
-	if b, ok := m.own[account]; ok && !s.led {
+	if b, ok := m.own[account]; ok && m.ownAt.Equal(m.levelsAt) {
 		b.level += units
 	}
 }
@@ -169,12 +198,6 @@
 		m.shared = make(map[string]*bucket)
 		m.reported = make(map[string]map[string]int64)
 	}
-	if !s.leading && !s.led && (m.last.leading || m.last.led) {
-		m.own = make(map[string]*bucket)
-		for _, u := range m.used {
-			u.before = u.units
-		}
-	}
 	m.last = s
 }
 
@@ -247,17 +270,21 @@
 //
 // All shares together allow the rate, and the burst with what is tolerated beyond the quota, so that accounts far below their
 // limits are not held up. For an account that was listed, the share is one of what was left. A share may be smaller than a
-// call, which is then admitted by a full share and leaves it in debt.
+// call, which is then admitted by a full share and leaves it in debt; of a listed account only by chance, as often as its share
+// allows in the mean, since the debts of hundreds of daemons would be many times the quota.
 func (m *Meter) chargeAlone(s situation, account turmericwall.ClientAccount, units float64) error {
 	daemons := s.daemons
 	if daemons == 0 {
 		daemons = unknownDaemons
 	}
+	if !m.ownAt.Equal(m.levelsAt) {
+		m.own, m.ownAt = make(map[string]*bucket), m.levelsAt
+	}
 	quota := account.Quota
 	rate, capacity := quota.PerSecond/float64(daemons), (quota.Burst+(1-toleratedShare)*m.tolerance(quota))/float64(daemons)
 	b, ok := m.own[account.Name]
 	if !ok {
-		b = &bucket{level: capacity * m.leftShare(account), capacity: capacity}
+		b = &bucket{level: capacity * m.leftShare(account), capacity: capacity, at: m.levelsAt}
 		m.own[account.Name] = b
 	}
 	b.refill(s.now, rate, capacity)
@@ -269,6 +296,15 @@
 	if b.level < min(units, capacity) {
 		return overLimit(account, units, b.level, "of this daemon's part, without a leader", b.invite(s.now, rate, min(units, capacity)))
 	}
+	if _, listed := m.levels[account.Name]; listed && units > capacity {
+		b.level -= capacity
+		if m.config.Random() >= capacity/units {
+			return overLimit(account, units, b.level, "of this daemon's part, which is smaller than the call, without a leader",
+				b.invite(s.now, rate, capacity))
+		}
+		m.count(s.now, account.Name, units)
+		return nil
+	}
 	b.level -= units
 	m.count(s.now, account.Name, units)
 	return nil
@@ -301,7 +337,7 @@
 		"come back at the time given").WithRetryAt(retryAt)
 }
 
-// Uses is what this daemon counted by itself of the accounts with recent calls, for the leader.
+// Uses is what this daemon counted by itself of the accounts with recent calls, for the leader whose heartbeat it answers.
 func (m *Meter) Uses() []turmericwall.AccountUse {
 	now := m.config.Now()
 	m.mu.Lock()
@@ -372,11 +408,20 @@
 	return list
 }
 
-// TakeLevels takes the levels of the leader's heartbeat.
-func (m *Meter) TakeLevels(levels []turmericwall.AccountLevel) {
+// TakeLevels takes the levels of the heartbeat of a leader, which is named by its incarnation. The reply to it tells the Uses.
+func (m *Meter) TakeLevels(leader string, levels []turmericwall.AccountLevel) {
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if leader != m.leader || now.Sub(m.levelsAt) > missedSpan {
+		for _, u := range m.used {
+			u.before = u.toldBefore
+		}
+	}
+	m.leader, m.levelsAt = leader, now
+	for _, u := range m.used {
+		u.toldBefore, u.told = u.told, u.units
+	}
 	clear(m.levels)
 	for _, l := range levels {
 		m.levels[l.Account] = level{units: float64(l.Units), at: now}
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -66,7 +66,7 @@
 	Uses       func() []turmericwall.AccountUse
 	TakeUses   func(incarnation string, up time.Duration, uses []turmericwall.AccountUse)
 	Levels     func() []turmericwall.AccountLevel
-	TakeLevels func([]turmericwall.AccountLevel)
+	TakeLevels func(leader string, levels []turmericwall.AccountLevel)
 	// Rates are those that upstreams state, and OwnRates those that this daemon heard itself; TakeRates takes another one's.
 	Rates     func() []turmericwall.UpstreamRate
 	OwnRates  func() []turmericwall.UpstreamRate
@@ -167,7 +167,7 @@
 		c.config.ChangingTold(heartbeat.Changing)
 	}
 	if c.config.TakeLevels != nil {
-		c.config.TakeLevels(heartbeat.Levels)
+		c.config.TakeLevels(heartbeat.Leader.Incarnation, heartbeat.Levels)
 	}
 	if c.config.TakeRates != nil {
 		c.config.TakeRates(heartbeat.Rates)
@@ -178,6 +178,9 @@
 	if heartbeat.Successor == c.config.Self && c.config.Nominated != nil {
 		c.config.Nominated()
 	}
+	if c.config.Uses != nil {
+		self.Uses = c.config.Uses()
+	}
 	return self
 }
 
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -71,10 +71,8 @@
 
 // Place takes one call from its account's quota and waits for the decision on it.
 func (c *Coordinator) Place(ctx context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
-	if ask.Units > 0 {
-		if err := c.config.Quotas.Charge(ask.Account, ask.Units); err != nil {
-			return turmericwall.Placement{}, err
-		}
+	if err := c.charge(ask); err != nil {
+		return turmericwall.Placement{}, err
 	}
 	placement, err := c.await(ctx, ask)
 	if ask.Units > 0 {
@@ -83,6 +81,19 @@
 	return placement, err
 }
 
+// charge takes the call from its account's quota: of all daemons as the leader, else of this daemon's part, since no leader has
+// answered for the call.
+func (c *Coordinator) charge(ask turmericwall.PlaceAsk) error {
+	switch {
+	case ask.Units <= 0:
+		return nil
+	case c.config.Keeping():
+		return c.config.Quotas.Charge(ask.Account, ask.Units)
+	default:
+		return c.config.Quotas.ChargeAlone(ask.Account, ask.Units)
+	}
+}
+
 // settle gives the units of a refused call back, and remembers those of a placed one.
 func (c *Coordinator) settle(ask turmericwall.PlaceAsk, err error) {
 	if err != nil {
