fix: leave plain services of the older interface alone when they ask to

One function reads the header for both interfaces. TestAnUpstreamThatAsksToBackOffIsLeftAlone was red before: every second call went there.

--- a/internal/delivery/twbackoff/backoffs.go
+++ b/internal/delivery/twbackoff/backoffs.go
@@ -2,6 +2,10 @@
 package twbackoff
 
 import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +15,23 @@
 // maxSpan bounds what an upstream may ask for: it may have mistaken the unit.
 const maxSpan = time.Hour
 
+// maxRetrySeconds keeps a time to come back from overflowing.
+const maxRetrySeconds = 1e6
+
+// RetryAt is when an answer says that the call may be made again; zero when it says nothing that can be read. The header holds
+// seconds, which may have fractions, or a date.
+func RetryAt(now time.Time, header http.Header) time.Time {
+	value := strings.TrimSpace(header.Get("Retry-After"))
+	if at, err := http.ParseTime(value); err == nil {
+		return at
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(min(seconds, maxRetrySeconds) * float64(time.Second)))
+}
+
 // Backoffs hold the latest time that each upstream asked for. They have no clock of their own.
 type Backoffs struct {
 	mu    sync.Mutex
--- a/internal/once/twforward/forwarder.go
+++ b/internal/once/twforward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
 )
 
 const (
@@ -67,10 +68,13 @@
 	}
 	response, err := f.send(ctx, call, vm, connection)
 	if err != nil {
-		f.eject(vm.Name)
+		f.eject(vm.Name, f.clock.Now().Add(ejectedFor))
 		return nil, turmericwall.NewProblem(turmericwall.KindOutcomeUnknown, "the service gave no whole answer",
 			"ask the service before sending the call under another key").WithOutcome(turmericwall.OutcomeUnknown).WithCause(err)
 	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		f.eject(vm.Name, twbackoff.RetryAt(f.clock.Now(), response.Header))
+	}
 	return response, nil
 }
 
@@ -88,7 +92,7 @@
 			return connection, vm, nil
 		}
 		last = err
-		f.eject(vm.Name)
+		f.eject(vm.Name, f.clock.Now().Add(ejectedFor))
 	}
 	return nil, turmericwall.VM{}, turmericwall.NewProblem(turmericwall.KindNoUpstream,
 		fmt.Sprintf("no upstream of service %q accepts a connection", call.Service),
@@ -169,8 +173,11 @@
 	return live
 }
 
-func (f *Forwarder) eject(name string) {
+// eject leaves an upstream alone until a time, unless no other one is left.
+func (f *Forwarder) eject(name string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ejected[name] = f.clock.Now().Add(ejectedFor)
+	if until.After(f.ejected[name]) {
+		f.ejected[name] = until
+	}
 }
