--- a/internal/delivery/twbackoff/backoffs.go
+++ b/internal/delivery/twbackoff/backoffs.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -36,6 +37,8 @@
 type Backoffs struct {
 	mu    sync.Mutex
 	until map[turmericwall.UpstreamKey]time.Time
+	// any tells that there are backoffs: usually there are none, and they are asked for each engine at each call.
+	any atomic.Bool
 }
 
 // New returns backoffs of no upstream.
@@ -50,11 +53,15 @@
 	defer b.mu.Unlock()
 	if until.After(b.until[upstream]) {
 		b.until[upstream] = until
+		b.any.Store(true)
 	}
 }
 
 // Until is when the upstream takes calls again; it is zero when it takes them now.
 func (b *Backoffs) Until(now time.Time, upstream turmericwall.UpstreamKey) time.Time {
+	if !b.any.Load() {
+		return time.Time{}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if until := b.until[upstream]; until.After(now) {
@@ -72,4 +79,5 @@
 			delete(b.until, key)
 		}
 	}
+	b.any.Store(len(b.until) > 0)
 }
--- a/internal/membership/twrates/rates.go
+++ b/internal/membership/twrates/rates.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -29,6 +30,8 @@
 	config Config
 	mu     sync.Mutex
 	known  map[turmericwall.UpstreamKey]*statement
+	// any tells that statements are known: usually there are none, and rates are asked for each engine at each decision.
+	any atomic.Bool
 }
 
 type statement struct {
@@ -94,6 +97,7 @@
 func (r *Rates) put(key turmericwall.UpstreamKey, next statement, source string) {
 	known, ok := r.known[key]
 	r.known[key] = &next
+	r.any.Store(true)
 	if ok && known.lifted == next.lifted && known.perSecond == next.perSecond {
 		if next.ownAt.IsZero() {
 			next.ownAt = known.ownAt
@@ -110,6 +114,9 @@
 
 // Rate is the rate that the upstream states, in requests a second of all daemons; ok is false when it states none.
 func (r *Rates) Rate(key turmericwall.UpstreamKey) (perSecond float64, ok bool) {
+	if !r.any.Load() {
+		return 0, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, ok := r.known[key]
@@ -173,4 +180,5 @@
 			delete(r.known, key)
 		}
 	}
+	r.any.Store(len(r.known) > 0)
 }
--- a/internal/membership/twrates/rates_test.go
+++ b/internal/membership/twrates/rates_test.go
@@ -112,3 +112,12 @@
 	r.Take(key, answer(200, -1))
 	g.Expect(bytes.Count(log.Bytes(), []byte("\n"))).To(Equal(2))
 }
+
+func BenchmarkRateWithoutStatements(b *testing.B) {
+	now := at(0)
+	r := newRates(&now, &bytes.Buffer{})
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Rate(key)
+	}
+}
