--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -66,6 +66,8 @@
 // Outcome says how one attempt ended.
 type Outcome struct {
 	Service string
+	// Account is the client account; empty when the call carried no key.
+	Account string
 	Kind    turmericwall.CallKind
 	// Result is answered, refused, failed, brokenOff or left.
 	Result string
@@ -223,7 +225,7 @@
 
 // finish gives the caller its final answer, if it has none yet, and records the outcome.
 func (r *Relay) finish(ctx context.Context, a *attempt, err error) error {
-	outcome := Outcome{Service: a.service.Name, Kind: a.route.Kind, Millis: a.since(), FirstMillis: a.model.first}
+	outcome := Outcome{Service: a.service.Name, Account: a.call.Account, Kind: a.route.Kind, Millis: a.since(), FirstMillis: a.model.first}
 	status := 0
 	switch {
 	case err == nil:
--- a/internal/operations/twmeters/meters.go
+++ b/internal/operations/twmeters/meters.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,12 +24,17 @@
 var quantiles = []float64{0.5, 0.9, 0.99}
 
 // Meters are a daemon's counters, gauges and latency histograms.
-type Meters struct{ registry metrics.Registry }
+type Meters struct {
+	registry metrics.Registry
+	mu       sync.Mutex
+	// names are those that counters are split by.
+	names map[string]map[string]bool
+}
 
 // New returns meters without any value.
 func New() *Meters {
 	// The library's global clocks for rates are not used; counters and histograms need none.
-	return &Meters{registry: metrics.NewRegistry()}
+	return &Meters{registry: metrics.NewRegistry(), names: make(map[string]map[string]bool)}
 }
 
 // Count adds to the counter of that name.
@@ -36,6 +42,30 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(n)
 }
 
+// maxNames is how many names one counter is split by; further names count as otherName.
+const (
+	maxNames  = 64
+	otherName = "other"
+)
+
+// CountNamed adds to the counter of the name, as one of those that the prefix is split by. Their number is bounded, since callers
+// or the configuration choose the names.
+func (m *Meters) CountNamed(prefix, name string, n int64) {
+	m.mu.Lock()
+	names := m.names[prefix]
+	if names == nil {
+		names = make(map[string]bool)
+		m.names[prefix] = names
+	}
+	if !names[name] && len(names) >= maxNames {
+		name = otherName
+	} else {
+		names[name] = true
+	}
+	m.mu.Unlock()
+	m.Count(prefix+"_"+name, n)
+}
+
 // Observe takes one latency in milliseconds.
 func (m *Meters) Observe(name string, millis int64) {
 	m.registry.GetOrRegister(name, func() metrics.Histogram {
--- a/internal/operations/twmeters/meters_test.go
+++ b/internal/operations/twmeters/meters_test.go
@@ -1,6 +1,7 @@
 package twmeters_test
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"testing"
 
@@ -25,3 +26,18 @@
 	g.Expect(w.Body.String()).To(ContainSubstring("latencyMillis_plain_count 100\n"))
 	g.Expect(w.Body.String()).To(MatchRegexp(`latencyMillis_plain\{quantile="0.9"\} (89|90|91)\n`))
 }
+
+// Guards against metrics that grow with the names that a configuration holds.
+func TestNamesOfACounterAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := twmeters.New()
+	for i := range 100 {
+		m.CountNamed("calls", fmt.Sprint("account", i), 1)
+	}
+	m.CountNamed("calls", "account0", 1)
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	g.Expect(w.Body.String()).To(ContainSubstring("calls_account0 2\n"))
+	g.Expect(w.Body.String()).To(ContainSubstring("calls_other 36\n"))
+	g.Expect(w.Body.String()).NotTo(ContainSubstring("account99"))
+}
