refactor: split the longest function and files, and name statements in the field's terms

One change of behaviour: an engine that wants no call from this daemon is no longer reported to the leader as failed for all.

--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -67,7 +67,7 @@
 	mu     sync.Mutex
 	// shared are the buckets of all daemons, while this one is the leader.
 	shared map[string]*bucket
-	// own are this daemon's buckets while it has no leader, as of the levels that were heard at ownAt.
+	// own are this daemon's buckets while it has no leader, as of the levels that came at ownAt.
 	own   map[string]*bucket
 	ownAt time.Time
 	// levels are the last ones that a leader sent, and levelsAt is when they came; leader is the leader's incarnation.
@@ -101,9 +101,9 @@
 
 type use struct {
 	units float64
-	// told are the units at the last reply to the present leader, and toldBefore those at the reply before that. What the
-	// leader sends after a reply may not contain it yet.
-	told, toldBefore float64
+	// replied are the units at the last reply to the present leader, and repliedBefore those at the reply before that. The
+	// levels that the leader sends next may not contain the last one yet.
+	replied, repliedBefore float64
 	// before is what the leader before the present one had counted in the last levels that it sent.
 	before float64
 	at     time.Time
@@ -137,23 +137,6 @@
 	}
 }
 
-// ChargeAlone takes units for a call that the leader should have charged and gave no answer to: it may be gone and not missed yet,
-// and what it last sent says nothing of what others take at the same time.
-func (m *Meter) ChargeAlone(account string, units float64) error {
-	found, ok := m.config.Account(account)
-	if !ok || !found.Quota.Limits() || units <= 0 {
-		return nil
-	}
-	s := m.look()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.observe(s)
-	if s.leading {
-		return m.chargeShared(s, found, units)
-	}
-	return m.chargeAlone(s, found, units)
-}
-
 // Refund gives units back for a call that did not run.
 func (m *Meter) Refund(account string, units float64) {
 	found, ok := m.config.Account(account)
@@ -266,59 +249,6 @@
 	return nil
 }
 
-// chargeAlone charges a call to this daemon's own share; the lock is held.
-//
-// All shares together allow the rate, and the burst with what is tolerated beyond the quota, so that accounts far below their
-// limits are not held up. For an account that was listed, the share is one of what was left. A share may be smaller than a
-// call, which is then admitted by a full share and leaves it in debt; of a listed account only by chance, as often as its share
-// allows in the mean, since the debts of hundreds of daemons would be many times the quota.
-func (m *Meter) chargeAlone(s situation, account turmericwall.ClientAccount, units float64) error {
-	daemons := s.daemons
-	if daemons == 0 {
-		daemons = unknownDaemons
-	}
-	if !m.ownAt.Equal(m.levelsAt) {
-		m.own, m.ownAt = make(map[string]*bucket), m.levelsAt
-	}
-	quota := account.Quota
-	rate, capacity := quota.PerSecond/float64(daemons), (quota.Burst+(1-toleratedShare)*m.tolerance(quota))/float64(daemons)
-	b, ok := m.own[account.Name]
-	if !ok {
-		b = &bucket{level: capacity * m.leftShare(account), capacity: capacity, at: m.levelsAt}
-		m.own[account.Name] = b
-	}
-	b.refill(s.now, rate, capacity)
-	if b.level < min(units, capacity) && s.daemons == 0 {
-		return turmericwall.NewProblem(turmericwall.KindNotReady,
-			"this daemon doesn't know yet what is left of the quota of client account "+account.Name,
-			"come back at the time given").WithRetryAt(s.now.Add(unknownRetry))
-	}
-	if b.level < min(units, capacity) {
-		return overLimit(account, units, b.level, "of this daemon's part, without a leader", b.invite(s.now, rate, min(units, capacity)))
-	}
-	if _, listed := m.levels[account.Name]; listed && units > capacity {
-		b.level -= capacity
-		if m.config.Random() >= capacity/units {
-			return overLimit(account, units, b.level, "of this daemon's part, which is smaller than the call, without a leader",
-				b.invite(s.now, rate, capacity))
-		}
-		m.count(s.now, account.Name, units)
-		return nil
-	}
-	b.level -= units
-	m.count(s.now, account.Name, units)
-	return nil
-}
-
-// leftShare is the part of the account's capacity that was left by the last heartbeat.
-func (m *Meter) leftShare(account turmericwall.ClientAccount) float64 {
-	known, listed := m.levels[account.Name]
-	if !listed {
-		return 1
-	}
-	return min(max(known.units/m.capacity(account.Quota), 0), 1)
-}
-
 // count adds to the daemon's own count, which is reported to the leader; the lock is held.
 func (m *Meter) count(now time.Time, account string, units float64) {
 	u, ok := m.used[account]
@@ -415,12 +345,12 @@
 	defer m.mu.Unlock()
 	if leader != m.leader || now.Sub(m.levelsAt) > missedSpan {
 		for _, u := range m.used {
-			u.before = u.toldBefore
+			u.before = u.repliedBefore
 		}
 	}
 	m.leader, m.levelsAt = leader, now
 	for _, u := range m.used {
-		u.toldBefore, u.told = u.told, u.units
+		u.repliedBefore, u.replied = u.replied, u.units
 	}
 	clear(m.levels)
 	for _, l := range levels {
--- a/internal/admission/twquota/rate_bound_test.go
+++ b/internal/admission/twquota/rate_bound_test.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	d.rates.Take(upstream, turmericwall.UpstreamStatement{
-		SentAt: d.clock(), HeardAt: d.clock(), PerSecond: stated, RateStated: !math.IsInf(stated, 1), RateLifted: math.IsInf(stated, 1),
+		SentAt: d.clock(), ReceivedAt: d.clock(), PerSecond: stated, RateStated: !math.IsInf(stated, 1), RateLifted: math.IsInf(stated, 1),
 	})
 	return true
 }
--- a/internal/delivery/twbackoff/backoffs.go
+++ b/internal/delivery/twbackoff/backoffs.go
@@ -33,7 +33,7 @@
 	return now.Add(time.Duration(min(seconds, maxRetrySeconds) * float64(time.Second)))
 }
 
-// Backoffs hold the latest time that each upstream asked for. They have no clock of their own.
+// Backoffs hold the latest time that each upstream asked for. They have no clock.
 type Backoffs struct {
 	mu    sync.Mutex
 	until map[turmericwall.UpstreamKey]time.Time
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -138,42 +138,15 @@
 		return false, notRun(err)
 	}
 	out := turmericwall.Outgoing{Call: a.call, Deadline: a.deadline, Reservation: reservation, Priority: rank(a.route, p)}
-	if p.Prefill.ID != "" {
-		began := time.Now()
-		out.Export, err = r.prefill(ctx, a, p, out)
-		if err != nil {
-			r.unused(p.Decode)
-		}
-		if errors.Is(err, errNoBudget) {
-			go r.cleanup(p.Decode, reservation, p.Prefill, turmericwall.EngineExport{})
-			return true, refuseLater(err)
-		}
-		if err != nil {
-			go r.cleanup(p.Decode, reservation, p.Prefill, turmericwall.EngineExport{})
-			end.Failed = p.Prefill.ID
-			*avoid = append(*avoid, p.Prefill.ID)
-			return false, notRun(err)
-		}
-		out.Step = turmericwall.StepImport
-		end.PromptRead = true
-		end.PromptMillis = time.Since(began).Milliseconds()
-		a.model.read = a.since()
-		r.config.Placer.Finish(turmericwall.PlacementEnd{ID: p.ID, Service: end.Service, Running: true, PromptRead: true, PromptMillis: end.PromptMillis})
-	}
-	if err := r.takes(p.Decode); err != nil {
-		r.unused(p.Decode)
-		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
-		return false, notRun(err)
-	}
-	if err := r.config.Keys.Holds(a.credential); err != nil {
+	if done, err := r.read(ctx, a, p, &out, &end, avoid); err != nil {
 		r.unused(p.Decode)
-		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
-		return true, err
+		go r.cleanup(p.Decode, reservation, p.Prefill, turmericwall.EngineExport{})
+		return done, err
 	}
-	if !r.mayTry(a) {
+	if done, err := r.mayAnswer(a, p.Decode); err != nil {
 		r.unused(p.Decode)
 		go r.cleanup(p.Decode, reservation, p.Prefill, out.Export)
-		return true, refuseLater(errNoBudget)
+		return done, err
 	}
 	a.stall = r.watchStall(p, a.service.Name)
 	defer a.stall.Stop()
@@ -184,6 +157,45 @@
 	return true, r.stream(ctx, a, p, answer, &end)
 }
 
+// read has the placement's prefill engine read the prompt, if there is one; done tells that no further placement is tried.
+func (r *Relay) read(ctx context.Context, a *attempt, p turmericwall.Placement, out *turmericwall.Outgoing, end *turmericwall.PlacementEnd, avoid *[]string) (done bool, err error) {
+	if p.Prefill.ID == "" {
+		return false, nil
+	}
+	began := time.Now()
+	out.Export, err = r.prefill(ctx, a, p, *out)
+	if errors.Is(err, errNoBudget) {
+		return true, refuseLater(err)
+	}
+	if err != nil {
+		if !errors.Is(err, errBackOff) {
+			end.Failed = p.Prefill.ID
+		}
+		*avoid = append(*avoid, p.Prefill.ID)
+		return false, notRun(err)
+	}
+	out.Step = turmericwall.StepImport
+	end.PromptRead = true
+	end.PromptMillis = time.Since(began).Milliseconds()
+	a.model.read = a.since()
+	r.config.Placer.Finish(turmericwall.PlacementEnd{ID: p.ID, Service: end.Service, Running: true, PromptRead: true, PromptMillis: end.PromptMillis})
+	return false, nil
+}
+
+// mayAnswer checks what may have changed while the prompt was read; done tells that no further placement is tried.
+func (r *Relay) mayAnswer(a *attempt, decode turmericwall.Upstream) (done bool, err error) {
+	if err := r.takes(decode); err != nil {
+		return false, notRun(err)
+	}
+	if err := r.config.Keys.Holds(a.credential); err != nil {
+		return true, err
+	}
+	if !r.mayTry(a) {
+		return true, refuseLater(errNoBudget)
+	}
+	return false, nil
+}
+
 // admit takes the placement's sends before anything is sent: a prompt that is read for an engine that takes no further call is
 // thrown away. When it fails, limited is the engine that takes none.
 func (r *Relay) admit(ctx context.Context, p turmericwall.Placement) (limited string, err error) {
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -67,7 +67,7 @@
 	TakeUses   func(incarnation string, up time.Duration, uses []turmericwall.AccountUse)
 	Levels     func() []turmericwall.AccountLevel
 	TakeLevels func(leader string, levels []turmericwall.AccountLevel)
-	// Rates are those that upstreams state, and OwnRates those that this daemon heard itself; TakeRates takes another one's.
+	// Rates are those that upstreams state, and OwnRates those that this daemon received itself; TakeRates takes another one's.
 	Rates     func() []turmericwall.UpstreamRate
 	OwnRates  func() []turmericwall.UpstreamRate
 	TakeRates func([]turmericwall.UpstreamRate)
--- a/internal/membership/twrates/rates.go
+++ b/internal/membership/twrates/rates.go
@@ -9,7 +9,7 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// listSpan is how long a statement of this daemon's own, or a lifted rate, is told to peers: several heartbeats.
+// listSpan is how long a statement of this daemon's own, or a lifted rate, is shared with peers: several heartbeats.
 const listSpan = 5 * time.Second
 
 // forgetSpan is how long the statement of an upstream that is no longer listed is kept: its entry may lapse and come back.
@@ -25,7 +25,7 @@
 // Rates hold the newest statement of each upstream.
 //
 // Answers overtake each other. A lower rate is taken at once; a higher one, or none, only from an answer to a call that was
-// sent after the last lower statement was heard.
+// sent after the last lower statement was received.
 type Rates struct {
 	config Config
 	mu     sync.Mutex
@@ -39,7 +39,7 @@
 	lifted    bool
 	// at is when the upstream said so, at the earliest for a lifted rate and at the latest else.
 	at time.Time
-	// ownAt is when this daemon last heard it from the upstream itself; zero when only peers did.
+	// ownAt is when this daemon last received it from the upstream itself; zero when only peers did.
 	ownAt time.Time
 }
 
@@ -53,7 +53,7 @@
 	if !s.RateStated && !s.RateLifted {
 		return
 	}
-	next := statement{perSecond: s.PerSecond, lifted: s.RateLifted, at: s.HeardAt, ownAt: s.HeardAt}
+	next := statement{perSecond: s.PerSecond, lifted: s.RateLifted, at: s.ReceivedAt, ownAt: s.ReceivedAt}
 	if next.lifted {
 		next.at = s.SentAt
 	}
@@ -126,7 +126,7 @@
 	return known.perSecond, true
 }
 
-// Statement is the rate that the upstream states, as it is told to peers; ok is false when it states none.
+// Statement is the rate that the upstream states, as it is shared with peers; ok is false when it states none.
 func (r *Rates) Statement(key turmericwall.UpstreamKey) (statement turmericwall.UpstreamRate, ok bool) {
 	now := r.config.Now()
 	r.mu.Lock()
@@ -138,7 +138,7 @@
 	return known.shared(key, now), true
 }
 
-// shared is the statement as peers are told.
+// shared is the statement in the form that peers get.
 func (s *statement) shared(key turmericwall.UpstreamKey, now time.Time) turmericwall.UpstreamRate {
 	return turmericwall.UpstreamRate{
 		ID: key.ID, StartedMillis: key.StartedMillis, PerSecond: s.perSecond, Lifted: s.lifted,
@@ -146,12 +146,12 @@
 	}
 }
 
-// List is what this daemon tells all others while it is the leader: the rates in force, and those lifted lately.
+// List is what this daemon shares with all others while it is the leader: the rates in force, and those lifted lately.
 func (r *Rates) List() []turmericwall.UpstreamRate {
 	return r.list(func(s *statement, now time.Time) bool { return !s.lifted || now.Sub(s.at) < listSpan })
 }
 
-// Own is what this daemon lately heard from upstreams itself, for the leader.
+// Own is what this daemon lately received from upstreams itself, for the leader.
 func (r *Rates) Own() []turmericwall.UpstreamRate {
 	return r.list(func(s *statement, now time.Time) bool { return !s.ownAt.IsZero() && now.Sub(s.ownAt) < listSpan })
 }
--- a/internal/membership/twrates/rates_test.go
+++ b/internal/membership/twrates/rates_test.go
@@ -21,7 +21,7 @@
 
 // answer is an answer that came 10 ms after its call was sent; a negative rate states none.
 func answer(sent int, rate float64) turmericwall.UpstreamStatement {
-	return turmericwall.UpstreamStatement{SentAt: at(sent), HeardAt: at(sent + 10), PerSecond: max(rate, 0), RateStated: rate >= 0, RateLifted: rate < 0}
+	return turmericwall.UpstreamStatement{SentAt: at(sent), ReceivedAt: at(sent + 10), PerSecond: max(rate, 0), RateStated: rate >= 0, RateLifted: rate < 0}
 }
 
 func newRates(now *time.Time, log *bytes.Buffer) *twrates.Rates {
--- a/peering.go
+++ b/peering.go
@@ -76,7 +76,7 @@
 	Moment int64 `json:"moment"`
 	// Uses is what the daemon counted of client accounts' calls by itself.
 	Uses []AccountUse `json:"uses,omitempty"`
-	// Rates are those that the daemon lately heard from upstreams itself.
+	// Rates are those that the daemon received lately from upstreams itself.
 	Rates []UpstreamRate `json:"rates,omitempty"`
 	// Leaving are the upstreams of which the daemon knows that they announced their end in answers.
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
--- a/upstreams.go
+++ b/upstreams.go
@@ -56,8 +56,8 @@
 
 // UpstreamStatement is what one answer of an upstream says of the upstream itself.
 type UpstreamStatement struct {
-	// SentAt is when the call was sent, and HeardAt when the head of its answer came.
-	SentAt, HeardAt time.Time
+	// SentAt is when the call was sent, and ReceivedAt when the head of its answer was received.
+	SentAt, ReceivedAt time.Time
 	// PerSecond is the rate of requests that the upstream takes from all daemons together, if RateStated. RateLifted tells
 	// that the answer would state a rate and states none; refusals and answers to calls of the router's own say neither.
 	PerSecond  float64
