fix: don't take a leader for failed because a caller left while it was asked

An ask of the throttle ends with its caller; that was taken for a failure of the daemon that was asked, and for 0.3 s every send to an upstream with a stated rate was refused. Besides: a standby that had led before counted all daemons as absent and granted too little; a reply's pause and the age of a peer's rate had no bound.

--- a/internal/admission/twthrottle/throttle.go
+++ b/internal/admission/twthrottle/throttle.go
@@ -57,7 +57,7 @@
 	// Rank is this daemon's place among all by the last heartbeat, how many there were, 0 while that is unknown, and when it
 	// came.
 	Rank func() (rank, daemons int, at time.Time)
-	// Daemons is the number of live daemons, and Absent how many more answered the leader lately.
+	// Daemons is the number of live daemons, and Absent how many more answered this one lately, while it leads.
 	Daemons func() int
 	Absent  func() int
 	// Now is the time by the steady clock.
@@ -191,11 +191,12 @@
 	if failed {
 		return turmericwall.AdmitReply{}, errNoAnswer
 	}
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	askCtx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	reply, err := t.config.Peers.Admit(ctx, counter.Address, ask)
-	if err == nil {
-		return reply, nil
+	reply, err := t.config.Peers.Admit(askCtx, counter.Address, ask)
+	if err == nil || ctx.Err() != nil {
+		// A caller that left says nothing of the daemon that was asked.
+		return reply, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -217,7 +218,7 @@
 		s.grantedEnd = now.Add(grantSpan)
 		return nil
 	}
-	s.closedUntil = now.Add(time.Duration(reply.NextMillis) * time.Millisecond)
+	s.closedUntil = earlier(now.Add(time.Duration(reply.NextMillis)*time.Millisecond), now.Add(maxReturn))
 	return s.refuse(now, upstream, now.Add(time.Duration(reply.RetryMillis)*time.Millisecond))
 }
 
@@ -271,7 +272,7 @@
 	key := ask.Rate.Key()
 	rate, limited := t.config.Rates.Rate(key)
 	if !limited {
-		return turmericwall.AdmitReply{Granted: ask.Count}
+		return turmericwall.AdmitReply{Granted: max(ask.Count, 0)}
 	}
 	rate = max(rate, leastRate)
 	now, size := t.config.Now(), t.count()
@@ -310,7 +311,10 @@
 	if now.Before(last.until) {
 		return last
 	}
-	next := size{daemons: t.config.Daemons(), absent: t.config.Absent(), until: now.Add(countSpan)}
+	next := size{daemons: t.config.Daemons(), until: now.Add(countSpan)}
+	if _, leading, _ := t.config.Leader(); leading {
+		next.absent = t.config.Absent()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.size = next
--- a/internal/membership/twpeerhttp/fuzz_test.go
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,9 +11,12 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twquota"
+	"github.com/turmericwall/turmericwall/internal/admission/twthrottle"
 	"github.com/turmericwall/turmericwall/internal/membership/twpeerhttp"
 	"github.com/turmericwall/turmericwall/internal/membership/twproof"
+	"github.com/turmericwall/turmericwall/internal/membership/twrates"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
+	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 )
 
 // Guards against a message of a peer that ends the daemon, or that makes a proof newer than now.
@@ -20,6 +24,9 @@
 	f.Add("/peer/heartbeat", []byte(`{"leader":{"name":"a"},"term":3,"proofMillis":-5,"echo":{"incarnation":"i","moment":9223372036854775807},"levels":[{"account":"a","units":-9}]}`))
 	f.Add("/peer/heartbeat", []byte(`{"proofMillis":9223372036854775807,"echo":{"incarnation":"i","moment":1}}`))
 	f.Add("/peer/place", []byte(`{"id":"x","account":"a","units":-1e308,"targetMillis":-9223372036854775808}`))
+	f.Add("/peer/admit", []byte(`{"rate":{"id":"u","perSecond":-1e308,"ageMillis":-9223372036854775808},"count":-9}`))
+	f.Add("/peer/admit", []byte(`{"rate":{"id":"u","perSecond":1e308,"ageMillis":9223372036854775807},"count":9223372036854775807}`))
+	f.Add("/peer/heartbeat", []byte(`{"rates":[{"id":"u","lifted":true,"ageMillis":-1}],"leaving":[{"id":"u"}],"rank":-4}`))
 	f.Add("/peer/finish", []byte(`[{"ID":"x","NotRun":true}]`))
 	f.Add("/peer/state", []byte(`{"planVersion":-1,"joining":{"moment":-1}}`))
 	f.Fuzz(func(t *testing.T, path string, body []byte) {
@@ -31,6 +38,11 @@
 			Leading: func() bool { return true }, Led: func() bool { return false }, Daemons: func() int { return 1 },
 			Absent: func() int { return 0 }, Random: func() float64 { return 0 }, Now: time.Now,
 		})
+		rates := twrates.New(twrates.Config{Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}), Now: time.Now})
+		throttle := twthrottle.New(twthrottle.Config{
+			Rates: rates, Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true },
+			Daemons: func() int { return 1 }, Absent: func() int { return 0 }, Now: time.Now,
+		})
 		server := twpeerhttp.NewServer(twpeerhttp.Config{
 			Heard: func(h turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 				now := twboottime.Now()
@@ -39,6 +51,7 @@
 					t.Fatalf("a proof of %d ms", age)
 				}
 				quotas.TakeLevels(h.Leader.Incarnation, h.Levels)
+				rates.TakeList(h.Rates)
 				return turmericwall.HeartbeatReply{}
 			},
 			State: func(ask turmericwall.StateAsk) turmericwall.SharedState {
@@ -51,6 +64,13 @@
 			Place: func(_ context.Context, ask turmericwall.PlaceAsk) (turmericwall.Placement, error) {
 				return turmericwall.Placement{ID: ask.ID}, quotas.Charge(ask.Account, ask.Units)
 			},
+			Admit: func(ask turmericwall.AdmitAsk) turmericwall.AdmitReply {
+				reply := throttle.Grant(ask)
+				if reply.Granted > max(ask.Count, 0) || reply.NextMillis < 0 || reply.RetryMillis < 0 {
+					t.Fatalf("%+v was answered by %+v", ask, reply)
+				}
+				return reply
+			},
 			Finish: func(turmericwall.PlacementEnd) {}, Adopt: func(turmericwall.PlacedRun) {},
 		})
 		request := httptest.NewRequest(http.MethodPost, "/peer/heartbeat", bytes.NewReader(body))
--- a/internal/membership/twrates/rates.go
+++ b/internal/membership/twrates/rates.go
@@ -15,6 +15,9 @@
 // forgetSpan is how long the statement of an upstream that is no longer listed is kept: its entry may lapse and come back.
 const forgetSpan = time.Minute
 
+// maxAge bounds the age of a peer's statement, which would overflow otherwise.
+const maxAge = 24 * time.Hour
+
 // Config says what the rates work with.
 type Config struct {
 	Recorder turmericwall.Recorder
@@ -73,7 +76,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range list {
-		next := statement{perSecond: u.PerSecond, lifted: u.Lifted, at: now.Add(-time.Duration(u.AgeMillis) * time.Millisecond)}
+		age := time.Duration(min(max(u.AgeMillis, 0), maxAge.Milliseconds())) * time.Millisecond
+		next := statement{perSecond: u.PerSecond, lifted: u.Lifted, at: now.Add(-age)}
 		if r.supersedes(u.Key(), next, next.at) {
 			r.put(u.Key(), next, "peer")
 		}
