fix: share announced ends only while the registry doesn't have them

A release of hundreds of engines would have had each heartbeat repeat all of them (by arithmetic: 1,000 leaving engines, 50 bytes each, four times a second, are 200 KB/s for a daemon, where 13 are affordable). The registry tells the same to all followers already.

--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -65,6 +65,8 @@
 
 type entry struct {
 	upstream turmericwall.Upstream
+	// listedLeaving tells that the registry itself says that the upstream leaves.
+	listedLeaving bool
 	// missing is set when the registry no longer has the entry but may have lost it in an outage.
 	missing bool
 }
@@ -263,13 +265,13 @@
 	return true
 }
 
-// AllAnnounced are the known incarnations that announced their end in an answer.
+// AllAnnounced are the known incarnations that announced their end in an answer and that the registry doesn't list as leaving.
 func (v *View) AllAnnounced() []turmericwall.UpstreamKey {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var list []turmericwall.UpstreamKey
 	for key := range v.announced {
-		if e, ok := v.entries[key.ID]; ok && e.upstream.Key() == key {
+		if e, ok := v.entries[key.ID]; ok && e.upstream.Key() == key && !e.listedLeaving {
 			list = append(list, key)
 		}
 	}
@@ -278,10 +280,11 @@
 
 // keep takes an entry; the lock is held.
 func (v *View) keep(u turmericwall.Upstream) {
+	listed := u.Leaving
 	if _, announced := v.announced[u.Key()]; announced {
 		u.Leaving = true
 	}
-	v.entries[u.ID] = &entry{upstream: u}
+	v.entries[u.ID] = &entry{upstream: u, listedLeaving: listed}
 }
 
 // forgetAnnounced drops what is no longer known and announced its end long ago; the lock is held.
--- a/internal/membership/twupstreams/view_test.go
+++ b/internal/membership/twupstreams/view_test.go
@@ -181,6 +181,17 @@
 	}
 }
 
+// Guards against heartbeats that repeat what the registry says of hundreds of leaving upstreams.
+func TestAnAnnouncementIsSharedOnlyWhileTheRegistryDoesNotHaveIt(t *testing.T) {
+	g := NewWithT(t)
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+	v.List(start, 5, []turmericwall.Upstream{upstream("a", false)})
+	v.Announced(start, upstream("a", false).Key())
+	g.Expect(v.AllAnnounced()).To(HaveLen(1))
+	v.Put(6, upstream("a", true))
+	g.Expect(v.AllAnnounced()).To(BeEmpty())
+}
+
 func TestAnUpstreamThatStartsAgainAnnouncedNothing(t *testing.T) {
 	g := NewWithT(t)
 	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
