fix: report no number of daemons before a majority has replied

Cause: the first leader, elected 2.2 s before any peer answered it, counted itself as the only daemon from 1.5 s on and spent four of the six repeats that all daemons share. Change: the first leader reports no number, so that it spends no slack, until a majority of the known daemons has replied; a leader that loses the others reports at least half of the last number known. Test: both cases in twcluster, the first one red on the code before.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -102,6 +102,9 @@
 	// members are the other daemons by address.
 	members        map[string]*member
 	membersVersion int64
+	// countedDaemons is the number of live daemons, this one included, when a majority of the members last replied in
+	// this daemon's term as the leader; 0 before that.
+	countedDaemons int
 	// copiedVersion is the version of the leader's list of members that this daemon has copied.
 	copiedVersion int64
 	standbys      []turmericwall.Member
@@ -126,6 +129,7 @@
 func (c *Cluster) AnnounceElection() {
 	c.mu.Lock()
 	c.electedAt = time.Now()
+	c.countedDaemons = 0
 	c.mu.Unlock()
 	signal(c.sendNow)
 }
@@ -291,7 +295,9 @@
 // LiveDaemons returns the number of live daemons as last known, or 0 while it is unknown.
 //
 // A daemon that has received no heartbeat, or has just become the leader, does not know the others. If each such
-// daemon counted itself alone, each would spend the whole retry budget that all daemons share.
+// daemon counted itself alone, each would spend the whole retry budget that all daemons share. The first leader
+// therefore knows the number only once a majority of the known daemons has replied, and no leader reports less than
+// half of the number last known: the others may be partitioned and spend their parts.
 func (c *Cluster) LiveDaemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -304,7 +310,17 @@
 			n++
 		}
 	}
-	return max(n, c.heartbeat.Daemons/2)
+	if 2*n > len(c.members)+1 {
+		c.countedDaemons = n
+	}
+	lastKnown := c.countedDaemons
+	if lastKnown == 0 {
+		lastKnown = c.heartbeat.Daemons
+	}
+	if lastKnown == 0 {
+		return 0
+	}
+	return max(n, lastKnown/2)
 }
 
 // Rank returns this daemon's position among all daemons by the last heartbeat (from 0), the number of daemons in it,
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -481,3 +481,35 @@
 		return b.roleChanges.IsChangingRole(time.Now(), turmericwall.Upstream{ID: "e", Role: turmericwall.RoleDecode})
 	}, "1s").Should(BeTrue())
 }
+
+// Guards against a first leader that counts itself as the only daemon while no peer has replied yet: each daemon's part
+// of the shared retry budget would be all of it.
+func TestFirstLeaderWithoutRepliesDoesNotKnowNumberOfDaemons(t *testing.T) {
+	g := NewWithT(t)
+	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), partitioned: make(map[string]bool)}
+	n.setPartitioned("a", true)
+	a := start(t, s, n, "a")
+	for _, seed := range []string{"b", "c", "d"} {
+		a.cluster.AddMember(turmericwall.Member{Address: seed})
+	}
+	g.Eventually(leads(a), eventualTimeout).Should(BeTrue())
+	g.Consistently(a.cluster.LiveDaemons, "2500ms").Should(BeZero())
+	n.setPartitioned("a", false)
+	for _, seed := range []string{"b", "c"} {
+		startWithDelay(t, s, n, seed, time.Hour)
+	}
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(3), "a majority of the four known daemons replies")
+}
+
+// Guards against a leader that loses the path to all other daemons and spends the retry budget of all.
+func TestLeaderWithoutRepliesCountsHalfOfLastKnownDaemons(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := startLeader(t, g)
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		startWithDelay(t, s, n, name, time.Hour)
+	}
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(6))
+	n.setPartitioned("a", true)
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(3))
+	g.Consistently(a.cluster.LiveDaemons, "1s").Should(Equal(3))
+}
