feat: compress long lists of changed upstreams

A thousand daemons fetch the same few hundred changes at the same time. They are now compressed once for all peers that have the same state, as whole lists are: 400 entries take under 10 KB.

--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -167,6 +167,39 @@
 	g.Expect(received.Upstreams).To(HaveLen(1), "a newer list is compressed anew")
 }
 
+// A removal of engines changes hundreds of upstreams at once. Each peer must get the changes between its own state and
+// this daemon's, compressed.
+func TestManyChangedUpstreamsAreCompressed(t *testing.T) {
+	g := NewWithT(t)
+	state := turmericwall.SharedState{UpstreamsPosition: 9, Partial: true, Removed: []string{"gone"}}
+	for n := range 400 {
+		state.Upstreams = append(state.Upstreams, turmericwall.Upstream{
+			ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), Zone: "z", Leaving: true,
+		})
+	}
+	address := serve(t, twpeerhttp.Config{
+		State: func(request turmericwall.StateRequest) turmericwall.SharedState {
+			answer := state
+			answer.Upstreams = state.Upstreams[request.UpstreamsPosition:]
+			return answer
+		},
+	})
+	response, err := http.Post("http://"+address+"/peer/state", "application/json", strings.NewReader("{}"))
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(body)).To(BeNumerically("<", 10<<10))
+	for _, position := range []int64{0, 100, 0} {
+		received, err := twpeerhttp.NewClient().FetchState(context.Background(), address,
+			turmericwall.StateRequest{UpstreamsPosition: position})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(received.Partial).To(BeTrue())
+		g.Expect(received.Removed).To(Equal(state.Removed))
+		g.Expect(received.Upstreams).To(Equal(state.Upstreams[position:]))
+	}
+}
+
 func TestUnreadableMessagesAreRejected(t *testing.T) {
 	g := NewWithT(t)
 	address := serve(t, twpeerhttp.Config{})
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -35,8 +35,9 @@
 	config Config
 	mux    *http.ServeMux
 	mu     sync.Mutex
-	// plan is the newest plan, and upstreams the newest list of all upstreams, compressed.
-	plan, upstreams packed
+	// plan is the newest plan, upstreams the newest list of all upstreams and changes the newest list of changed
+	// upstreams, compressed.
+	plan, upstreams, changes packed
 }
 
 // packed is a compressed message, and the key of the message that it was made from.
@@ -74,7 +75,7 @@
 	}
 	state := s.config.State(stateRequest)
 	answer := wireState{SharedState: state}
-	err := s.pack(&answer)
+	err := s.pack(&answer, stateRequest.UpstreamsPosition)
 	if err != nil {
 		http.Error(w, "the state can't be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
@@ -82,11 +83,18 @@
 	writeJSON(w, answer)
 }
 
-// pack replaces the plan and a complete list of upstreams by compressed bytes, the same ones for all peers.
+// minPackedChanges is the number of changed upstreams from which on they are compressed.
+const minPackedChanges = 16
+
+// positions are those of the upstreams of two daemons.
+type positions struct{ from, to int64 }
+
+// pack replaces the plan, a complete list of upstreams and a long list of changed ones by compressed bytes, the same
+// ones for all peers that have the same state. peerPosition is the position of the peer's upstreams.
 //
 // All daemons request them at the same time. Encoded for each, the state would take the leader's memory and processor
 // time; uncompressed, it would fill the links on which heartbeats are sent.
-func (s *Server) pack(answer *wireState) error {
+func (s *Server) pack(answer *wireState, peerPosition int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if answer.Plan != nil {
@@ -101,6 +109,13 @@
 		}
 		answer.PackedUpstreams, answer.Upstreams = s.upstreams.bytes, nil
 	}
+	if answer.Partial && len(answer.Upstreams) >= minPackedChanges {
+		key := positions{from: peerPosition, to: answer.UpstreamsPosition}
+		if err := s.changes.update(key, answer.Upstreams); err != nil {
+			return err
+		}
+		answer.PackedUpstreams, answer.Upstreams = s.changes.bytes, nil
+	}
 	return nil
 }
 
--- a/internal/membership/twupstreams/view_test.go
+++ b/internal/membership/twupstreams/view_test.go
@@ -1,6 +1,9 @@
 package twupstreams_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 
@@ -216,3 +219,81 @@
 	v.RemoveMissing(start.Add(11 * time.Minute))
 	g.Expect(v.RecordAnnouncement(start, upstream("a", false).Key())).To(BeTrue(), "the announcement has expired")
 }
+
+// Guards against lists that keep or lose an upstream, or are out of order, after any sequence of changes.
+func TestListsEqualThoseBuiltAnew(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 9))
+	v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+	known := make(map[string]turmericwall.Upstream)
+	for version := int64(1); version <= 400; version++ {
+		var changes []twupstreams.Change
+		for range 1 + random.IntN(6) {
+			id := fmt.Sprint("u", random.IntN(40))
+			if random.IntN(3) == 0 {
+				changes = append(changes, twupstreams.Change{Version: version, ID: id, Removed: true})
+				delete(known, id)
+				continue
+			}
+			u := turmericwall.Upstream{
+				ID: id, Service: fmt.Sprint("s", random.IntN(2)), Leaving: random.IntN(4) == 0, StartedMillis: 5,
+			}
+			changes = append(changes, twupstreams.Change{Version: version, ID: id, Upstream: u})
+			known[id] = u
+		}
+		v.ApplyChanges(start, changes)
+		for _, service := range []string{"s0", "s1"} {
+			var want []turmericwall.Upstream
+			for _, u := range known {
+				if u.Service == service {
+					want = append(want, u)
+				}
+			}
+			sort.Slice(want, func(i, j int) bool { return want[i].ID < want[j].ID })
+			g.Expect(v.Upstreams(service)).To(Equal(want))
+		}
+	}
+}
+
+// A release or a removal of engines changes a share of all upstreams within one heartbeat interval. Followers must get
+// these changes alone, whatever the number of upstreams; else each of a thousand daemons fetches the whole list.
+func TestChangesOfOneEighthOfUpstreamsAreKept(t *testing.T) {
+	for _, count := range []int{1000, 10_000, 20_000} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			g := NewWithT(t)
+			var list []turmericwall.Upstream
+			for i := range count {
+				list = append(list, upstream(fmt.Sprintf("u%05d", i), false))
+			}
+			v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+			v.ApplyListing(start, 1, list)
+			before := v.Position()
+			for i := range count / 8 {
+				v.Put(int64(2+i), upstream(fmt.Sprintf("u%05d", i), true))
+			}
+			put, removed, _, ok := v.ChangesSince(before)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(put).To(HaveLen(count / 8))
+			g.Expect(removed).To(BeEmpty())
+		})
+	}
+}
+
+// BenchmarkPut applies one change to a view of 1,000, 10,000 and 20,000 upstreams.
+func BenchmarkPut(b *testing.B) {
+	for _, count := range []int{1000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var list []turmericwall.Upstream
+			for i := range count {
+				list = append(list, upstream(fmt.Sprintf("u%05d", i), false))
+			}
+			v := twupstreams.New(twupstreams.Config{LapseMillis: 1800})
+			v.ApplyListing(start, 1, list)
+			version := int64(1)
+			for b.Loop() {
+				version++
+				v.Put(version, upstream(fmt.Sprintf("u%05d", version%int64(count)), version%2 == 0))
+			}
+		})
+	}
+}
