feat: forward heartbeats over relays in large fleets

Seen: 986 daemons get four heartbeats a second from one leader, which used 1.5 of its 1.6 cores. Cause: one call to each daemon a round, and each daemon fetched each change from the leader itself. Change: above 128 daemons the leader sends to some 30 relays, chosen by data centre and link, which forward to 32 daemons at most each and answer with their replies; more levels follow above 1,000. Only daemons that replied in time are forwarded to, the leader sends to all others itself; when a relay does not answer it sends to that relay's daemons at once. Daemons fetch changes from their relay, and from the leader when they lack one for 0.8 s. Forwarded heartbeats are dated by the receiver's own echo, and one that is older than the last is ignored, so that a relay that was suspended can't make old state look fresh. Ruled out: replies that a relay delivers a round later, whose ages would be wrong, and a leader for each data centre, which changes who orders engines.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -16,8 +16,7 @@
 const (
 	// heartbeatInterval is the time between two heartbeats to the same daemon.
 	heartbeatInterval = 250 * time.Millisecond
-	// heartbeatTimeout is the time limit of one heartbeat call: a leader that is slow to answer is no better than
-	// none.
+	// heartbeatTimeout is the time limit of one heartbeat call to a daemon that forwards to no other.
 	heartbeatTimeout = 400 * time.Millisecond
 	// leaderTimeout is how long the leader counts as live after its last heartbeat: nearly three heartbeat intervals.
 	leaderTimeout = 700 * time.Millisecond
@@ -26,6 +25,11 @@
 	// memberRetention is how long a daemon that does not reply stays on the list of members. A daemon that receives
 	// no heartbeats joins again by itself.
 	memberRetention = time.Minute
+	// relayFetchDelay is how long a daemon waits before it fetches a change from its relay, which fetches it from the
+	// leader meanwhile.
+	relayFetchDelay = 40 * time.Millisecond
+	// relayFetchTimeout is how long a daemon may lack a change before it fetches from the leader instead of its relay.
+	relayFetchTimeout = 800 * time.Millisecond
 	// maxNominations is how many heartbeats ask one daemon to take the lease before another daemon is asked: two may
 	// be lost.
 	maxNominations = 3
@@ -92,16 +96,22 @@
 	config    Config
 	startedAt time.Time
 	mu        sync.Mutex
-	// heartbeat is the last one received, and lastHeartbeatAt the time of it.
+	// heartbeat is the last one received, and lastHeartbeatAt the time of it. It was not sent before heartbeatSentAt,
+	// which is zero when that is unknown.
 	heartbeat       turmericwall.Heartbeat
 	lastHeartbeatAt time.Time
+	heartbeatSentAt time.Time
 	// peerFreshAt is when the store was queried for the newest state that this daemon has from a peer.
 	peerFreshAt time.Time
 	// electedAt is when this daemon last became the leader.
 	electedAt time.Time
+	// sequence numbers the rounds of heartbeats that this daemon sent as the leader.
+	sequence int64
 	// members are the other daemons by address.
 	members        map[string]*member
 	membersVersion int64
+	// sortedAddresses are the members' addresses in ascending order; nil after a change of the members.
+	sortedAddresses []string
 	// countedDaemons is the number of live daemons, this one included, when a majority of the members last replied in
 	// this daemon's term as the leader; 0 before that.
 	countedDaemons int
@@ -110,12 +120,20 @@
 	standbys      []turmericwall.Member
 	// wasInformed is the last result of FollowsFreshLeader, so that only changes are logged.
 	wasInformed bool
+	// wanted is the state of an earlier heartbeat that this daemon lacks, or that of the last one.
+	wanted wantedState
 	// fetchRequests holds the daemon from which state has to be fetched next.
 	fetchRequests chan turmericwall.Member
 	// sendNow triggers the next round of heartbeats without waiting for heartbeatInterval.
 	sendNow chan struct{}
 }
 
+// wantedState is the state that a heartbeat named, and when that heartbeat was received.
+type wantedState struct {
+	planVersion, upstreamsPosition int64
+	since                          time.Time
+}
+
 // New returns a cluster that knows only this daemon.
 func New(config Config) *Cluster {
 	return &Cluster{
@@ -159,6 +177,10 @@
 	if heartbeat.Term < c.heartbeat.Term && time.Since(c.lastHeartbeatAt) < leaderTimeout {
 		return self
 	}
+	if heartbeat.Leader == c.heartbeat.Leader && heartbeat.Sequence < c.heartbeat.Sequence {
+		// A relay that was suspended may forward a heartbeat after later ones.
+		return self
+	}
 	if heartbeat.Leader != c.heartbeat.Leader {
 		c.copiedVersion = 0
 		c.config.Recorder.Record(turmericwall.EventLeaderObserved).
@@ -166,6 +188,7 @@
 	}
 	c.heartbeat = heartbeat
 	c.lastHeartbeatAt = time.Now()
+	c.heartbeatSentAt = c.sentAt(heartbeat)
 	if term, leading := c.config.IsLeader(); leading && heartbeat.Term > term && c.config.OnOutranked != nil {
 		c.config.OnOutranked()
 	}
@@ -174,10 +197,15 @@
 	}
 	behind := heartbeat.PlanVersion > self.PlanVersion || heartbeat.UpstreamsPosition > self.UpstreamsPosition
 	if !behind {
-		c.recordPeerFreshAt(c.lastHeartbeatAt.Add(-time.Duration(heartbeat.StateAgeMillis) * time.Millisecond))
+		c.recordPeerFreshAt(c.heartbeatSentAt.Add(-time.Duration(heartbeat.StateAgeMillis) * time.Millisecond))
+	}
+	if self.PlanVersion >= c.wanted.planVersion && self.UpstreamsPosition >= c.wanted.upstreamsPosition {
+		c.wanted = wantedState{
+			planVersion: heartbeat.PlanVersion, upstreamsPosition: heartbeat.UpstreamsPosition, since: c.lastHeartbeatAt,
+		}
 	}
 	if behind || (c.isStandby() && heartbeat.MembersVersion != c.copiedVersion) {
-		c.requestFetch(heartbeat.Leader)
+		c.requestFetch(c.fetchSource())
 	}
 	c.config.ApplyLeaseVersion(heartbeat.LeaseVersion, heartbeat.Leader)
 	if c.config.ApplyChanging != nil {
@@ -201,12 +229,45 @@
 	return self
 }
 
+// fetchSource returns the daemon from which this daemon fetches the state that it lacks: its relay, so that the leader
+// sends a change once for each relay, or the leader if the relay does not have the change in time. Standbys fetch from
+// the leader, which alone knows all members. The lock is held.
+func (c *Cluster) fetchSource() turmericwall.Member {
+	if c.heartbeat.Relay.Name == "" || c.isStandby() || time.Since(c.wanted.since) > relayFetchTimeout {
+		return c.heartbeat.Leader
+	}
+	return c.heartbeat.Relay
+}
+
+// sentAt returns a time before which the heartbeat, just received, was not sent; zero when that is unknown. The lock is
+// held.
+//
+// The leader sends a heartbeat at once, but a relay may have been suspended with it. A forwarded heartbeat is dated by
+// its echo: this daemon's clock at its last reply that the leader had received.
+func (c *Cluster) sentAt(heartbeat turmericwall.Heartbeat) time.Time {
+	if heartbeat.Relay.Name == "" {
+		return c.lastHeartbeatAt
+	}
+	if heartbeat.Echo.Incarnation != c.config.Self.Incarnation {
+		return time.Time{}
+	}
+	sinceReply := twboottime.Now().Sub(twboottime.Instant(heartbeat.Echo.BootTimeNanos))
+	return c.lastHeartbeatAt.Add(-max(sinceReply-heartbeatInterval, 0))
+}
+
+// Relay returns the daemon that forwarded the last heartbeat; its name is empty if the leader sent it itself.
+func (c *Cluster) Relay() turmericwall.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heartbeat.Relay
+}
+
 // FollowsFreshLeader reports whether another daemon leads and its state is younger than Config.Staleness.
 func (c *Cluster) FollowsFreshLeader() bool {
 	leaderLive := c.FollowsLiveLeader()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := time.Since(c.lastHeartbeatAt) + time.Duration(c.heartbeat.StateAgeMillis)*time.Millisecond
+	age := time.Since(c.heartbeatSentAt) + time.Duration(c.heartbeat.StateAgeMillis)*time.Millisecond
 	informed := leaderLive && age < c.config.Staleness
 	if informed != c.wasInformed {
 		c.wasInformed = informed
@@ -380,9 +441,24 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case other := <-c.fetchRequests:
+			if other == c.Relay() && !sleep(ctx, relayFetchDelay) {
+				return ctx.Err()
+			}
 			if c.config.FetchState != nil {
 				c.config.FetchState(ctx, other)
 			}
 		}
 	}
 }
+
+// sleep waits for the duration and reports whether ctx was still valid at its end.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -111,7 +111,7 @@
 }
 
 func (n *network) Heartbeat(
-	_ context.Context, address string, heartbeat turmericwall.Heartbeat,
+	ctx context.Context, address string, heartbeat turmericwall.Heartbeat,
 ) (turmericwall.HeartbeatReply, error) {
 	n.mu.Lock()
 	cluster, ok := n.clusters[address]
@@ -120,7 +120,7 @@
 	if !ok || partitioned {
 		return turmericwall.HeartbeatReply{}, errors.New("peer unreachable")
 	}
-	return cluster.ApplyHeartbeat(heartbeat), nil
+	return cluster.HandleHeartbeat(ctx, heartbeat), nil
 }
 
 func (n *network) FetchState(
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -5,11 +5,27 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twfanout"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
-// sendHeartbeats sends one heartbeat to each daemon whose last heartbeat call has ended, and expires members that do
-// not reply.
+const (
+	// maxDirectDaemons is the largest number of daemons to which the leader sends every heartbeat itself.
+	maxDirectDaemons = 128
+	// fanoutLimit is how many daemons one daemon sends a heartbeat to when there are more.
+	fanoutLimit = 32
+	// forwardTimeout is the time limit of a forwarded heartbeat for each step below the relay. The leader sends to the
+	// daemons of a relay itself when the relay does not answer in time, and they must get that before leaderTimeout.
+	forwardTimeout = 120 * time.Millisecond
+	// minHeartbeatGap is the shortest time between two heartbeats to the same daemon: rounds also begin when daemons
+	// join.
+	minHeartbeatGap = heartbeatInterval * 4 / 5
+	// lostHeartbeatGap is the time between two heartbeats to a daemon that does not reply, when the leader does not
+	// send to all daemons itself. A daemon that can be reached again joins by itself.
+	lostHeartbeatGap = time.Second
+)
+
+// sendHeartbeats sends one heartbeat to each daemon to which one is due, and expires members that do not reply.
 func (c *Cluster) sendHeartbeats(ctx context.Context, term int64) {
 	// The ages are read before the state itself; see Self.
 	heartbeat := turmericwall.Heartbeat{
@@ -33,6 +49,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.expireMembers(now)
+	c.chooseStandbys(now)
+	c.sequence++
+	heartbeat.Sequence = c.sequence
+	heartbeat.Standbys = c.standbys
+	heartbeat.MembersVersion = c.membersVersion
+	heartbeat.Successor = c.nominee()
+	for _, f := range c.planRound(now) {
+		go c.sendHeartbeat(ctx, heartbeat, f)
+	}
+}
+
+// expireMembers marks the members as lost that did not reply for too long, and removes those that did not for
+// memberRetention; the lock is held.
+func (c *Cluster) expireMembers(now time.Time) {
 	for address, m := range c.members {
 		if m.live && now.Sub(m.answeredAt) > memberTimeout {
 			c.markLost(m)
@@ -40,24 +71,52 @@
 		if now.Sub(m.answeredAt) > memberRetention && now.Sub(m.addedAt) > memberRetention {
 			delete(c.members, address)
 			c.membersVersion++
+			c.sortedAddresses = nil
 		}
 	}
-	c.chooseStandbys(now)
-	heartbeat.Standbys = c.standbys
-	heartbeat.MembersVersion = c.membersVersion
-	heartbeat.Successor = c.nominee()
+}
+
+// planRound returns the daemons to which this leader sends a heartbeat now, with those to which they forward it, and
+// marks all of them as pending; the lock is held.
+//
+// Sent by the leader alone, four heartbeats a second to each of a thousand daemons take half of its processor time and
+// fill the link of a small VM. Only daemons that replied in time get them from relays; the leader sends to all others
+// itself, so that a relay that fails or is partitioned costs its daemons one heartbeat at most.
+func (c *Cluster) planRound(now time.Time) []turmericwall.HeartbeatForward {
+	relayed := len(c.members) > maxDirectDaemons
+	var direct []turmericwall.HeartbeatForward
+	var forwarded []twfanout.Daemon
+	rank := 0
 	for _, address := range c.addresses() {
 		m := c.members[address]
 		if m.live {
-			heartbeat.Rank++
+			rank++
 		}
-		if m.pending {
+		if !m.isDue(now, relayed) {
 			continue
 		}
 		m.pending = true
-		heartbeat.Echo = turmericwall.Echo{Incarnation: m.Incarnation, BootTimeNanos: m.BootTimeNanos}
-		go c.sendHeartbeat(ctx, address, heartbeat)
+		m.sentAt = now
+		f := turmericwall.HeartbeatForward{
+			Address: address, Rank: rank,
+			Echo: turmericwall.Echo{Incarnation: m.Incarnation, BootTimeNanos: m.BootTimeNanos},
+		}
+		if relayed && m.prompt && m.isAvailable() {
+			forwarded = append(forwarded, twfanout.Daemon{Forward: f, Zone: m.Zone, LinkMegabits: m.LinkMegabits})
+			continue
+		}
+		direct = append(direct, f)
+	}
+	return append(direct, twfanout.Plan(forwarded, fanoutLimit)...)
+}
+
+// isDue reports whether a heartbeat is due to the member.
+func (m *member) isDue(now time.Time, relayed bool) bool {
+	gap := minHeartbeatGap
+	if relayed && !m.live {
+		gap = lostHeartbeatGap
 	}
+	return !m.pending && now.Sub(m.sentAt) >= gap
 }
 
 // nominee returns the daemon that this leader asks to take the lease: when it stops, or when it alone fails to renew
@@ -78,30 +137,124 @@
 	return next.Member
 }
 
-func (c *Cluster) sendHeartbeat(ctx context.Context, address string, heartbeat turmericwall.Heartbeat) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+// sendHeartbeat sends a heartbeat to one daemon and records its reply and those of the daemons to which it forwards. If
+// it does not answer, this leader sends to those itself.
+func (c *Cluster) sendHeartbeat(
+	ctx context.Context, heartbeat turmericwall.Heartbeat, to turmericwall.HeartbeatForward,
+) {
+	timeout := heartbeatTimeout
+	if len(to.Forwards) > 0 {
+		timeout = forwardTimeout * time.Duration(1+height(to))
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt, sentAtBootTime := time.Now(), twboottime.Now()
-	reply, err := c.config.Peers.Heartbeat(ctx, address, heartbeat)
-	if err == nil && c.config.RecordUses != nil {
+	reply, err := c.sendForward(callCtx, heartbeat, to)
+	if err != nil {
+		c.recordNoReply(to.Address)
+		for _, f := range to.Forwards {
+			go c.sendHeartbeat(ctx, heartbeat, f)
+		}
+		return
+	}
+	replies := append([]turmericwall.HeartbeatReply{reply}, reply.Forwarded...)
+	replies[0].Address, replies[0].Forwarded = to.Address, nil
+	prompt := len(to.Forwards) > 0 || time.Since(sentAt) < forwardTimeout/2
+	replied := make(map[string]bool, len(replies))
+	for _, r := range replies {
+		replied[r.Address] = true
+		c.applyReply(sentAt, sentAtBootTime, prompt, r)
+	}
+	for _, address := range addressesBelow(to) {
+		if !replied[address] {
+			c.recordNoReply(address)
+		}
+	}
+}
+
+// sendForward sends the heartbeat to one daemon with that daemon's own Echo, Rank and Forwards.
+func (c *Cluster) sendForward(
+	ctx context.Context, heartbeat turmericwall.Heartbeat, to turmericwall.HeartbeatForward,
+) (turmericwall.HeartbeatReply, error) {
+	heartbeat.Echo, heartbeat.Rank, heartbeat.Forwards = to.Echo, to.Rank, to.Forwards
+	return c.config.Peers.Heartbeat(ctx, to.Address, heartbeat)
+}
+
+// height returns how many steps below the daemon the heartbeat is forwarded.
+func height(f turmericwall.HeartbeatForward) int {
+	steps := 0
+	for _, child := range f.Forwards {
+		steps = max(steps, 1+height(child))
+	}
+	return steps
+}
+
+// addressesBelow returns the addresses of the daemons to which the heartbeat is forwarded below the daemon.
+func addressesBelow(f turmericwall.HeartbeatForward) []string {
+	var addresses []string
+	for _, child := range f.Forwards {
+		addresses = append(append(addresses, child.Address), addressesBelow(child)...)
+	}
+	return addresses
+}
+
+// HandleHeartbeat applies a heartbeat, forwards it to the daemons that it names, and returns this daemon's reply with
+// theirs.
+func (c *Cluster) HandleHeartbeat(
+	ctx context.Context, heartbeat turmericwall.Heartbeat,
+) turmericwall.HeartbeatReply {
+	forwards := heartbeat.Forwards
+	heartbeat.Forwards = nil
+	replies := make(chan []turmericwall.HeartbeatReply, len(forwards))
+	forwarded := heartbeat
+	forwarded.Relay = c.config.Self
+	for _, f := range forwards {
+		go func() { replies <- c.forwardHeartbeat(ctx, forwarded, f) }()
+	}
+	reply := c.ApplyHeartbeat(heartbeat)
+	for range forwards {
+		reply.Forwarded = append(reply.Forwarded, <-replies...)
+	}
+	return reply
+}
+
+// forwardHeartbeat forwards a heartbeat to one daemon and returns the replies of that daemon and of those below it.
+func (c *Cluster) forwardHeartbeat(
+	ctx context.Context, heartbeat turmericwall.Heartbeat, to turmericwall.HeartbeatForward,
+) []turmericwall.HeartbeatReply {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout*time.Duration(1+height(to)))
+	defer cancel()
+	reply, err := c.sendForward(ctx, heartbeat, to)
+	if err != nil {
+		return nil
+	}
+	below := reply.Forwarded
+	reply.Address, reply.Forwarded = to.Address, nil
+	return append([]turmericwall.HeartbeatReply{reply}, below...)
+}
+
+// applyReply records a daemon's reply to the heartbeat that this leader sent at the given times. prompt is set if the
+// daemon replied so fast that a relay may send it the next heartbeat.
+func (c *Cluster) applyReply(
+	sentAt time.Time, sentAtBootTime twboottime.Instant, prompt bool, reply turmericwall.HeartbeatReply,
+) {
+	if c.config.RecordUses != nil {
 		c.config.RecordUses(reply.Incarnation, time.Duration(reply.UptimeMillis)*time.Millisecond, reply.Uses)
 	}
-	if err == nil && c.config.ApplyRates != nil {
+	if c.config.ApplyRates != nil {
 		c.config.ApplyRates(reply.Rates)
 	}
-	if err == nil && c.config.ApplyLeaving != nil {
+	if c.config.ApplyLeaving != nil {
 		c.config.ApplyLeaving(reply.Leaving)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m, ok := c.members[address]
+	m, ok := c.members[reply.Address]
 	if !ok {
 		return
 	}
 	m.pending = false
-	if err != nil {
-		return
-	}
+	m.prompt = prompt
 	c.recordReply(m, reply)
 	if reply.PlanVersion <= c.config.PlanVersion() {
 		c.config.Proof.ConfirmAged(sentAtBootTime, reply.ProofAgeMillis)
@@ -109,6 +262,15 @@
 	c.syncFromReply(sentAt, reply)
 }
 
+// recordNoReply records that a heartbeat has ended without a reply, and that the next one is sent by this leader.
+func (c *Cluster) recordNoReply(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.members[address]; ok {
+		m.pending, m.prompt = false, false
+	}
+}
+
 // recordReply records a reply to a heartbeat; the lock is held.
 func (c *Cluster) recordReply(m *member, reply turmericwall.HeartbeatReply) {
 	if m.Incarnation != "" && m.Incarnation != reply.Incarnation && m.live {
--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -1,7 +1,8 @@
 package twcluster
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -20,8 +21,12 @@
 	// nominations is how many heartbeats asked it to take the lease.
 	nominations int
 	live        bool
-	// pending is set while a heartbeat call to it is under way.
+	// pending is set while a heartbeat to it is under way, and sentAt is when the last one was sent.
 	pending bool
+	sentAt  time.Time
+	// prompt is set when it replied to the last heartbeat within forwardTimeout, so that a relay may send it the next
+	// one.
+	prompt bool
 }
 
 // AddMember adds another daemon's address, so that it gets heartbeats while this daemon is the leader. A new address
@@ -49,7 +54,7 @@
 func (c *Cluster) Members() (version int64, addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.membersVersion, append(c.addresses(), c.config.Self.Address)
+	return c.membersVersion, append(slices.Clone(c.addresses()), c.config.Self.Address)
 }
 
 // add adds an address and reports whether it was known already; the lock is held.
@@ -57,23 +62,27 @@
 	if address == "" || address == c.config.Self.Address {
 		return true
 	}
-	if _, ok := c.members[address]; ok {
+	if m, ok := c.members[address]; ok {
+		if !m.live {
+			// It joins again after its restart, or after a partition.
+			m.sentAt = time.Time{}
+		}
 		return true
 	}
 	now := time.Now()
 	c.members[address] = &member{addedAt: now, answeredAt: now}
 	c.membersVersion++
+	c.sortedAddresses = nil
 	return false
 }
 
-// addresses returns the addresses of all other members in ascending order; the lock is held.
+// addresses returns the addresses of all other members in ascending order. The slice is shared and must not be changed;
+// the lock is held.
 func (c *Cluster) addresses() []string {
-	list := make([]string, 0, len(c.members))
-	for address := range c.members {
-		list = append(list, address)
+	if c.sortedAddresses == nil {
+		c.sortedAddresses = slices.Sorted(maps.Keys(c.members))
 	}
-	sort.Strings(list)
-	return list
+	return c.sortedAddresses
 }
 
 // resetLiveness discards which members are live and which are standbys while another daemon is the leader. Their
@@ -83,7 +92,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, m := range c.members {
-		m.live = false
+		m.live, m.prompt = false, false
 		m.answeredAt = now
 	}
 	c.standbys = nil
--- a/internal/membership/twpeerhttp/fuzz_test.go
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -49,7 +49,7 @@
 			Daemons: func() int { return 1 }, UnresponsiveDaemons: func() int { return 0 }, Now: time.Now,
 		})
 		server := twpeerhttp.NewServer(twpeerhttp.Config{
-			ApplyHeartbeat: func(h turmericwall.Heartbeat) turmericwall.HeartbeatReply {
+			HandleHeartbeat: func(_ context.Context, h turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 				now := twboottime.Now()
 				proof.ConfirmEcho(now, h.Echo, h.ProofAgeMillis)
 				if age := proof.AgeMillis(now); age < -1 {
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -94,7 +94,7 @@
 		Plan: &turmericwall.RoutePlan{Version: 4}, Upstreams: []turmericwall.Upstream{{ID: "u"}}, UpstreamsPosition: 9,
 	}
 	address := serve(t, twpeerhttp.Config{
-		ApplyHeartbeat: func(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
+		HandleHeartbeat: func(_ context.Context, heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 			g.Expect(heartbeat.Term).To(BeEquivalentTo(3))
 			g.Expect(heartbeat.Changing).
 				To(Equal([]turmericwall.ChangingEngine{{ID: "e", Role: turmericwall.RolePrefill, RemainingMillis: 70}}))
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -21,7 +21,7 @@
 
 // Config holds the functions that answer the calls. IsLeader reports whether this daemon may place calls as the leader.
 type Config struct {
-	ApplyHeartbeat  func(turmericwall.Heartbeat) turmericwall.HeartbeatReply
+	HandleHeartbeat func(context.Context, turmericwall.Heartbeat) turmericwall.HeartbeatReply
 	State           func(turmericwall.StateRequest) turmericwall.SharedState
 	IsLeader        func() bool
 	Place           func(context.Context, turmericwall.PlaceRequest) (turmericwall.Placement, error)
@@ -64,7 +64,7 @@
 func (s *Server) heartbeat(w http.ResponseWriter, request *http.Request) {
 	var heartbeat turmericwall.Heartbeat
 	if readJSON(w, request, &heartbeat) {
-		writeJSON(w, s.config.ApplyHeartbeat(heartbeat))
+		writeJSON(w, s.config.HandleHeartbeat(request.Context(), heartbeat))
 	}
 }
 
--- a/peering.go
+++ b/peering.go
@@ -40,6 +40,21 @@
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
 	// Rank is the receiver's position among Daemons, from 0; no two daemons have the same.
 	Rank int `json:"rank,omitempty"`
+	// Sequence numbers the leader's rounds of heartbeats.
+	Sequence int64 `json:"sequence,omitempty"`
+	// Relay is the daemon that forwarded the heartbeat; its name is empty if the leader sent it itself.
+	Relay Member `json:"relay,omitzero"`
+	// Forwards are the daemons to which the receiver forwards the heartbeat.
+	Forwards []HeartbeatForward `json:"forwards,omitempty"`
+}
+
+// HeartbeatForward is a daemon to which a heartbeat is forwarded. Its Echo and Rank replace those of the heartbeat.
+type HeartbeatForward struct {
+	Address string `json:"address"`
+	Echo    Echo   `json:"echo"`
+	Rank    int    `json:"rank,omitempty"`
+	// Forwards are the daemons to which that daemon forwards the heartbeat in turn.
+	Forwards []HeartbeatForward `json:"forwards,omitempty"`
 }
 
 // Echo is a time by one daemon's own clock that a peer returns to it. It dates the peer's message without a comparison
@@ -87,6 +102,8 @@
 	Rates []UpstreamRate `json:"rates,omitempty"`
 	// Leaving are the upstreams that announced in an answer to this daemon or to a peer that they leave.
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
+	// Forwarded are the replies of the daemons to which the heartbeat was forwarded; those without a reply are missing.
+	Forwarded []HeartbeatReply `json:"forwarded,omitempty"`
 }
 
 // Member is one incarnation of a daemon.
