fix: avoid relays that do not reach their daemons

A relay that answers the leader but reaches none of its daemons would be chosen again each second round. It is a relay again after five seconds.

--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -23,6 +23,8 @@
 	// lostHeartbeatGap is the time between two heartbeats to a daemon that does not reply, when the leader does not
 	// send to all daemons itself. A daemon that can be reached again joins by itself.
 	lostHeartbeatGap = time.Second
+	// relayRetryGap is how long a daemon is no relay after most of its daemons did not reply.
+	relayRetryGap = 5 * time.Second
 )
 
 // sendHeartbeats sends one heartbeat to each daemon to which one is due, and expires members that do not reply.
@@ -102,7 +104,9 @@
 			Echo: turmericwall.Echo{Incarnation: m.Incarnation, BootTimeNanos: m.BootTimeNanos},
 		}
 		if relayed && m.prompt && m.isAvailable() {
-			forwarded = append(forwarded, twfanout.Daemon{Forward: f, Zone: m.Zone, LinkMegabits: m.LinkMegabits})
+			forwarded = append(forwarded, twfanout.Daemon{
+				Forward: f, Zone: m.Zone, LinkMegabits: m.LinkMegabits, Failed: now.Sub(m.relayFailedAt) < relayRetryGap,
+			})
 			continue
 		}
 		direct = append(direct, f)
@@ -152,6 +156,9 @@
 	reply, err := c.sendForward(callCtx, heartbeat, to)
 	if err != nil {
 		c.recordNoReply(to.Address)
+		if len(to.Forwards) > 0 {
+			c.recordRelayFailure(to.Address)
+		}
 		for _, f := range to.Forwards {
 			go c.sendHeartbeat(ctx, heartbeat, f)
 		}
@@ -165,11 +172,16 @@
 		replied[r.Address] = true
 		c.applyReply(sentAt, sentAtBootTime, prompt, r)
 	}
-	for _, address := range addressesBelow(to) {
+	below, missing := addressesBelow(to), 0
+	for _, address := range below {
 		if !replied[address] {
+			missing++
 			c.recordNoReply(address)
 		}
 	}
+	if 2*missing > len(below) {
+		c.recordRelayFailure(to.Address)
+	}
 }
 
 // sendForward sends the heartbeat to one daemon with that daemon's own Echo, Rank and Forwards.
@@ -271,6 +283,15 @@
 	}
 }
 
+// recordRelayFailure records that a relay did not reach its daemons.
+func (c *Cluster) recordRelayFailure(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.members[address]; ok {
+		m.relayFailedAt = time.Now()
+	}
+}
+
 // recordReply records a reply to a heartbeat; the lock is held.
 func (c *Cluster) recordReply(m *member, reply turmericwall.HeartbeatReply) {
 	if m.Incarnation != "" && m.Incarnation != reply.Incarnation && m.live {
--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -27,6 +27,8 @@
 	// prompt is set when it replied to the last heartbeat within forwardTimeout, so that a relay may send it the next
 	// one.
 	prompt bool
+	// relayFailedAt is when most of the daemons to which it forwarded a heartbeat last did not reply.
+	relayFailedAt time.Time
 }
 
 // AddMember adds another daemon's address, so that it gets heartbeats while this daemon is the leader. A new address
--- a/internal/membership/twfanout/fanout.go
+++ b/internal/membership/twfanout/fanout.go
@@ -16,6 +16,8 @@
 	Zone    string
 	// LinkMegabits is the rate of the daemon's network link in Mbit/s.
 	LinkMegabits float64
+	// Failed is set when the daemon failed as a relay shortly before. It is a relay only if there is no other.
+	Failed bool
 }
 
 // Plan returns the daemons to which the leader sends the heartbeat itself, each with those to which it is forwarded
@@ -38,7 +40,8 @@
 	for _, name := range names {
 		zone := zones[name]
 		slices.SortFunc(zone, func(x, y Daemon) int {
-			return cmp.Or(cmp.Compare(y.LinkMegabits, x.LinkMegabits), strings.Compare(x.Forward.Address, y.Forward.Address))
+			return cmp.Or(compareFailed(x, y), cmp.Compare(y.LinkMegabits, x.LinkMegabits),
+				strings.Compare(x.Forward.Address, y.Forward.Address))
 		})
 		relays := min(max(limit*len(zone)/len(daemons), 1), len(zone))
 		forwards = append(forwards, split(zone, relays, limit)...)
@@ -46,6 +49,17 @@
 	return forwards
 }
 
+// compareFailed orders daemons that failed as relays last.
+func compareFailed(x, y Daemon) int {
+	switch {
+	case x.Failed == y.Failed:
+		return 0
+	case x.Failed:
+		return 1
+	}
+	return -1
+}
+
 // split makes the first daemons relays of the others, and splits their shares further where these exceed the limit.
 func split(daemons []Daemon, relays, limit int) []turmericwall.HeartbeatForward {
 	forwards := make([]turmericwall.HeartbeatForward, 0, relays)
--- a/internal/membership/twfanout/fanout_test.go
+++ b/internal/membership/twfanout/fanout_test.go
@@ -75,3 +75,20 @@
 		g.Expect(links[f.Address]).To(BeNumerically("==", 1000))
 	}
 }
+
+func TestFailedDaemonIsNoRelay(t *testing.T) {
+	g := NewWithT(t)
+	list := daemons(986)
+	for i := range list {
+		list[i].Failed = list[i].LinkMegabits == 1000 && i%2 == 0
+	}
+	failed := make(map[string]bool)
+	for _, d := range list {
+		failed[d.Forward.Address] = d.Failed
+	}
+	walk(twfanout.Plan(list, limit), "", func(f turmericwall.HeartbeatForward, _ string) {
+		if failed[f.Address] {
+			g.Expect(f.Forwards).To(BeEmpty())
+		}
+	})
+}
