feat: spread the daemons' first choices over equal upstreams

Seen on the whole fleet's baseline: the busiest plain upstream got 49 times the calls of the mean one. Cause: each of 986 daemons has a call in four seconds and knows no answer times, which count for three seconds; all of them picked the first upstream of their zone. Change: each daemon begins at a place of its own among equal upstreams.

--- a/internal/delivery/twpicker/picker.go
+++ b/internal/delivery/twpicker/picker.go
@@ -34,9 +34,18 @@
 // Upstreams that fail or hang while their health check passes can only be detected by the calls themselves. A failing
 // upstream is ejected for a short time and then probed by a single call.
 type Picker struct {
-	mu    sync.Mutex
-	stats map[turmericwall.UpstreamKey]*upstreamStats
-	zone  string
+	config Config
+	mu     sync.Mutex
+	stats  map[turmericwall.UpstreamKey]*upstreamStats
+}
+
+// Config holds the settings of a picker.
+type Config struct {
+	// Zone is the data centre of the daemon.
+	Zone string
+	// FirstChoice selects the first choice among equal upstreams. Daemons must have different ones: each of hundreds of
+	// daemons has so few calls that it knows no answer times, and all would pick the same upstream.
+	FirstChoice uint64
 }
 
 type upstreamStats struct {
@@ -49,9 +58,9 @@
 	updatedAt           time.Time
 }
 
-// New returns a picker for a daemon in the zone.
-func New(zone string) *Picker {
-	return &Picker{stats: make(map[turmericwall.UpstreamKey]*upstreamStats), zone: zone}
+// New returns a picker that knows no results.
+func New(config Config) *Picker {
+	return &Picker{config: config, stats: make(map[turmericwall.UpstreamKey]*upstreamStats)}
 }
 
 // Pick returns the upstream with the lowest expected answer time. Each pick must be ended by RecordAnswer,
@@ -63,7 +72,9 @@
 	defer p.mu.Unlock()
 	best := -1
 	bestScore := math.Inf(1)
-	for i, u := range upstreams {
+	for n := range upstreams {
+		i := int((p.config.FirstChoice + uint64(n)) % uint64(len(upstreams)))
+		u := upstreams[i]
 		if u.Leaving || avoid[u.ID] {
 			continue
 		}
@@ -138,7 +149,7 @@
 		answerMillis, failureRate = max(r.answerMillis, 1), r.failureRate
 	}
 	score := answerMillis * (1 + float64(r.openCalls)/float64(max(u.Slots, 1)))
-	if u.Zone != p.zone {
+	if u.Zone != p.config.Zone {
 		score += otherZonePenaltyMillis
 	}
 	successRate := max(1-failureRate, minSuccessRate)
--- a/internal/delivery/twpicker/picker_test.go
+++ b/internal/delivery/twpicker/picker_test.go
@@ -1,6 +1,8 @@
 package twpicker_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -32,7 +34,7 @@
 
 func TestTheSameZoneIsPreferredUntilItIsBusy(t *testing.T) {
 	g := NewWithT(t)
-	p := twpicker.New("here")
+	p := twpicker.New(twpicker.Config{Zone: "here"})
 	counts := make(map[string]int)
 	for range 12 {
 		counts[pick(p, start)]++
@@ -43,7 +45,7 @@
 
 func TestLeavingAndAvoidedUpstreamsAreNotPicked(t *testing.T) {
 	g := NewWithT(t)
-	p := twpicker.New("here")
+	p := twpicker.New(twpicker.Config{Zone: "here"})
 	g.Expect(pick(p, start, "near")).NotTo(Equal("near"))
 	g.Expect(pick(p, start, "near", "far1", "far2")).To(BeEmpty())
 	_, ok := p.Pick(start, []turmericwall.Upstream{{ID: "x", Leaving: true}}, nil)
@@ -54,7 +56,7 @@
 // It must be ejected after two failures and probed by a single call later.
 func TestAFailingUpstreamIsEjectedAndProbedByOneCall(t *testing.T) {
 	g := NewWithT(t)
-	p := twpicker.New("here")
+	p := twpicker.New(twpicker.Config{Zone: "here"})
 	near := threeUpstreams()[0]
 	for range 2 {
 		g.Expect(pick(p, start, "far1", "far2")).To(Equal("near"))
@@ -74,7 +76,7 @@
 
 func TestAnUpstreamThatFailsSomeCallsGetsFewer(t *testing.T) {
 	g := NewWithT(t)
-	p := twpicker.New("elsewhere")
+	p := twpicker.New(twpicker.Config{Zone: "elsewhere"})
 	counts := make(map[string]int)
 	at := start
 	for range 300 {
@@ -85,3 +87,23 @@
 	}
 	g.Expect(counts["far1"]).To(BeNumerically("<", 30))
 }
+
+// Guards against hundreds of daemons that know no answer times yet and all send their calls to the same upstream.
+func TestDaemonsSpreadOverEqualUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	var upstreams []turmericwall.Upstream
+	for i := range 20 {
+		upstreams = append(upstreams, turmericwall.Upstream{ID: fmt.Sprintf("u%02d", i), Zone: "here", Slots: 6})
+	}
+	picks := make(map[string]int)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		p := twpicker.New(twpicker.Config{Zone: "here", FirstChoice: random.Uint64()})
+		u, ok := p.Pick(start, upstreams, nil)
+		g.Expect(ok).To(BeTrue())
+		picks[u.ID]++
+	}
+	for id, n := range picks {
+		g.Expect(n).To(BeNumerically("<", 100), id)
+	}
+}
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -261,7 +261,7 @@
 	})
 	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
 	s.relay = twrelay.New(twrelay.Config{
-		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(""), Placer: s.placer,
+		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(twpicker.Config{}), Placer: s.placer,
 		Throttle:      s.throttle,
 		Retries:       s.retries,
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
