feat: bound the engines that a new leader queries

A new leader queried each of some 6,700 decode engines for its cached prompts, a connection and some 0.2 ms of processor time each, while it takes over. It queries at most 1,024 now, the first ones of each zone, which are used first.

--- a/internal/placement/twinventory/inventory.go
+++ b/internal/placement/twinventory/inventory.go
@@ -14,6 +14,9 @@
 	queryTimeout = 250 * time.Millisecond
 	// maxConcurrentQueries bounds the engines queried at the same time, because each query opens a connection.
 	maxConcurrentQueries = 64
+	// maxQueriedEngines bounds the engines that are queried, because a new leader needs its processor time for calls.
+	// Engines are used in the order of their ids in each zone, so that the first ones hold the cached prompts.
+	maxQueriedEngines = 1024
 )
 
 // Config holds the dependencies of an inventory.
@@ -61,11 +64,11 @@
 	}
 }
 
-// queryAll queries all decode engines, at most maxConcurrentQueries at a time, and returns when each has answered or
+// queryAll queries the decode engines, at most maxConcurrentQueries at a time, and returns when each has answered or
 // timed out.
 func (i *Inventory) queryAll(ctx context.Context) {
 	slots := make(chan struct{}, maxConcurrentQueries)
-	for _, engine := range i.decodeEngines() {
+	for _, engine := range firstOfEachZone(i.decodeEngines(), maxQueriedEngines) {
 		slots <- struct{}{}
 		go func() {
 			i.query(ctx, engine)
@@ -77,6 +80,27 @@
 	}
 }
 
+// firstOfEachZone returns up to limit engines, the same number of the first ones of each zone as far as there are that
+// many.
+func firstOfEachZone(engines []turmericwall.Upstream, limit int) []turmericwall.Upstream {
+	if len(engines) <= limit {
+		return engines
+	}
+	position := make(map[string]int)
+	rounds := make([][]turmericwall.Upstream, limit)
+	for _, e := range engines {
+		if n := position[e.Zone]; n < limit {
+			rounds[n] = append(rounds[n], e)
+		}
+		position[e.Zone]++
+	}
+	first := make([]turmericwall.Upstream, 0, limit)
+	for _, round := range rounds {
+		first = append(first, round[:min(len(round), limit-len(first))]...)
+	}
+	return first
+}
+
 // decodeEngines returns the decode engines of all services except those that are leaving.
 func (i *Inventory) decodeEngines() []turmericwall.Upstream {
 	var list []turmericwall.Upstream
--- a/internal/placement/twinventory/inventory_test.go
+++ b/internal/placement/twinventory/inventory_test.go
@@ -121,3 +121,40 @@
 	g.Eventually(done, "1s").Should(Receive())
 	g.Expect(e.maxActive).To(BeNumerically("<=", 64))
 }
+
+// Guards against a new leader that queries ten thousand engines instead of placing calls. The engines that are used
+// first in each zone must be among the queried ones.
+func TestQueriedEnginesAreBoundedAndSpreadOverZones(t *testing.T) {
+	g := NewWithT(t)
+	e := &engines{recordedPrompts: make(map[string][]turmericwall.CachedPrompt)}
+	i := twinventory.New(twinventory.Config{
+		Services: func() []turmericwall.ServicePlan {
+			return []turmericwall.ServicePlan{{Name: "s", Engine: &turmericwall.EnginePlan{}}}
+		},
+		Engines: func(string) []turmericwall.Upstream {
+			var list []turmericwall.Upstream
+			for n := range 10_000 {
+				zone := "small"
+				if n >= 100 {
+					zone = fmt.Sprint("z", n%4)
+				}
+				list = append(list, turmericwall.Upstream{
+					ID: fmt.Sprintf("e%05d", n), Zone: zone, Role: turmericwall.RoleDecode,
+				})
+			}
+			return list
+		},
+		Upstreams: e, RecordCachedPrompts: e.record, Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- i.Run(ctx) }()
+	i.RequestRefresh()
+	g.Eventually(func() int { return len(e.recorded()) }, "5s").Should(Equal(1024))
+	stop()
+	g.Eventually(done, "1s").Should(Receive())
+	recorded := e.recorded()
+	for n := range 900 {
+		g.Expect(recorded).To(HaveKey(fmt.Sprintf("e%05d", n)))
+	}
+}
