feat: list many engines changing role only after a change

Every heartbeat listed all engines changing role, some 60 bytes each. A list of more than 16 is now sent in three rounds after each change and in each eighth one.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -107,6 +107,10 @@
 	electedAt time.Time
 	// sequence numbers the rounds of heartbeats that this daemon sent as the leader.
 	sequence int64
+	// changingDigest is that of the engines changing role in the last round, and changingUntil the round before which
+	// heartbeats list them because they have changed.
+	changingDigest uint64
+	changingUntil  int64
 	// members are the other daemons by address.
 	members        map[string]*member
 	membersVersion int64
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/membership/twfanout"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
@@ -23,6 +25,12 @@
 	// lostHeartbeatGap is the time between two heartbeats to a daemon that does not reply, when the leader does not
 	// send to all daemons itself. A daemon that can be reached again joins by itself.
 	lostHeartbeatGap = time.Second
+	// maxRepeatedChanging is the number of engines changing role up to which every heartbeat lists them. Longer lists are
+	// sent in changingRepeats rounds after each change, because heartbeats may be lost, and in every changingInterval-th
+	// round for daemons that started since.
+	maxRepeatedChanging = 16
+	changingRepeats     = 3
+	changingInterval    = 8
 	// relayRetryGap is how long a daemon is no relay after most of its daemons did not reply.
 	relayRetryGap = 5 * time.Second
 )
@@ -36,9 +44,6 @@
 		ProofAgeMillis: c.config.Proof.AgeMillis(twboottime.Now()),
 	}
 	heartbeat.PlanVersion, heartbeat.UpstreamsPosition = c.config.PlanVersion(), c.config.UpstreamsPosition()
-	if c.config.Changing != nil {
-		heartbeat.Changing = c.config.Changing()
-	}
 	if c.config.Levels != nil {
 		heartbeat.Levels = c.config.Levels()
 	}
@@ -55,6 +60,9 @@
 	c.chooseStandbys(now)
 	c.sequence++
 	heartbeat.Sequence = c.sequence
+	if c.config.Changing != nil {
+		heartbeat.Changing = c.selectChanging(c.config.Changing())
+	}
 	heartbeat.Standbys = c.standbys
 	heartbeat.MembersVersion = c.membersVersion
 	heartbeat.Successor = c.nominee()
@@ -63,6 +71,25 @@
 	}
 }
 
+// selectChanging returns the engines changing role that the next round of heartbeats lists: all, or none when the daemons
+// know the list already. While hundreds of engines change their roles, the list is longer than all else in a heartbeat.
+// The lock is held.
+func (c *Cluster) selectChanging(list []turmericwall.ChangingEngine) []turmericwall.ChangingEngine {
+	digest := uint64(len(list))
+	for _, e := range list {
+		// The order of the list is random, and a sum does not depend on it.
+		digest += xxhash.Sum64String(e.ID + "/" + string(e.Role))
+	}
+	if digest != c.changingDigest {
+		c.changingDigest = digest
+		c.changingUntil = c.sequence + changingRepeats
+	}
+	if len(list) <= maxRepeatedChanging || c.sequence < c.changingUntil || c.sequence%changingInterval == 0 {
+		return list
+	}
+	return nil
+}
+
 // expireMembers marks the members as lost that did not reply for too long, and removes those that did not for
 // memberRetention; the lock is held.
 func (c *Cluster) expireMembers(now time.Time) {
--- a/internal/membership/twcluster/relay_test.go
+++ b/internal/membership/twcluster/relay_test.go
@@ -299,3 +299,49 @@
 	d.ApplyHeartbeat(heartbeat)
 	g.Eventually(fetched).Should(Receive(Equal(leader)))
 }
+
+// Guards against heartbeats that repeat a list of hundreds of engines changing role four times a second, which fill the
+// leader's link. Each daemon must still get each change, and a daemon that starts later the list.
+func TestLongListOfChangingEnginesIsNotRepeated(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	list := make([]turmericwall.ChangingEngine, 400)
+	for i := range list {
+		list[i] = turmericwall.ChangingEngine{ID: fmt.Sprint("e", i), Role: turmericwall.RoleDecode, RemainingMillis: 9000}
+	}
+	sent := make(chan turmericwall.Heartbeat, 100)
+	none := func() int64 { return 0 }
+	leader := twcluster.New(twcluster.Config{
+		Self:  turmericwall.Member{Name: "a", Address: "a", Incarnation: "a1"},
+		Proof: twproof.New(twproof.Config{Incarnation: "a1"}), Peers: recordingPeers{sent: sent},
+		Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+		IsLeader: func() (int64, bool) { return 1, true }, ReadAt: time.Now,
+		LeaseVersion: none, UpstreamsPosition: none, PlanVersion: none,
+		Changing: func() []turmericwall.ChangingEngine {
+			mu.Lock()
+			defer mu.Unlock()
+			return list
+		},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- leader.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	leader.AddMember(turmericwall.Member{Address: "b"})
+	listed := func(rounds int) (with int) {
+		for range rounds {
+			var h turmericwall.Heartbeat
+			g.Eventually(sent, "2s").Should(Receive(&h))
+			if len(h.Changing) > 0 {
+				with++
+			}
+		}
+		return with
+	}
+	g.Expect(listed(16)).To(BeNumerically("<=", 6))
+	mu.Lock()
+	list = append([]turmericwall.ChangingEngine(nil), list[1:]...)
+	mu.Unlock()
+	g.Expect(listed(3)).To(BeNumerically(">=", 1), "a change is sent at once")
+	g.Expect(listed(8)).To(BeNumerically(">=", 1), "the list is sent again for daemons that start")
+}
