fix: deduct a daemon's uncounted use from the level of an account

Cause: between two heartbeats a level above zero admitted any number of plain calls at each daemon, and a daemon without heartbeats began its share anew with the fraction of the last level, although it had used part of it since. Change: what a daemon used since the leader counted the level is deducted from it, and from the start of its share of a listed account.

--- a/internal/admission/twquota/alone.go
+++ b/internal/admission/twquota/alone.go
@@ -24,7 +24,7 @@
 //
 // The shares of all daemons add up to the rate, and to the burst plus the part of the tolerance that the leader does
 // not use, so that accounts far below their limits are not refused. The share of an account that the leader listed
-// starts with the fraction that was left.
+// starts with the fraction that was left, less what this daemon used since that was counted.
 //
 // A share may be smaller than a call. A full share then admits the call and goes into debt. For a listed account it
 // does so only at random, as often as the share allows on average: the debts of hundreds of daemons would add up to
@@ -43,6 +43,9 @@
 	b, ok := m.localBuckets[account.Name]
 	if !ok {
 		b = &bucket{level: capacity * m.remainingFraction(account), capacity: capacity, refilledAt: m.levelsAt}
+		if _, listed := m.levels[account.Name]; listed {
+			b.level -= m.uncountedUse(account.Name)
+		}
 		m.localBuckets[account.Name] = b
 	}
 	b.refill(s.now, rate, capacity)
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -252,9 +252,14 @@
 }
 
 // chargeLevel charges a call against the account's level in the leader's last heartbeat; the lock is held.
+//
+// What this daemon used since the level was counted is deducted from it: otherwise one call's worth of units that is
+// left would admit every call until the next heartbeat.
 func (m *Meter) chargeLevel(now time.Time, account turmericwall.ClientAccount, units float64) error {
 	if known, listed := m.levels[account.Name]; listed {
-		b := bucket{level: known.units, refilledAt: known.at, capacity: m.capacity(account.Quota)}
+		b := bucket{
+			level: known.units - m.uncountedUse(account.Name), refilledAt: known.at, capacity: m.capacity(account.Quota),
+		}
 		b.refill(now, account.Quota.PerSecond, b.capacity)
 		if b.level <= 0 {
 			return newOverLimit(account, units, b.level, "of all daemons by the leader's last count",
@@ -265,6 +270,15 @@
 	return nil
 }
 
+// uncountedUse returns this daemon's use of the account that the leader's last levels do not include; the lock is held.
+func (m *Meter) uncountedUse(account string) float64 {
+	u, ok := m.used[account]
+	if !ok {
+		return 0
+	}
+	return max(u.units-u.previousReplied, 0)
+}
+
 // recordUse adds units to this daemon's use, which is reported to the leader; the lock is held.
 func (m *Meter) recordUse(now time.Time, account string, units float64) {
 	u, ok := m.used[account]
