fix: let starting daemons wait for seeds that are loading the state

Cause: a starting daemon waits 1.5 s for its seeds and then lists all upstreams itself. Listing 10,003 of them takes a seed longer than that, so that half of the daemons listed them, 3.9 MB each, while three seeds were about to have them. Change: a seed that has no state yet and whose reads do not fail says so, and the daemons that ask it wait for up to eight seconds. A seed that fails, or says nothing for two seconds, is given up as before. Ruled out: a longer wait alone, which would hold back daemons whose seeds can't read the store.

--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -22,6 +22,10 @@
 	readDuration = 2 * time.Second
 	// bootstrapTimeout is how long a starting daemon waits for its seeds before it reads the store.
 	bootstrapTimeout = 1500 * time.Millisecond
+	// maxBootstrapTimeout is how long it waits while a seed reports that it is loading the state, and loadingValidity how
+	// long one such report counts. How long a seed takes grows with the number of upstreams.
+	maxBootstrapTimeout = 8 * time.Second
+	loadingValidity     = 2 * time.Second
 	// firstReadSpread is the span over which daemons without a leader spread their first reads.
 	firstReadSpread = 400 * time.Millisecond
 	// fleetRetryInterval is the mean time between two reads of a failing store by all daemons without a leader
@@ -73,6 +77,8 @@
 	nextQueryAt time.Time
 	// uselessQueries is how many queries to peers brought nothing since the last useful one.
 	uselessQueries int
+	// loadingAt is when a peer last reported that it is loading the state.
+	loadingAt time.Time
 }
 
 // New returns the source of a daemon that has no state yet.
@@ -123,11 +129,29 @@
 // awaitsPeers reports whether a peer may still bring the state; the lock is held.
 func (s *Source) awaitsPeers(now time.Time, o Observation) bool {
 	if o.FreshAt.IsZero() {
-		return !s.config.Seed && now.Sub(s.config.StartedAt) < bootstrapTimeout
+		return !s.config.Seed && now.Sub(s.config.StartedAt) < s.bootstrapTimeout(now)
 	}
 	return s.uselessQueries < maxUselessQueries
 }
 
+// bootstrapTimeout returns how long a starting daemon waits for its seeds; the lock is held.
+//
+// When all daemons of a large fleet start at once, each that gives up its seeds too early lists all upstreams: 500 of
+// 986 daemons read two gigabytes from the store while three seeds were about to have the list.
+func (s *Source) bootstrapTimeout(now time.Time) time.Duration {
+	if now.Sub(s.loadingAt) < loadingValidity {
+		return maxBootstrapTimeout
+	}
+	return bootstrapTimeout
+}
+
+// RecordLoading records that a peer is loading the state that this daemon lacks.
+func (s *Source) RecordLoading(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loadingAt = now
+}
+
 // drawRetryInterval draws the time to the next read, so that the store gets the same rate of reads from any number of
 // daemons; the lock is held.
 func (s *Source) drawRetryInterval(o Observation) time.Duration {
--- a/internal/membership/twsource/source_test.go
+++ b/internal/membership/twsource/source_test.go
@@ -186,3 +186,22 @@
 	o.LeaderLive = true
 	g.Expect(s.ShouldQueryPeer(start.Add(time.Hour), o)).To(BeFalse())
 }
+
+// Guards against hundreds of starting daemons that all list the upstreams because their seeds take longer than usual to
+// list them; a seed that stops reporting progress must not hold them back.
+func TestStartingDaemonWaitsForLoadingSeed(t *testing.T) {
+	g := NewWithT(t)
+	s := twsource.New(twsource.Config{Staleness: time.Second, StartedAt: start, Random: func() float64 { return 0 }})
+	shouldRead := func(after time.Duration) bool { return s.ShouldRead(start.Add(after), twsource.Observation{}) }
+	for after := time.Second; after < 7*time.Second; after += 500 * time.Millisecond {
+		s.RecordLoading(start.Add(after))
+		g.Expect(shouldRead(after + 400*time.Millisecond)).To(BeFalse())
+	}
+	g.Expect(shouldRead(7900 * time.Millisecond)).To(BeFalse())
+	g.Expect(shouldRead(8100*time.Millisecond)).To(BeTrue(), "the wait is bounded")
+
+	s = twsource.New(twsource.Config{Staleness: time.Second, StartedAt: start, Random: func() float64 { return 0 }})
+	s.RecordLoading(start.Add(time.Second))
+	g.Expect(shouldRead(2900 * time.Millisecond)).To(BeFalse())
+	g.Expect(shouldRead(3100*time.Millisecond)).To(BeTrue(), "no seed reports progress any more")
+}
