docs: clarify the comments on heartbeats, lists and pools

The comment on sentAt states by how much its result may be late; those on planRound and updateLists name growth instead of shares that were not measured.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -96,8 +96,8 @@
 	config    Config
 	startedAt time.Time
 	mu        sync.Mutex
-	// heartbeat is the last one received, and lastHeartbeatAt the time of it. It was not sent before heartbeatSentAt,
-	// which is zero when that is unknown.
+	// heartbeat is the last one received, lastHeartbeatAt the time of it, and heartbeatSentAt when it was sent as far as
+	// this daemon can tell; zero when that is unknown.
 	heartbeat       turmericwall.Heartbeat
 	lastHeartbeatAt time.Time
 	heartbeatSentAt time.Time
@@ -243,11 +243,11 @@
 	return c.heartbeat.Relay
 }
 
-// sentAt returns a time before which the heartbeat, just received, was not sent; zero when that is unknown. The lock is
-// held.
+// sentAt returns when the heartbeat, just received, was sent; zero when that is unknown. The lock is held.
 //
 // The leader sends a heartbeat at once, but a relay may have been suspended with it. A forwarded heartbeat is dated by
-// its echo: this daemon's clock at its last reply that the leader had received.
+// its echo: this daemon's clock at its last reply that the leader had received. The next heartbeat usually follows that
+// reply within heartbeatInterval, by which the result may be too late.
 func (c *Cluster) sentAt(heartbeat turmericwall.Heartbeat) time.Time {
 	if heartbeat.Relay.Name == "" {
 		return c.lastHeartbeatAt
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -108,9 +108,9 @@
 // planRound returns the daemons to which this leader sends a heartbeat now, with those to which they forward it, and
 // marks all of them as pending; the lock is held.
 //
-// Sent by the leader alone, four heartbeats a second to each of a thousand daemons take half of its processor time and
-// fill the link of a small VM. Only daemons that replied in time get them from relays; the leader sends to all others
-// itself, so that a relay that fails or is partitioned costs its daemons one heartbeat at most.
+// If the leader sent every heartbeat itself, its messages would grow with the number of daemons. Only daemons that replied
+// in time get them from relays; the leader sends to all others itself, so that a relay that fails or is partitioned costs
+// its daemons one heartbeat at most.
 func (c *Cluster) planRound(now time.Time) []turmericwall.HeartbeatForward {
 	relayed := len(c.members) > maxDirectDaemons
 	var direct []turmericwall.HeartbeatForward
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -451,8 +451,8 @@
 
 // updateLists lists the services of the outdated entries anew and discards the list of all; the lock is held.
 //
-// The unchanged part of a list is copied: sorting 10,000 upstreams for each of them that changes took all processor
-// time of a leader while engines changed their roles.
+// The unchanged part of a list is copied, because sorting 10,000 upstreams for each one that changes would take most of
+// a leader's processor time while engines are replaced.
 func (v *View) updateLists() {
 	if len(v.outdated) == 0 {
 		return
--- a/internal/placement/twallocator/pool.go
+++ b/internal/placement/twallocator/pool.go
@@ -11,7 +11,8 @@
 // the engines in use and one idle engine of each zone: all idle engines of a zone are equal.
 type pool struct {
 	zones []*zoneEngines
-	// used are the engines in use: decode engines with runs, and prefill engines with a prefill within speedValidity.
+	// used are the engines in use: decode engines with runs, and prefill engines with a backlog or a speed that was
+	// measured within speedValidity.
 	used []*engine
 	// size is the number of engines, leavingCount how many of them are leaving.
 	size, leavingCount int
