--- a/events.go
+++ b/events.go
@@ -53,6 +53,11 @@
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
+	EventHistoryLost        EventID = 8004
+	EventHistoryRegained    EventID = 8005
+	EventListingOutdated    EventID = 8006
+	EventStoreEraChanged    EventID = 8007
+	EventListingIgnored     EventID = 8008
 )
 
 var eventMessages = map[EventID]string{
@@ -104,6 +109,11 @@
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
+	EventHistoryLost:        "History lost",
+	EventHistoryRegained:    "History regained",
+	EventListingOutdated:    "Listing outdated",
+	EventStoreEraChanged:    "Store era changed",
+	EventListingIgnored:     "Listing ignored",
 }
 
 // String returns the event's message.
--- a/internal/membership/twupstreamfeed/follower.go
+++ b/internal/membership/twupstreamfeed/follower.go
@@ -20,7 +20,11 @@
 
 // Follower applies rows to the view. It implements twwatch.Follower. A row that cannot be decoded counts as removed
 // and is logged.
-type Follower struct{ config Config }
+type Follower struct {
+	config Config
+	// ignoring is set while listings are older than the view.
+	ignoring bool
+}
 
 // New returns a follower that has applied no row.
 func New(config Config) *Follower { return &Follower{config: config} }
@@ -33,10 +37,19 @@
 			list = append(list, upstream)
 		}
 	}
-	f.config.View.ApplyListing(now, snapshot.Version, list)
+	f.recordListing(snapshot.Version, f.config.View.ApplyListing(now, snapshot.Version, list))
 	f.notifyChanged()
 }
 
+// recordListing logs the first of several listings that the view ignores.
+func (f *Follower) recordListing(version int64, applied bool) {
+	if !applied && !f.ignoring {
+		f.config.Recorder.Record(turmericwall.EventListingIgnored).Int("upstreamsVersion", f.config.View.Version()).
+			Int("version", version).Send()
+	}
+	f.ignoring = !applied
+}
+
 // Change applies changed rows.
 func (f *Follower) Change(now time.Time, snapshot turmericwall.Snapshot) {
 	changes := make([]twupstreams.Change, 0, len(snapshot.Rows))
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -132,12 +132,12 @@
 }
 
 // ApplyListing replaces the whole view by a listing at the registry's version. A listing older than the view is
-// ignored.
-func (v *View) ApplyListing(now time.Time, version int64, upstreams []turmericwall.Upstream) {
+// ignored; applied reports whether it was not.
+func (v *View) ApplyListing(now time.Time, version int64, upstreams []turmericwall.Upstream) (applied bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.listed && version < v.position/positionsPerVersion {
-		return
+		return false
 	}
 	v.position = max(v.position, version*positionsPerVersion)
 	v.listed = true
@@ -154,6 +154,7 @@
 		}
 	}
 	v.updateLists()
+	return true
 }
 
 // ApplyChanges applies changed entries of the registry in the order of their versions.
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -42,6 +42,7 @@
 	Feed     turmericwall.Feed
 	Table    string
 	Follower Follower
+	Recorder turmericwall.Recorder
 	// Wait is how long one read waits for changes. A broken connection is noticed only after it.
 	Wait time.Duration
 	// Paused reports whether another daemon reads the table for this one; nil means never.
@@ -65,7 +66,11 @@
 	after       int64
 	listed      bool
 	unavailable bool
-	backoff     time.Duration
+	// lostAnswers is how many answers in a row stated that the history is lost.
+	lostAnswers int64
+	// outdated is set while listings are older than after.
+	outdated bool
+	backoff  time.Duration
 	// wait is how long the next read waits for changes.
 	wait time.Duration
 	// readAt is when the last answered read was sent. It keeps its monotonic clock reading: the wall clock may jump
@@ -160,6 +165,7 @@
 			return false, err
 		}
 		w.endOutage()
+		w.recordListing(snapshot.Version)
 		// A lagging replica may answer with an older version; the version never goes back.
 		w.after = max(w.after, snapshot.Version)
 		w.listed = true
@@ -169,6 +175,7 @@
 	sentAt := time.Now()
 	snapshot, err := w.config.Feed.Changes(ctx, w.config.Table, w.after, w.wait)
 	if errors.Is(err, turmericwall.ErrHistoryLost) {
+		w.recordHistoryLost()
 		w.listed = false
 		return false, nil
 	}
@@ -178,6 +185,7 @@
 		return false, err
 	}
 	w.endOutage()
+	w.recordHistoryRegained()
 	w.after = max(w.after, snapshot.Version)
 	if len(snapshot.Rows) > 0 {
 		w.config.Follower.Change(time.Now(), snapshot)
@@ -187,6 +195,35 @@
 	return true, nil
 }
 
+// recordHistoryLost logs the first of several answers that state that the history is lost.
+func (w *Watch) recordHistoryLost() {
+	w.lostAnswers++
+	if w.lostAnswers == 1 {
+		w.config.Recorder.Record(turmericwall.EventHistoryLost).Str("table", w.config.Table).
+			Int("position", w.after).Send()
+	}
+}
+
+// recordHistoryRegained logs that changes are read again.
+func (w *Watch) recordHistoryRegained() {
+	if w.lostAnswers == 0 {
+		return
+	}
+	w.config.Recorder.Record(turmericwall.EventHistoryRegained).Str("table", w.config.Table).
+		Int("position", w.after).Int("answers", w.lostAnswers).Send()
+	w.lostAnswers = 0
+}
+
+// recordListing logs the first of several listings that are older than the position of this watch.
+func (w *Watch) recordListing(version int64) {
+	outdated := version < w.after
+	if outdated && !w.outdated {
+		w.config.Recorder.Record(turmericwall.EventListingOutdated).Str("table", w.config.Table).
+			Int("position", w.after).Int("version", version).Send()
+	}
+	w.outdated = outdated
+}
+
 // adaptWait shortens the next read's wait by the time that the store takes to answer, so that a read takes the same
 // time in all: the leader's state must not become stale because the store is slow.
 func (w *Watch) adaptWait(answerTime time.Duration) {
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,8 +14,12 @@
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/membership/twwatch"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
+	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 )
 
+// log discards what the watches record.
+var log = tweventlog.New(tweventlog.Config{Output: io.Discard})
+
 // feed is a store that returns its listings and changes in order; then listings fail and changes block.
 type feed struct {
 	mu      sync.Mutex
@@ -102,7 +107,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- twwatch.New(twwatch.Config{Feed: f, Table: "t", Follower: recorded, Wait: time.Second}).Run(ctx)
+		done <- twwatch.New(twwatch.Config{Feed: f, Table: "t", Recorder: log, Follower: recorded, Wait: time.Second}).Run(ctx)
 	}()
 	t.Cleanup(func() { stop(); <-done })
 	return recorded
@@ -143,7 +148,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	w := twwatch.New(twwatch.Config{
-		Feed: f, Table: "t", Follower: &follower{}, Wait: time.Second,
+		Feed: f, Table: "t", Recorder: log, Follower: &follower{}, Wait: time.Second,
 		OnConfirmed: func(twboottime.Instant) { confirmed.Add(1) },
 	})
 	go func() { done <- w.Run(ctx) }()
@@ -179,7 +184,7 @@
 	done := make(chan error, 1)
 	go func() {
 		done <- twwatch.New(twwatch.Config{
-			Feed: f, Table: "t", Follower: recorded, Wait: time.Second, Paused: paused.Load,
+			Feed: f, Table: "t", Recorder: log, Follower: recorded, Wait: time.Second, Paused: paused.Load,
 			PeerReadAt: func() time.Time { return peerReadAt.Add(time.Minute) },
 		}).Run(ctx)
 	}()
@@ -216,7 +221,7 @@
 	done := make(chan error, 1)
 	outcomes := make(chan error, 100)
 	w := twwatch.New(twwatch.Config{
-		Feed: f, Table: "t", Follower: recorded, Wait: time.Second, KnownVersion: func() int64 { return 7 },
+		Feed: f, Table: "t", Recorder: log, Follower: recorded, Wait: time.Second, KnownVersion: func() int64 { return 7 },
 		Paused: func() bool { return !active.Load() }, OnRead: func(err error) { outcomes <- err },
 	})
 	go func() { done <- w.Run(ctx) }()
@@ -240,7 +245,7 @@
 	recorded := &follower{}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	w := twwatch.New(twwatch.Config{Feed: f, Table: "t", Follower: recorded, Wait: 100 * time.Millisecond})
+	w := twwatch.New(twwatch.Config{Feed: f, Table: "t", Recorder: log, Follower: recorded, Wait: 100 * time.Millisecond})
 	go func() { done <- w.Run(ctx) }()
 	defer func() { stop(); <-done }()
 	g.Eventually(recorded.allCalls).Should(Equal([]string{"reset"}))
