fix: order the store's versions by era

What callers saw: an engine that had said that it leaves got calls for longer than the 2 s allowed.

Cause: the store came back from a copy and gave out versions again, and all of our code takes a version for a number that never falls. The view of upstreams ignored listings older than itself, the watch kept its old position and asked for changes after a version that the store did not have, and then after one that now belonged to another write. These guards are there for lagging replicas, and nothing told the two cases apart: Store-Era was not read.

Change: the store's client turns era and version into one position in which the era counts first (package twposition). All comparisons of versions (watch, view, heartbeats, lease, fence) hold again without knowing about eras, and lagging replicas still undo nothing: in one era nothing changed. Changes after a position of another era count as lost history, so that all rows are listed; an answer of an earlier era is an error; pages of two eras are not joined.

Ruled out: dropping the guards (a lagging replica would make leaving engines usable again), and comparing equality of eras at each place (seven places, each able to forget it).

On a store without the header, positions equal versions.

--- a/feeds.go
+++ b/feeds.go
@@ -12,8 +12,9 @@
 
 // FeedRow is one row of a table, or a record of its removal if Removed is set.
 type FeedRow struct {
-	Key     string
-	Value   []byte
+	Key   string
+	Value []byte
+	// Version increases with each write, also when the store continues from a copy; see package twposition.
 	Version int64
 	Removed bool
 }
@@ -21,7 +22,8 @@
 // Snapshot is the result of one read of a table.
 type Snapshot struct {
 	Rows []FeedRow
-	// Version is the store's newest version at the time of the read. The next read of changes starts after it.
+	// Version is the store's newest version at the time of the read. The next read of changes starts after it. It is
+	// lower than one read before only if a lagging replica answered.
 	Version int64
 }
 
@@ -30,7 +32,7 @@
 	// Rows returns all rows of the table as of one time.
 	Rows(ctx context.Context, table string) (Snapshot, error)
 	// Changes returns the changes after the version and waits up to wait if there are none. It returns ErrHistoryLost
-	// if the store no longer has them.
+	// if the store no longer has them, or has continued from a copy since it gave out that version.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error)
 }
 
