fix: keep upstreams that left out of calls after a return from a copy

What callers would see: an engine that has said that it leaves, or whose entry was removed, gets calls again, because the store continues from a copy that lists it as ready (found by a test, not in a record).

The engines write again, but only some time later.

Change: with the first state of a new era the view treats incarnations that were leaving as having announced it, which no entry cancels and which heartbeats pass on. Incarnations that were only removed, within the last minute, get no calls until their entry would have lapsed again (three heartbeats and two seconds), or until they write it in the new era: entries of suspended upstreams lapse too, and these must be used again. The daemon that read the listing passes the end on to its followers.

Ruled out: treating each leaving entry as final in all cases (the same class, but the registry may correct an entry in one era, and tests hold it to that); keeping entries that the copy lacks (an upstream that left between the return and the first listing would get calls for longer than 2 s).

--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -55,6 +55,14 @@
 	// announced maps an incarnation to the time at which it first announced in an answer that it is leaving. The
 	// registry's entries do not cancel an announcement: a leaving upstream may write its last entry late, or never.
 	announced map[turmericwall.UpstreamKey]time.Time
+	// departed are the incarnations whose entries were removed lately. heldOut are those of them that the copy of a new
+	// era lists again, and until when they get no calls.
+	departed map[turmericwall.UpstreamKey]departure
+	heldOut  map[turmericwall.UpstreamKey]time.Time
+	// followsPeer is set while the newest state came from a peer, which also decides when upstreams get calls again.
+	followsPeer bool
+	// sweptAt is the time of the last sweep, for events that have no time of their own.
+	sweptAt time.Time
 }
 
 // A peer may be behind by minChanges, or by the changesShare of all upstreams, before it gets the whole view. A release
@@ -90,6 +98,8 @@
 		config: config, entries: make(map[string]*entry), services: make(map[string][]turmericwall.Upstream),
 		outdated:  make(map[string][]string),
 		announced: make(map[turmericwall.UpstreamKey]time.Time),
+		departed:  make(map[turmericwall.UpstreamKey]departure),
+		heldOut:   make(map[turmericwall.UpstreamKey]time.Time),
 	}
 }
 
@@ -127,6 +137,8 @@
 	if v.listed && version < v.position/positionsPerVersion {
 		return false
 	}
+	v.enterEra(version)
+	v.followsPeer = false
 	v.position = max(v.position, version*positionsPerVersion)
 	v.listed = true
 	v.changes = nil
@@ -155,6 +167,8 @@
 			v.removeEntry(now, c.ID)
 			continue
 		}
+		// Whoever writes in this era is running.
+		delete(v.heldOut, c.Upstream.Key())
 		v.setEntry(c.Upstream)
 	}
 	v.updateLists()
@@ -170,11 +184,14 @@
 	v.ApplyChanges(now, []Change{{Version: version, ID: id, Removed: true}})
 }
 
-// RemoveMissing removes the entries that are still missing after reregistrationSpan, and expired announcements.
+// RemoveMissing removes the entries that are still missing after reregistrationSpan, and what is known of leaving and
+// removed upstreams once it has expired.
 func (v *View) RemoveMissing(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.sweptAt = now
 	v.expireAnnounced(now)
+	v.expireDepartures(now)
 	if v.missingCount == 0 || v.unavailable || now.Before(v.removalsTrustedAt) {
 		return
 	}
@@ -182,7 +199,7 @@
 	position := v.position + 1
 	for id, e := range v.entries {
 		if e.missing {
-			v.deleteEntry(id)
+			v.dropEntry(id)
 			v.recordChange(position, id)
 		}
 	}
@@ -198,13 +215,15 @@
 	}
 	for _, u := range put {
 		v.recordChange(position, u.ID)
+		delete(v.heldOut, u.Key())
 		v.setEntry(u)
 	}
 	for _, id := range removed {
 		v.recordChange(position, id)
-		v.deleteEntry(id)
+		v.dropEntry(id)
 	}
 	v.position = position
+	v.followsPeer = true
 	v.updateLists()
 }
 
@@ -215,6 +234,8 @@
 	if v.listed && position < v.position {
 		return
 	}
+	v.enterEra(position / positionsPerVersion)
+	v.followsPeer = true
 	v.position = position
 	v.historyStart = position
 	v.listed = true
@@ -226,7 +247,7 @@
 	}
 	for id := range v.entries {
 		if !seen[id] {
-			v.deleteEntry(id)
+			v.dropEntry(id)
 		}
 	}
 	v.updateLists()
@@ -256,9 +277,7 @@
 // setEntry stores an entry; the lock is held.
 func (v *View) setEntry(u turmericwall.Upstream) {
 	listed := u.Leaving
-	if _, announced := v.announced[u.Key()]; announced {
-		u.Leaving = true
-	}
+	u.Leaving = listed || v.hasLeft(u.Key())
 	known, ok := v.entries[u.ID]
 	if ok && known.upstream == u && !known.missing {
 		known.listedLeaving = listed
@@ -325,5 +344,5 @@
 		}
 		return
 	}
-	v.deleteEntry(id)
+	v.dropEntry(id)
 }
