fix: start a new term of the lease after a return from a copy

What callers would see: two daemons that order engines' roles at the same time (found by reading and by tests, not in a record).

Cause: a copy can name an earlier holder of the lease, and the holder after it has sent orders in the time that the store lost. The earlier holder read its own row back and resumed its term, with a fencing token below the one in use. A conditional write could meet another holder's row that was given the same version again, and a takeover carried out late could be read back as a term.

Change: the row states the era on which its write was conditional. A row of an earlier era is never read back as a term. A holder continues across a return only while its term is valid: a daemon that took the row after it would still have to wait with its orders. Otherwise it takes the row anew, with a token above all of the earlier era, and its orders wait as after another holder. A missing row is taken with a token above the store's position.

Ruled out: ending every term at a return (no orders for some 7 s, though nobody else can have sent any); a marker row for each era in the condition (the copy may bring back its version too).

Open: a daemon that starts just after a return whose copy is older than the first lease ever takes that for a first start, and its orders do not wait.

--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -211,6 +211,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if row.Version == 0 {
+		e.lease.RecordMissing(twboottime.Now(), snapshot.Version)
+		return true
+	}
 	e.lease.RecordRow(twboottime.Now(), row.Version, row.Value)
 	return true
 }
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twposition"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
@@ -42,7 +43,11 @@
 	version int64
 	seen    bool
 	seenAt  twboottime.Instant
-	holder  turmericwall.Member
+	// missingAt is the store's position at which the row was found missing; 0 while the row exists.
+	missingAt int64
+	// known is set once this daemon has seen a row.
+	known  bool
+	holder turmericwall.Member
 	// fence is the fencing token of this daemon's term; 0 while it does not hold the row.
 	fence        int64
 	termDeadline twboottime.Instant
@@ -56,8 +61,11 @@
 type Row struct {
 	Holder turmericwall.Member `json:"holder"`
 	// Fence is one more than the row's version at the takeover. It is unique to the holder's term and grows with each
-	// term.
+	// term, since versions order the eras of the store.
 	Fence int64 `json:"fence"`
+	// Era is the era of the version on which the write was conditional. A row of a later era with an earlier Era comes
+	// from the copy with which that era began, or from a write that was performed late.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Write is a conditional write of the row that the lease asks for.
@@ -65,16 +73,27 @@
 	// IfVersion is the version that the row must have; 0 means that it must not exist.
 	IfVersion int64
 	Value     []byte
+	// Fence is the fencing token in Value.
+	Fence int64
 }
 
 // New returns a lease whose row has not been read yet.
 func New(config Config) *Lease { return &Lease{config: config} }
 
+// RecordMissing records that the row was missing at the store's position.
+func (l *Lease) RecordMissing(now twboottime.Instant, position int64) {
+	l.RecordRow(now, 0, nil)
+	l.missingAt = position
+}
+
 // RecordRow records the row as read from the store; version 0 means that there is none.
 func (l *Lease) RecordRow(now twboottime.Instant, version int64, value []byte) {
 	if l.seen && version == l.version {
 		return
 	}
+	eraChanged := era(version) != era(l.version)
+	l.missingAt = 0
+	l.known = l.known || version > 0
 	var row Row
 	if version > 0 && json.Unmarshal(value, &row) != nil {
 		row = Row{}
@@ -83,15 +102,20 @@
 	l.version = version
 	l.seenAt = now
 	l.holder = row.Holder
-	if row.Holder != l.config.Self {
+	if row.Holder != l.config.Self || (eraChanged && !l.isTermValid(now)) {
 		l.fence = 0
-		return
 	}
-	if l.fence == 0 {
-		l.startTerm(now, row.Fence)
+	if row.Holder == l.config.Self && l.fence == 0 && row.Era == era(version) {
+		l.startTerm(now, row.Fence, row.Fence > 1)
 	}
 }
 
+// isTermValid reports whether no other daemon can have sent orders since this one's last confirmed write: it would have
+// had to wait for the end of this term.
+func (l *Lease) isTermValid(now twboottime.Instant) bool { return l.fence != 0 && now < l.termDeadline }
+
+func era(version int64) int64 { return twposition.Position(version).Era() }
+
 // RecordVersion records the version of the row that its holder sent in a heartbeat.
 //
 // The row must stay unchanged for takeoverTimeout before another daemon takes it. That time counts from the first
@@ -102,6 +126,7 @@
 		return
 	}
 	l.seen = true
+	l.known = true
 	l.version = version
 	l.seenAt = now
 	l.holder = holder
@@ -129,13 +154,13 @@
 	}
 	fence := l.fence
 	if fence == 0 {
-		fence = l.version + 1
+		fence = max(l.version, l.missingAt) + 1
 	}
-	value, err := json.Marshal(Row{Holder: l.config.Self, Fence: fence})
+	value, err := json.Marshal(Row{Holder: l.config.Self, Fence: fence, Era: era(max(l.version, l.missingAt))})
 	if err != nil {
 		panic(fmt.Sprintf("encode the lease's row: %v", err))
 	}
-	return Write{IfVersion: l.version, Value: value}, true
+	return Write{IfVersion: l.version, Value: value, Fence: fence}, true
 }
 
 // ReleaseWrite returns the write that releases the row, so that another daemon need not wait for takeoverTimeout, and
@@ -144,11 +169,11 @@
 	if l.fence == 0 {
 		return Write{}, false
 	}
-	value, err := json.Marshal(Row{Fence: l.fence})
+	value, err := json.Marshal(Row{Fence: l.fence, Era: era(l.version)})
 	if err != nil {
 		panic(fmt.Sprintf("encode the lease's row: %v", err))
 	}
-	return Write{IfVersion: l.version, Value: value}, true
+	return Write{IfVersion: l.version, Value: value, Fence: l.fence}, true
 }
 
 // MarkReleased records that the lease was released, whether or not the write was confirmed: this daemon sends no more
@@ -162,9 +187,16 @@
 }
 
 // ConfirmWrite records a confirmed write that was sent at sentAt, and the row's version after it.
+//
+// A write that was conditional on a version of an earlier era may have met another holder's row, to which the store gave
+// that version again. Without a valid term the row is read and taken anew, with a fencing token of the later era.
 func (l *Lease) ConfirmWrite(sentAt twboottime.Instant, write Write, version int64) {
+	if write.IfVersion > 0 && era(version) != era(write.IfVersion) && !l.isTermValid(sentAt) {
+		l.Yield()
+		return
+	}
 	if l.fence == 0 {
-		l.startTerm(sentAt, write.IfVersion+1)
+		l.startTerm(sentAt, write.Fence, l.known)
 	}
 	l.version = version
 	l.seenAt = sentAt
@@ -173,11 +205,13 @@
 }
 
 // startTerm records a takeover. If the write was not answered, the takeover is found only by reading the row back,
-// and the daemon may send orders only after the next confirmed renewal.
-func (l *Lease) startTerm(now twboottime.Instant, fence int64) {
+// and the daemon may send orders only after the next confirmed renewal. After another holder, or one that may have been
+// there, orders wait.
+func (l *Lease) startTerm(now twboottime.Instant, fence int64, wait bool) {
 	l.fence = fence
+	l.termDeadline = 0
 	l.ordersAllowedAt = now
-	if fence > 1 {
+	if wait {
 		l.ordersAllowedAt = now.Add(termDuration + l.config.OrderGap + handoverMargin)
 	}
 }
