fix: pause between listings while the store has no history

On a store that answers at once it is over a million reads a second.

Cause: an answer without history is no error to a watch, so that it lists at once. If the listing is of a lagging replica, the position stays and the next read is refused again.

Change: from the second such answer in a row on, the watch waits for 100 ms before it lists. The first one is still followed by a listing at once, since a dropped change must be known within 2 s.

Ruled out: the back-off of errors (up to 900 ms, too long beside the 2 s).

--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -18,6 +18,9 @@
 	// change within two seconds of the store's recovery, so the longest wait is well below that.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 900 * time.Millisecond
+	// lostHistoryPause is the wait before rows are listed again although the last listing did not help: the replicas that
+	// answer lag by seconds.
+	lostHistoryPause = 100 * time.Millisecond
 	// minWait is the shortest wait for changes; it keeps reads of a slow store from following each other without a
 	// pause.
 	minWait = 100 * time.Millisecond
@@ -115,13 +118,24 @@
 		if w.config.OnRead != nil {
 			w.config.OnRead(err)
 		}
-		if err != nil && !sleep(ctx, w.backoff) {
+		if !sleep(ctx, w.pause(err)) {
 			break
 		}
 	}
 	return ctx.Err()
 }
 
+// pause returns the time to the next read after a read that ended with err.
+func (w *Watch) pause(err error) time.Duration {
+	if err != nil {
+		return w.backoff
+	}
+	if w.lostAnswers > 1 && !w.listed {
+		return lostHistoryPause
+	}
+	return 0
+}
+
 // Relist makes the next read list all rows.
 func (w *Watch) Relist() { w.relist.Store(true) }
 
@@ -266,6 +280,9 @@
 
 // sleep waits for the duration and reports whether ctx was still valid at its end.
 func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -252,3 +252,27 @@
 	w.Relist()
 	g.Eventually(recorded.allCalls).Should(Equal([]string{"reset", "reset"}))
 }
+
+// laggingFeed is a store whose replicas list an old version and have no history.
+type laggingFeed struct{ reads atomic.Int64 }
+
+func (f *laggingFeed) Rows(context.Context, string) (turmericwall.Snapshot, error) {
+	f.reads.Add(1)
+	return snapshot(9, 1), nil
+}
+
+func (f *laggingFeed) Changes(context.Context, string, int64, time.Duration) (turmericwall.Snapshot, error) {
+	f.reads.Add(1)
+	return turmericwall.Snapshot{}, turmericwall.ErrHistoryLost
+}
+
+// Guards against a watch that lists all rows without a pause while replicas lag behind its position.
+func TestLaggingReplicasAreReadWithPauses(t *testing.T) {
+	g := NewWithT(t)
+	f := &laggingFeed{}
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	w := twwatch.New(twwatch.Config{Feed: f, Table: "t", Recorder: log, Follower: &follower{}, Wait: time.Second})
+	g.Expect(w.Run(ctx)).To(MatchError(context.DeadlineExceeded))
+	g.Expect(f.reads.Load()).To(BeNumerically("<=", 24), "two reads in each tenth of a second")
+}
