fix: confirm no plan by a copy until lost writes are back

What callers would see: a key that the operator has removed is admitted again (found by reading and by a test, not in a record).

Cause: each read of the plan proves that all changes acknowledged before it are in force. After a return from a copy that is not so: the operator's last writes are lost until they are written again.

Evidence: TestCopyConfirmsNothingUntilLostWritesAreBack on the code before: the listing of the copy confirms the plan.

Change: a watch that sees a later era confirms nothing for two seconds, the time within which the platform has entries back. The proof ages meanwhile, and calls with keys are refused once it is too old, as in an outage. An older plan in the copy does not replace a newer one (plans are applied by the operator's version, as before).

Ruled out: waiting until the plan in force is listed again (a plan that this daemon never had may be the lost one).

After: tests of watch and daemon pass. Open: a daemon that starts within these two seconds does not know the earlier era and confirms at once.

--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twposition"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
@@ -21,6 +22,8 @@
 	// lostHistoryPause is the wait before rows are listed again although the last listing did not help: the replicas that
 	// answer lag by seconds.
 	lostHistoryPause = 100 * time.Millisecond
+	// rewriteSpan is the time after a return from a copy in which what the store lost may not be written again yet.
+	rewriteSpan = 2 * time.Second
 	// minWait is the shortest wait for changes; it keeps reads of a slow store from following each other without a
 	// pause.
 	minWait = 100 * time.Millisecond
@@ -56,7 +59,7 @@
 	// OnRead is called with the outcome of each read; it may be nil.
 	OnRead func(err error)
 	// OnConfirmed is called after each read that brought the follower up to date with the whole table, with the time
-	// before that read; it may be nil.
+	// before that read; it may be nil. It is not called until lost writes are back after a return from a copy.
 	OnConfirmed func(sentAt twboottime.Instant)
 	// PeerReadAt returns when another daemon last read the table for this one; nil means never.
 	PeerReadAt func() time.Time
@@ -69,6 +72,8 @@
 	after       int64
 	listed      bool
 	unavailable bool
+	// rewrittenAt is when lost writes are back after a return of the store from a copy.
+	rewrittenAt time.Time
 	// lostAnswers is how many answers in a row stated that the history is lost.
 	lostAnswers int64
 	// outdated is set while listings are older than after.
@@ -107,7 +112,7 @@
 		complete, err := w.readOnce(ctx)
 		if complete {
 			w.readAt.Store(&sentAt)
-			if w.config.OnConfirmed != nil {
+			if w.config.OnConfirmed != nil && !sentAt.Before(w.rewrittenAt) {
 				w.config.OnConfirmed(sentAtBootTime)
 			}
 		}
@@ -180,6 +185,9 @@
 		}
 		w.endOutage()
 		w.recordListing(snapshot.Version)
+		if w.after > 0 && twposition.Position(snapshot.Version).Era() > twposition.Position(w.after).Era() {
+			w.rewrittenAt = time.Now().Add(rewriteSpan)
+		}
 		// A lagging replica may answer with an older version; the version never goes back.
 		w.after = max(w.after, snapshot.Version)
 		w.listed = true
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -276,3 +276,29 @@
 	g.Expect(w.Run(ctx)).To(MatchError(context.DeadlineExceeded))
 	g.Expect(f.reads.Load()).To(BeNumerically("<=", 24), "two reads in each tenth of a second")
 }
+
+// Guards against keys that were removed in the time that the store lost, and are admitted again because the copy counts
+// as a proof of the plan.
+func TestCopyConfirmsNothingUntilLostWritesAreBack(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{
+		lists:   []turmericwall.Snapshot{snapshot(1_000_000_000_005, 2), snapshot(2_000_000_000_004, 2)},
+		changes: []any{turmericwall.ErrHistoryLost},
+	}
+	for range 40 {
+		f.changes = append(f.changes, snapshot(2_000_000_000_004, 0))
+	}
+	f.extraLatency = time.Millisecond
+	var confirmed atomic.Int64
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	w := twwatch.New(twwatch.Config{
+		Feed: f, Table: "t", Recorder: log, Follower: &follower{}, Wait: 100 * time.Millisecond,
+		OnConfirmed: func(twboottime.Instant) { confirmed.Add(1) },
+	})
+	go func() { done <- w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	g.Eventually(func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.lists) }).Should(BeZero())
+	g.Consistently(confirmed.Load, "1800ms").Should(BeEquivalentTo(1), "only the listing before the return")
+	g.Eventually(confirmed.Load, "1s").Should(BeNumerically(">", 1))
+}
