test: search sequences of events at 5, 8, 16 and 60 daemons

The model's search takes the number of daemons and the steps; its sequences at three daemons, bound and calls are as they were.

--- a/internal/admission/twquota/model_test.go
+++ b/internal/admission/twquota/model_test.go
@@ -1,6 +1,7 @@
 package twquota_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -102,37 +103,75 @@
 	return f.meters[i].ChargeLocally("a", unitsPerCall)
 }
 
+// modelBound is the most that may be used in the window.
+var modelBound = (modelQuota.PerSecond*windowSeconds+modelQuota.Burst)*(1+overage) + modelQuota.PerSecond*slackUnits/216_000
+
+// search simulates all sequences of the steps before a number of daemons.
+type search struct {
+	daemons   int
+	steps     []step
+	sequences int
+	// most is the most units that were admitted, in the sequence worst.
+	most            float64
+	sequence, worst []step
+}
+
+// explore simulates the current sequence and all that begin with it. Each one is simulated from the start, since a meter
+// cannot be copied.
+func (s *search) explore() {
+	f := newTolerantFleet(s.daemons, modelQuota, overage, modelQuota.PerSecond*slackUnits/216_000)
+	admitted := 0.0
+	for _, next := range s.sequence {
+		admitted += next.simulate(f)
+	}
+	if len(s.sequence) == modelSteps {
+		s.sequences++
+		if admitted > s.most {
+			s.most, s.worst = admitted, slices.Clone(s.sequence)
+		}
+		return
+	}
+	for _, next := range s.steps {
+		if next.isPossible(f) {
+			s.sequence = append(s.sequence, next)
+			s.explore()
+			s.sequence = s.sequence[:len(s.sequence)-1]
+		}
+	}
+}
+
+// stepsWithoutPartitions keep the search of many daemons short.
+var stepsWithoutPartitions = []step{stepNothing, stepLeaderDeath, stepElection, stepLateHeartbeat}
+
+// check expects that no sequence runs over the bound.
+func (s *search) check(t *testing.T) {
+	t.Helper()
+	s.explore()
+	t.Logf("%d daemons, %d sequences of %d steps, at most %.2f of the bound in %v",
+		s.daemons, s.sequences, modelSteps, s.most/modelBound, s.worst)
+	NewWithT(t).Expect(s.most).To(BeNumerically("<=", modelBound))
+}
+
 // Guards against an account that exceeds its quota by more than the tolerance in any sequence of leader deaths,
 // elections, partitions and late heartbeats.
 func TestNoSeriesOfEventsOfTheSmallModelRunsOverTheBound(t *testing.T) {
-	g := NewWithT(t)
-	bound := (modelQuota.PerSecond*windowSeconds+modelQuota.Burst)*(1+overage) + modelQuota.PerSecond*slackUnits/216_000
-	sequences, most := 0, 0.0
-	var sequence, worst []step
-	// Each sequence is simulated from the start, since a meter cannot be copied.
-	var explore func()
-	explore = func() {
-		f := newTolerantFleet(3, modelQuota, overage, modelQuota.PerSecond*slackUnits/216_000)
-		admitted := 0.0
-		for _, s := range sequence {
-			admitted += s.simulate(f)
-		}
-		if len(sequence) == modelSteps {
-			sequences++
-			if admitted > most {
-				most, worst = admitted, slices.Clone(sequence)
-			}
-			return
-		}
-		for s := range stepCount {
-			if s.isPossible(f) {
-				sequence = append(sequence, s)
-				explore()
-				sequence = sequence[:len(sequence)-1]
-			}
-		}
+	s := &search{daemons: 3}
+	for next := range stepCount {
+		s.steps = append(s.steps, next)
 	}
-	explore()
-	t.Logf("%d sequences of %d steps, at most %.2f of the bound in %v", sequences, modelSteps, most/bound, worst)
-	g.Expect(most).To(BeNumerically("<=", bound))
+	s.check(t)
+}
+
+// Guards against an excess that grows with the number of daemons, each of which uses what is left between two heartbeats.
+func TestBoundDoesNotGrowWithNumberOfDaemons(t *testing.T) {
+	for _, daemons := range []int{5, 8, 16} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			(&search{daemons: daemons, steps: stepsWithoutPartitions}).check(t)
+		})
+	}
+}
+
+// Guards against daemons without a leader whose shares are smaller than a call, and that each go into debt for one.
+func TestBoundHoldsForCallsLargerThanShares(t *testing.T) {
+	(&search{daemons: 60, steps: []step{stepNothing, stepLeaderDeath}}).check(t)
 }
