fix: ask the leader for charges beyond a daemon's part of the tolerance

What callers saw: nothing yet; an account could run over its quota by more than the operator's tolerance, the further the more daemons there are.

Cause: between two counts of the leader each daemon could use all that the last level left, or any amount of an account that was not listed. What is out at once was a multiple of the number of daemons.

Change: a daemon charges plain calls by itself only while what it used since the leader's count stays below its part of the tolerance that the leader does not grant; beyond that it asks the leader (/peer/charge), which charges exactly. A refusal stands for 0.1 s, so that an account over its quota does not cause a request for each call. Without an answer the call is charged to the daemon's share, and the leader is not asked for 0.3 s. Levels older than 0.4 s lead to the leader first, not to the share.

Ruled out: an equal part of the level for each daemon (an account at few daemons gets no burst); a random choice for calls larger than a share (refuses more of an account below its quota than the 0.02 that TestNoAccountRunsOverItsBound allows).

--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -2,9 +2,9 @@
 // authenticated and before they are placed or sent.
 //
 // The leader holds one token bucket for each account. Calls that the leader places are charged there, exactly. Other
-// calls are charged by the daemon that received them, against the levels in the leader's heartbeats, and are reported
-// in the replies. A daemon without a leader has an equal share of each rate; the leader leaves the shares of
-// unreachable daemons to them.
+// calls are charged by the daemon that received them and reported in the replies to heartbeats, up to an equal part of
+// the tolerance; beyond that the daemon requests each charge from the leader. A daemon without a leader has an equal
+// share of each rate; the leader leaves the shares of unreachable daemons to them.
 package twquota
 
 import (
@@ -56,6 +56,9 @@
 	// answered the leader recently.
 	Daemons             func() int
 	UnresponsiveDaemons func() int
+	// ChargeAtLeader requests from the leader that a call is charged. If it is nil, calls are charged against the
+	// leader's last levels alone.
+	ChargeAtLeader func(request turmericwall.ChargeRequest) (turmericwall.ChargeReply, error)
 	// WindowSeconds, Overage and Slack bound the use over a quota of all daemons together. In any window of
 	// WindowSeconds an account may use what the quota allows, the fraction Overage of that in addition, and Slack
 	// units.
@@ -88,6 +91,10 @@
 	used map[string]*usage
 	// reported is the use in the last reply of each other daemon, by incarnation and account.
 	reported map[string]map[string]int64
+	// refusals are the leader's last refusals by account. leaderFailedUntil is until when no charge is requested from a
+	// leader that did not answer one.
+	refusals          map[string]refusal
+	leaderFailedUntil time.Time
 	// lastState is the state at the last charge, refund, report or list of levels.
 	lastState clusterState
 }
@@ -124,27 +131,42 @@
 	return &Meter{
 		config: config, clusterBuckets: make(map[string]*bucket), localBuckets: make(map[string]*bucket),
 		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]map[string]int64),
+		refusals: make(map[string]refusal),
 	}
 }
 
-// Charge charges units to the account's quota. The error is a *Problem with a retry time.
+// Charge charges units to the account's quota. It may request that from the leader and wait for the answer. The error is
+// a *Problem with a retry time.
 func (m *Meter) Charge(account string, units float64) error {
 	found, ok := m.config.Account(account)
 	if !ok || !found.Quota.IsLimited() || units <= 0 {
 		return nil
 	}
 	s := m.readState()
+	if decided, err := m.chargeHere(s, found, units); decided {
+		return err
+	}
+	return m.chargeAtLeader(s, found, units)
+}
+
+// chargeHere charges the call unless the leader has to be asked, which decided reports.
+func (m *Meter) chargeHere(s clusterState, account turmericwall.ClientAccount, units float64) (decided bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.updateState(s)
+	hasLevels := s.followsLiveLeader && s.now.Sub(m.levelsAt) < levelsMaxAge
 	switch {
 	case s.isLeader:
-		return m.chargeClusterBucket(s, found, units)
-	case s.followsLiveLeader && s.now.Sub(m.levelsAt) < levelsMaxAge:
-		return m.chargeLevel(s.now, found, units)
-	default:
-		return m.chargeLocalShare(s, found, units)
+		return true, m.chargeClusterBucket(s, account, units)
+	case hasLevels && (m.config.ChargeAtLeader == nil || m.isInReserve(s, account, units)):
+		return true, m.chargeLevel(s.now, account, units)
+	case !s.followsLiveLeader || m.config.ChargeAtLeader == nil || s.now.Before(m.leaderFailedUntil):
+		return true, m.chargeLocalShare(s, account, units)
+	}
+	if last, ok := m.refusals[account.Name]; ok && s.now.Before(last.validUntil) {
+		return true, newOverLimit(account, units, last.remaining, "of all daemons", last.retryAt)
 	}
+	return false, nil
 }
 
 // Refund returns units that were charged for a call that did not run.
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -152,6 +152,10 @@
 	return turmericwall.AdmitReply{}, nil
 }
 
+func (n *network) Charge(context.Context, string, turmericwall.ChargeRequest) (turmericwall.ChargeReply, error) {
+	return turmericwall.ChargeReply{Declined: true}, nil
+}
+
 // join adds a daemon to the others and the others to it, as configured seeds do.
 func (n *network) join(address string, cluster *twcluster.Cluster) {
 	n.mu.Lock()
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -125,6 +125,14 @@
 	return reply, c.call(ctx, address, pathAdmit, request, &reply)
 }
 
+// Charge requests from the leader that a call is charged to a quota. Its time limit is that of ctx.
+func (c *Client) Charge(
+	ctx context.Context, address string, request turmericwall.ChargeRequest,
+) (turmericwall.ChargeReply, error) {
+	var reply turmericwall.ChargeReply
+	return reply, c.call(ctx, address, pathCharge, request, &reply)
+}
+
 // call posts a message as JSON and decodes the answer into reply unless that is nil.
 func (c *Client) call(ctx context.Context, address, path string, message, reply any) error {
 	body, err := json.Marshal(message)
--- a/internal/membership/twpeerhttp/fuzz_test.go
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -26,6 +26,8 @@
 	f.Add("/peer/place", []byte(`{"id":"x","account":"a","units":-1e308,"targetMillis":-9223372036854775808}`))
 	f.Add("/peer/admit", []byte(`{"rate":{"id":"u","perSecond":-1e308,"ageMillis":-9223372036854775808},"count":-9}`))
 	f.Add("/peer/admit", []byte(`{"rate":{"id":"u","perSecond":1e308,"ageMillis":9223372036854775807},"count":9223372036854775807}`))
+	f.Add("/peer/charge", []byte(`{"account":"a","units":-1e308}`))
+	f.Add("/peer/charge", []byte(`{"account":"a","units":1e308}`))
 	f.Add("/peer/heartbeat", []byte(`{"rates":[{"id":"u","lifted":true,"ageMillis":-1}],"leaving":[{"id":"u"}],"rank":-4}`))
 	f.Add("/peer/finish", []byte(`[{"ID":"x","NotRun":true}]`))
 	f.Add("/peer/state", []byte(`{"planVersion":-1,"joining":{"moment":-1}}`))
@@ -78,6 +80,13 @@
 				}
 				return reply
 			},
+			Charge: func(request turmericwall.ChargeRequest) turmericwall.ChargeReply {
+				reply := quotas.ChargeForPeer(request)
+				if reply.RetryMillis < 0 || reply.Declined {
+					t.Fatalf("request %+v was answered by %+v", request, reply)
+				}
+				return reply
+			},
 			Finish: func(turmericwall.PlacementUpdate) {}, AdoptPlacedCall: func(turmericwall.PlacedCall) {},
 		})
 		request := httptest.NewRequest(http.MethodPost, "/peer/heartbeat", bytes.NewReader(body))
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -14,6 +14,7 @@
 	pathFinish    = "/peer/finish"
 	pathRuns      = "/peer/runs"
 	pathAdmit     = "/peer/admit"
+	pathCharge    = "/peer/charge"
 )
 
 // wirePlaceRequest is a request for a placement as it is sent. Deadlines are sent as the time that is left, since the
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -28,6 +28,7 @@
 	Finish          func(turmericwall.PlacementUpdate)
 	AdoptPlacedCall func(turmericwall.PlacedCall)
 	Admit           func(turmericwall.AdmitRequest) turmericwall.AdmitReply
+	Charge          func(turmericwall.ChargeRequest) turmericwall.ChargeReply
 }
 
 // Server is the HTTP handler of the calls from peers.
@@ -55,6 +56,7 @@
 	s.mux.HandleFunc("POST "+pathFinish, s.finish)
 	s.mux.HandleFunc("POST "+pathRuns, s.runs)
 	s.mux.HandleFunc("POST "+pathAdmit, s.admit)
+	s.mux.HandleFunc("POST "+pathCharge, s.charge)
 	return s
 }
 
@@ -210,6 +212,13 @@
 	}
 }
 
+func (s *Server) charge(w http.ResponseWriter, request *http.Request) {
+	var chargeRequest turmericwall.ChargeRequest
+	if readJSON(w, request, &chargeRequest) {
+		writeJSON(w, s.config.Charge(chargeRequest))
+	}
+}
+
 // readJSON decodes the request's body and reports whether that succeeded; if not, it has answered with status 400.
 func readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxMessageBytes))
--- a/peering.go
+++ b/peering.go
@@ -183,6 +183,22 @@
 	RetryMillis       int64 `json:"retryMillis,omitempty"`
 }
 
+// ChargeRequest requests from the leader that a call is charged to a client account's quota.
+type ChargeRequest struct {
+	Account string  `json:"account"`
+	Units   float64 `json:"units"`
+}
+
+// ChargeReply is the reply to a ChargeRequest.
+type ChargeReply struct {
+	// Declined is set if the answering daemon is not the leader.
+	Declined bool `json:"declined,omitempty"`
+	// Refused is set if too little is left of the quota: Remaining units, and RetryMillis until the caller may retry.
+	Refused     bool    `json:"refused,omitempty"`
+	Remaining   float64 `json:"remaining,omitempty"`
+	RetryMillis int64   `json:"retryMillis,omitempty"`
+}
+
 // PeerClient calls other daemons at their addresses (host:port).
 type PeerClient interface {
 	// Heartbeat sends a heartbeat and returns the daemon's reply.
@@ -197,4 +213,6 @@
 	ReportPlacedCalls(ctx context.Context, address string, placedCalls []PlacedCall) error
 	// Admit requests sends to an upstream from the rate coordinator.
 	Admit(ctx context.Context, address string, request AdmitRequest) (AdmitReply, error)
+	// Charge requests from the leader that a call is charged to a quota.
+	Charge(ctx context.Context, address string, request ChargeRequest) (ChargeReply, error)
 }
