fix: do not hold out upstreams that registered again before a return from a copy

Cause: a removed incarnation was remembered for a minute even if it had registered again, and held out with the next era. Evidence: TestUpstreamRegisteredAgainIsNotHeldOut fails on the code before. Change: an entry that is set ends the memory of its removal. What is known of leaving incarnations stays.

--- a/internal/membership/twupstreams/era_test.go
+++ b/internal/membership/twupstreams/era_test.go
@@ -128,3 +128,13 @@
 	v.RemoveMissing(start.Add(entryLifetime + 2*time.Second))
 	g.Expect(v.AcceptsCalls(upstream("a", false).Key())).To(BeTrue())
 }
+
+// Guards against an upstream that gets no calls after a return from a copy although it had registered again before.
+func TestUpstreamRegisteredAgainIsNotHeldOut(t *testing.T) {
+	g := NewWithT(t)
+	v := viewAtFive()
+	v.Remove(start, firstEra+6, "a")
+	v.Put(firstEra+7, upstream("a", false))
+	v.ApplyListing(start, secondEra+6, []turmericwall.Upstream{upstream("a", false), upstream("b", false)})
+	g.Expect(v.AcceptsCalls(upstream("a", false).Key())).To(BeTrue())
+}
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -276,6 +276,7 @@
 
 // setEntry stores an entry; the lock is held.
 func (v *View) setEntry(u turmericwall.Upstream) {
+	delete(v.departed, u.Key())
 	listed := u.Leaving
 	u.Leaving = listed || v.hasLeft(u.Key())
 	known, ok := v.entries[u.ID]
