fix: let a first holder wait when a copy lacks its row

Cause: a daemon that had taken the lease at the first start had never read a row, so that it took a copy without the row for another first start. Evidence: TestFirstHolderWaitsWhenCopyLacksItsRow fails on the code before. Change: a confirmed write counts as knowing the row.

--- a/internal/membership/twlease/era_test.go
+++ b/internal/membership/twlease/era_test.go
@@ -127,3 +127,19 @@
 	g.Expect(l.Version()).To(BeEquivalentTo(era2 + 31))
 	g.Expect(l.Holder().Name).To(Equal("a"))
 }
+
+// Guards against a daemon that held the lease from the first start on, and sends orders at once when it takes it from a
+// copy without the row.
+func TestFirstHolderWaitsWhenCopyLacksItsRow(t *testing.T) {
+	g := NewWithT(t)
+	l := lease("a")
+	l.RecordMissing(start, era1+3)
+	takeOrRenew(g, l, start, era1+4)
+	_, ok := l.Fence(start.Add(time.Second))
+	g.Expect(ok).To(BeTrue(), "there was no holder before")
+	at := start.Add(6 * time.Second)
+	l.RecordMissing(at, era2+3)
+	takeOrRenew(g, l, at, era2+4)
+	_, ok = l.Fence(at.Add(time.Second))
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/membership/twlease/lease.go
+++ b/internal/membership/twlease/lease.go
@@ -198,6 +198,7 @@
 	if l.fence == 0 {
 		l.startTerm(sentAt, write.Fence, l.known)
 	}
+	l.known = true
 	l.version = version
 	l.seenAt = sentAt
 	l.holder = l.config.Self
