test: show that a first leader reports too few daemons while others join

Traced from the kept logs: two of four daemons spent three of the six retries each, since the leader reported two daemons; the others had not joined yet.

Cause: waits for a majority of the daemons that the leader knows, which are those that have joined.

--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -505,6 +505,20 @@
 	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(3), "a majority of the four known daemons replies")
 }
 
+// Guards against a first leader that reports the few daemons which have joined so far: each daemon's part of the shared
+// retry budget would be too large.
+func TestFirstLeaderReportsNoNumberWhileDaemonsJoin(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := startLeader(t, g)
+	startWithDelay(t, s, n, "b", time.Hour)
+	// The others find the leader as late as after a start on a busy machine.
+	g.Consistently(a.cluster.LiveDaemons, "2400ms").Should(BeZero())
+	for _, name := range []string{"c", "d"} {
+		startWithDelay(t, s, n, name, time.Hour)
+	}
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(4))
+}
+
 // Guards against a leader that loses the path to all other daemons and spends the retry budget of all.
 func TestLeaderWithoutRepliesCountsHalfOfLastKnownDaemons(t *testing.T) {
 	g := NewWithT(t)
