fix: report no number of daemons while the others join a first leader

Change: a first leader reports no number for three seconds after its election, and no slack is spent meanwhile. Leaders that know a number from the leader before them are not affected.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -22,6 +22,9 @@
 	leaderTimeout = 700 * time.Millisecond
 	// memberTimeout is how long a daemon counts as live after its last reply to a heartbeat.
 	memberTimeout = 1500 * time.Millisecond
+	// joinTimeout is how long the first leader waits for the others before it counts them. A daemon that finds no peer
+	// reads the lease, and may take over two seconds to join on a busy machine.
+	joinTimeout = 3 * time.Second
 	// memberRetention is how long a daemon that does not reply stays on the list of members. A daemon that receives
 	// no heartbeats joins again by itself.
 	memberRetention = time.Minute
@@ -361,14 +364,17 @@
 //
 // A daemon that has received no heartbeat, or has just become the leader, does not know the others. If each such
 // daemon counted itself alone, each would spend the whole retry budget that all daemons share. The first leader
-// therefore knows the number only once a majority of the known daemons has replied, and no leader reports less than
-// half of the number last known: the others may be partitioned and spend their parts.
+// therefore knows the number only once the others had the time to join and a majority of the known ones has replied, and
+// no leader reports less than half of the number last known: the others may be partitioned and spend their parts.
 func (c *Cluster) LiveDaemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, leading := c.config.IsLeader(); !leading || time.Since(c.electedAt) < memberTimeout {
 		return c.heartbeat.Daemons
 	}
+	if c.countedDaemons == 0 && c.heartbeat.Daemons == 0 && time.Since(c.electedAt) < joinTimeout {
+		return 0
+	}
 	n := 1
 	for _, m := range c.members {
 		if m.live {
