--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -104,6 +104,8 @@
 	headerWritten bool
 	// countedSends counts the sends that are attempts of the call; those after the first use the retry budget.
 	countedSends int
+	// retryDenied is set when the retry budget did not allow a further send.
+	retryDenied bool
 	// moves counts the changes of the stream's engine.
 	moves int
 	// prefilled is set once a prefill engine has exported the prompt.
@@ -287,6 +289,9 @@
 		Int("planVersion", a.planVersion).
 		Int("upstreamsVersion", r.config.View.Version()).Str("upstream", a.upstreamID).Int("tries", int64(a.countedSends)).
 		Int("millis", outcome.DurationMillis)
+	if a.retryDenied {
+		entry = entry.Int("retryDenied", 1)
+	}
 	if !a.deadline.IsZero() {
 		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
 	}
@@ -319,6 +324,7 @@
 // false when the budget is used up.
 func (r *Relay) spendSend(a *attempt) bool {
 	if a.countedSends > 0 && !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+		a.retryDenied = true
 		return false
 	}
 	a.countedSends++
