--- a/upstreams.go
+++ b/upstreams.go
@@ -52,6 +52,36 @@
 	Body io.ReadCloser
 	// NotRun is set if the upstream states that it did not run the call and never will.
 	NotRun bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// UpstreamRequest is one encoded request to an upstream.
+type UpstreamRequest struct {
+	// Head is the request line with the headers and the empty line after them.
+	Head []byte
+	Body []byte
+	// Method is that of the request line; the body of the answer depends on it.
+	Method string
+	// CallID is the id of the caller's call that the request belongs to. It is empty for control requests.
+	CallID string
+}
+
+// UpstreamTransport exchanges requests with upstreams. It never resends a request.
+type UpstreamTransport interface {
+	// Exchange sends a request and returns as soon as the head of its answer was received. The error is a *SendError.
+	Exchange(ctx context.Context, to Upstream, request UpstreamRequest) (*Answer, error)
+}
+
+// UpstreamConnections are a daemon's own connections to upstreams.
+type UpstreamConnections interface {
+	UpstreamTransport
+	// Connect opens a connection and keeps it for the next request. The error is a *SendError.
+	Connect(ctx context.Context, to Upstream) error
+	// CloseIdle closes the connections that no request uses.
+	CloseIdle(to Upstream)
+	// LastReceivedAt returns when anything was last received from the upstream; zero if that was never.
+	LastReceivedAt(to Upstream) time.Time
 }
 
 // UpstreamStatement is what one answer of an upstream states about the upstream itself.
@@ -167,7 +197,11 @@
 	IncarnationReplaced bool
 	// Status is the HTTP status of the upstream's refusal; 0 if there was no answer.
 	Status int
-	Err    error
+	// ConnectFailed is set if no connection to the upstream could be established.
+	ConnectFailed bool
+	// PathLost is set if the cause is this daemon's network path and not the upstream.
+	PathLost bool
+	Err      error
 }
 
 // Error returns the text of the cause.
