fix: send requests to upstreams through a peer where a daemon has no path to them

What callers saw: at daemons that had lost their path to the upstreams 5 of 88 and 0 of 80 first tries were served, at the others 375 of 382 and 403 of 411.

Cause: a daemon had one way to an upstream, its own connection. Each try ended in a connect that timed out after 400 ms; no other daemon was asked, although they all were in reach and could send the call.

Change: an exchange with an upstream takes a detour through a peer's egress when no connection can be established, or the path is known to be lost. All decisions stay with the daemon that has the caller; the peer sends one encoded request on its own direct path or states that it sent nothing. A peer that reaches other upstreams tells an upstream that fails from a path that is lost.

Ruled out: handing whole calls over (two daemons that both decide), unreadiness (seconds, and it does nothing where a whole data centre is cut off). The peer now states how many paths it lacks itself.

--- a/events.go
+++ b/events.go
@@ -50,6 +50,8 @@
 	EventUpstreamRate       EventID = 7012
 	EventUpstreamLeaving    EventID = 7013
 	EventUpstreamBackOff    EventID = 7014
+	EventPathLost           EventID = 7015
+	EventPathRegained       EventID = 7016
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -106,6 +108,8 @@
 	EventUpstreamRate:       "Upstream rate",
 	EventUpstreamLeaving:    "Upstream leaving",
 	EventUpstreamBackOff:    "Upstream back-off",
+	EventPathLost:           "Path lost",
+	EventPathRegained:       "Path regained",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- /dev/null
+++ b/internal/delivery/twdetour/peers.go
@@ -0,0 +1,110 @@
+package twdetour
+
+import (
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// peers chooses the peer for each detour.
+type peers struct {
+	mu sync.Mutex
+	// fetched are the peers that have paths to upstreams, as last fetched.
+	fetched []string
+	// open has the number of open detours of each peer, leftOutUntil the peers that are not chosen until then.
+	open         map[string]int
+	leftOutUntil map[string]time.Time
+}
+
+func newPeers() *peers {
+	return &peers{open: make(map[string]int), leftOutUntil: make(map[string]time.Time)}
+}
+
+func (p *peers) setFetched(list []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetched = list
+}
+
+// pick returns the peer with the fewest open detours, one of them at random, that is neither in tried nor left out. It
+// takes the fetched peers, and the known ones if there is none of those. Each pick is ended by release.
+func (p *peers) pick(now time.Time, known []string, tried map[string]bool) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range [][]string{p.fetched, known} {
+		if peer, ok := p.leastUsed(now, list, tried); ok {
+			p.open[peer]++
+			return peer, true
+		}
+	}
+	return "", false
+}
+
+// leastUsed returns the available peer of the list with the fewest open detours; the lock is held.
+func (p *peers) leastUsed(now time.Time, list []string, tried map[string]bool) (best string, ok bool) {
+	ties := 0
+	for _, peer := range list {
+		if tried[peer] || now.Before(p.leftOutUntil[peer]) {
+			continue
+		}
+		switch {
+		case !ok || p.open[peer] < p.open[best]:
+			best, ok, ties = peer, true, 1
+		case p.open[peer] == p.open[best]:
+			if ties++; rand.IntN(ties) == 0 {
+				best = peer
+			}
+		}
+	}
+	return best, ok
+}
+
+func (p *peers) release(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[peer]--; p.open[peer] <= 0 {
+		delete(p.open, peer)
+	}
+}
+
+// leaveOut makes the peer not be chosen until the time has come.
+func (p *peers) leaveOut(peer string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for other, at := range p.leftOutUntil {
+		if now.After(at) {
+			delete(p.leftOutUntil, other)
+		}
+	}
+	p.leftOutUntil[peer] = until
+}
+
+// body is the body of an answer that came through a peer.
+type body struct {
+	io.ReadCloser
+	onEnd func()
+}
+
+// Read reads the body. The detour ends with the first error, io.EOF included.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end()
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (b *body) Close() error {
+	b.end()
+	return b.ReadCloser.Close()
+}
+
+func (b *body) end() {
+	if b.onEnd != nil {
+		b.onEnd()
+		b.onEnd = nil
+	}
+}
--- /dev/null
+++ b/internal/delivery/twdetour/transport.go
@@ -0,0 +1,182 @@
+// Package twdetour exchanges requests with upstreams through peers where this daemon's own network path is lost.
+package twdetour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twpath"
+)
+
+const (
+	// maxPeers is how many peers are asked to send one request, each after one that did not send it.
+	maxPeers = 3
+	// refusedSpan and unreachableSpan are how long a peer is left out that refused a request, or could not be reached.
+	refusedSpan     = time.Second
+	unreachableSpan = 2 * time.Second
+	// refreshInterval is the interval at which the list of peers is fetched while detours are made.
+	refreshInterval = 2 * time.Second
+	// fetchTimeout bounds one fetch of the list.
+	fetchTimeout = 500 * time.Millisecond
+)
+
+var (
+	errPathLost = errors.New("no network path to the upstream, and no peer that has one; retry later")
+	errAtFault  = errors.New("peers can't connect either")
+)
+
+// Config configures a Transport.
+type Config struct {
+	// Direct sends on the daemon's own connections.
+	Direct turmericwall.UpstreamTransport
+	Paths  *twpath.Paths
+	Peers  turmericwall.EgressClient
+	// KnownPeers returns the addresses of the peers that the daemon knows at any time.
+	KnownPeers func() []string
+	// FetchPeers requests the addresses of peers that have paths to upstreams.
+	FetchPeers func(ctx context.Context) ([]string, error)
+	// Count counts an event for the metrics.
+	Count func(name string)
+}
+
+// Transport exchanges requests on the direct path, or through a peer if that is lost.
+type Transport struct {
+	config Config
+	peers  *peers
+	// refresh requests a fetch of the list of peers.
+	refresh chan struct{}
+}
+
+// New returns a transport. The list of peers is fetched only while Run runs.
+func New(config Config) *Transport {
+	return &Transport{config: config, peers: newPeers(), refresh: make(chan struct{}, 1)}
+}
+
+// Run fetches the list of peers when detours are made, until ctx ends.
+func (t *Transport) Run(ctx context.Context) error {
+	var fetchedAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.refresh:
+		}
+		if time.Since(fetchedAt) < refreshInterval {
+			continue
+		}
+		fetchedAt = time.Now()
+		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		list, err := t.config.FetchPeers(fetchCtx)
+		cancel()
+		if err != nil {
+			t.config.Count("detour_peers_not_fetched")
+			continue
+		}
+		t.peers.setFetched(list)
+	}
+}
+
+// Exchange sends a request on the direct path, or through a peer if that path is lost. The error is a SendError.
+func (t *Transport) Exchange(
+	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
+) (*turmericwall.Answer, error) {
+	cause := error(errPathLost)
+	if t.config.Paths.Use(time.Now(), to) {
+		answer, err := t.config.Direct.Exchange(ctx, to, request)
+		if !connectFailed(err) || ctx.Err() != nil {
+			return answer, err
+		}
+		cause = err
+	}
+	return t.detour(ctx, to, request, cause)
+}
+
+// PathLost reports whether the path to the upstream is lost, so that failures there say nothing about the upstream.
+func (t *Transport) PathLost(to turmericwall.UpstreamKey) bool {
+	return t.config.Paths.IsLost(time.Now(), to)
+}
+
+// detour sends a request through a peer, because of the cause. It asks another one only if nothing was sent.
+func (t *Transport) detour(
+	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest, cause error,
+) (*turmericwall.Answer, error) {
+	if t.config.Paths.IsAtFault(time.Now(), to.Key()) {
+		return nil, &turmericwall.SendError{ConnectFailed: true, Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault)}
+	}
+	t.requestRefresh()
+	last := cause
+	tried := make(map[string]bool, maxPeers)
+	unreachable := 0
+	for range maxPeers {
+		peer, ok := t.peers.pick(time.Now(), t.config.KnownPeers(), tried)
+		if !ok {
+			break
+		}
+		tried[peer] = true
+		answer, err := t.config.Peers.Exchange(ctx, peer, to, request)
+		if err == nil {
+			t.config.Count("detours")
+			answer.Body = &body{ReadCloser: answer.Body, onEnd: func() { t.peers.release(peer) }}
+			return answer, nil
+		}
+		t.peers.release(peer)
+		var refusal *turmericwall.EgressRefusal
+		if !errors.As(err, &refusal) {
+			if err := t.handleFailure(ctx, peer, err); err != nil {
+				return nil, err
+			}
+			last = err
+			continue
+		}
+		last = refusal
+		t.config.Count("detours_refused_" + string(refusal.Reason))
+		switch refusal.Reason {
+		case turmericwall.EgressUpstreamLeaving:
+			return nil, &turmericwall.SendError{Err: refusal}
+		case turmericwall.EgressUnreachable:
+			unreachable++
+			if refusal.LostPaths <= 1 || unreachable == maxPeers {
+				t.config.Paths.RecordAtFault(time.Now(), to.Key())
+				return nil, &turmericwall.SendError{ConnectFailed: true, Err: fmt.Errorf("connect to %s: %w", to.ID, refusal)}
+			}
+			t.peers.leaveOut(peer, time.Now().Add(refusedSpan))
+		case turmericwall.EgressStopping, turmericwall.EgressBusy:
+			t.peers.leaveOut(peer, time.Now().Add(refusedSpan))
+		}
+	}
+	t.config.Count("detours_failed")
+	return nil, &turmericwall.SendError{
+		ConnectFailed: true, PathLost: len(tried) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service),
+		Err: fmt.Errorf("connect to %s: %w", to.ID, last),
+	}
+}
+
+// handleFailure handles the error of an exchange through a peer that did not refuse it. It returns the error if no
+// other peer may send the request.
+func (t *Transport) handleFailure(ctx context.Context, peer string, err error) error {
+	var sent *turmericwall.SendError
+	if errors.As(err, &sent) && sent.Sent {
+		return err
+	}
+	if ctx.Err() != nil {
+		return &turmericwall.SendError{Err: err}
+	}
+	t.peers.leaveOut(peer, time.Now().Add(unreachableSpan))
+	return nil
+}
+
+func (t *Transport) requestRefresh() {
+	select {
+	case t.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// connectFailed reports whether no connection could be established.
+func connectFailed(err error) bool {
+	var sent *turmericwall.SendError
+	return errors.As(err, &sent) && sent.ConnectFailed
+}
--- /dev/null
+++ b/internal/delivery/twdetour/transport_test.go
@@ -0,0 +1,178 @@
+package twdetour_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twdetour"
+	"github.com/turmericwall/turmericwall/internal/delivery/twpath"
+)
+
+// exchangeFunc is an exchange on the direct path, for which peer is empty, or through a peer.
+type exchangeFunc func(peer string) (*turmericwall.Answer, error)
+
+// fakeTransports simulates the direct path and peers, and records what is asked of them.
+type fakeTransports struct {
+	mu       sync.Mutex
+	exchange exchangeFunc
+	asked    []string
+}
+
+func (f *fakeTransports) record(peer string) (*turmericwall.Answer, error) {
+	f.mu.Lock()
+	f.asked = append(f.asked, peer)
+	f.mu.Unlock()
+	return f.exchange(peer)
+}
+
+type direct struct{ *fakeTransports }
+
+func (d direct) Exchange(
+	context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+) (*turmericwall.Answer, error) {
+	return d.record("")
+}
+
+type peerClient struct{ *fakeTransports }
+
+func (p peerClient) Exchange(
+	_ context.Context, peer string, _ turmericwall.Upstream, _ turmericwall.UpstreamRequest,
+) (*turmericwall.Answer, error) {
+	return p.record(peer)
+}
+
+var (
+	target  = turmericwall.Upstream{ID: "u", Service: "s", Address: "u:1"}
+	request = turmericwall.UpstreamRequest{Head: []byte("GET / HTTP/1.1\r\n\r\n"), Method: "GET", CallID: "c"}
+)
+
+func newTransport(exchange exchangeFunc) (*twdetour.Transport, *fakeTransports, *twpath.Paths) {
+	fakes, paths := &fakeTransports{exchange: exchange}, twpath.New()
+	return twdetour.New(twdetour.Config{
+		Direct: direct{fakes}, Paths: paths, Peers: peerClient{fakes},
+		KnownPeers: func() []string { return []string{"p1", "p2", "p3", "p4", "p5"} },
+		FetchPeers: func(context.Context) ([]string, error) { return nil, nil },
+		Count:      func(string) {},
+	}), fakes, paths
+}
+
+func answered() (*turmericwall.Answer, error) {
+	return &turmericwall.Answer{Status: 200, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+}
+
+func refused(reason turmericwall.EgressReason, lostPaths int) error {
+	return &turmericwall.EgressRefusal{Reason: reason, LostPaths: lostPaths}
+}
+
+func sendError(err error) turmericwall.SendError {
+	var sent *turmericwall.SendError
+	if !errors.As(err, &sent) {
+		return turmericwall.SendError{}
+	}
+	return *sent
+}
+
+func TestRequestTakesDirectPathWhileItIsSound(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, _ := newTransport(func(string) (*turmericwall.Answer, error) { return answered() })
+	_, err := transport.Exchange(context.Background(), target, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(fakes.asked).To(Equal([]string{""}))
+}
+
+// Guards against requests that are sent a second time through a peer after they may have run.
+func TestSentRequestIsNotSentThroughPeer(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, _ := newTransport(func(string) (*turmericwall.Answer, error) {
+		return nil, &turmericwall.SendError{Sent: true, Err: errors.New("reset")}
+	})
+	_, err := transport.Exchange(context.Background(), target, request)
+	g.Expect(sendError(err).Sent).To(BeTrue())
+	g.Expect(fakes.asked).To(Equal([]string{""}))
+}
+
+// Guards against a request that runs twice because its peer fell silent, and against a refusal that says it did not run.
+func TestRequestOfSilentPeerCountsAsSent(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) {
+		return nil, &turmericwall.SendError{Sent: true, PathLost: true, Err: context.DeadlineExceeded}
+	})
+	paths.RecordLoss(time.Now(), target)
+	_, err := transport.Exchange(context.Background(), target, request)
+	sent := sendError(err)
+	g.Expect(sent.IsSafeToResend()).To(BeFalse())
+	g.Expect(sent.PathLost).To(BeTrue(), "the upstream is not at fault")
+	g.Expect(fakes.asked).To(HaveLen(1))
+}
+
+func TestPeersThatSendNothingAreFollowedByOthers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  error
+		peers  int
+		atEnd  bool
+		served bool
+	}{
+		{"draining", refused(turmericwall.EgressStopping, 0), 2, false, true},
+		{"busy", refused(turmericwall.EgressBusy, 0), 2, false, true},
+		{"does not know the upstream", refused(turmericwall.EgressUnknownUpstream, 0), 2, false, true},
+		{"asked to back off", refused(turmericwall.EgressBackOff, 0), 2, false, true},
+		{"has lost paths itself", refused(turmericwall.EgressUnreachable, 4), 2, false, true},
+		{"not reached", &turmericwall.SendError{Err: errors.New("refused")}, 2, false, true},
+		{"reaches the others", refused(turmericwall.EgressUnreachable, 1), 1, true, false},
+		{"says that the upstream leaves", refused(turmericwall.EgressUpstreamLeaving, 0), 1, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := 0
+			transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) {
+				if n++; n == 1 {
+					return nil, c.first
+				}
+				return answered()
+			})
+			paths.RecordLoss(time.Now(), target)
+			_, err := transport.Exchange(context.Background(), target, request)
+			g.Expect(err == nil).To(Equal(c.served))
+			g.Expect(fakes.asked).To(HaveLen(c.peers))
+			g.Expect(paths.IsAtFault(time.Now(), target.Key())).To(Equal(c.atEnd))
+			if err != nil {
+				sent := sendError(err)
+				g.Expect(sent.IsSafeToResend()).To(BeTrue())
+			}
+		})
+	}
+}
+
+// Guards against a daemon that reports upstreams as failed although it only found no peer with a path to them.
+func TestUpstreamIsNotAtFaultWithoutPeerThatReachesOthers(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) {
+		return nil, refused(turmericwall.EgressBusy, 0)
+	})
+	paths.RecordLoss(time.Now(), target)
+	_, err := transport.Exchange(context.Background(), target, request)
+	g.Expect(sendError(err).PathLost).To(BeTrue())
+	g.Expect(fakes.asked).To(HaveLen(3))
+	g.Expect(transport.PathLost(target.Key())).To(BeTrue())
+}
+
+// Guards against all detours of a daemon through one peer.
+func TestOpenDetoursAreSpreadOverPeers(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) { return answered() })
+	paths.RecordLoss(time.Now(), target)
+	for range 5 {
+		_, err := transport.Exchange(context.Background(), target, request)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(fakes.asked).To(ConsistOf("p1", "p2", "p3", "p4", "p5"))
+}
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -68,6 +68,8 @@
 	Zone         string
 	// IsStopping reports whether this daemon has to give the lease up while it is the leader.
 	IsStopping func() bool
+	// LostPaths returns the number of upstreams to which this daemon has no network path; it may be nil.
+	LostPaths func() int
 	// OnNominated is called when the leader asks this daemon to take the lease.
 	OnNominated func()
 	// OnOutranked is called when another daemon is the leader of a later term.
@@ -302,6 +304,7 @@
 	if at := c.config.ReadAt(); !at.IsZero() {
 		reply.StoreReadAgeMillis = time.Since(at).Milliseconds()
 	}
+	reply.LostPaths = c.lostPaths()
 	if c.config.Uses != nil {
 		reply.Uses = c.config.Uses()
 	}
@@ -315,6 +318,14 @@
 	return reply
 }
 
+// lostPaths returns the number of upstreams to which this daemon has no network path.
+func (c *Cluster) lostPaths() int {
+	if c.config.LostPaths == nil {
+		return 0
+	}
+	return c.config.LostPaths()
+}
+
 // FreshAt returns when the store was queried for the newest state that this daemon has, from its own reads or from
 // peers; zero when it has none.
 func (c *Cluster) FreshAt() time.Time {
--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -59,6 +60,33 @@
 	return c.membersVersion, append(slices.Clone(c.addresses()), c.config.Self.Address)
 }
 
+// EgressPeers returns the addresses of up to limit live daemons, chosen at random from those that lack the fewest paths
+// to upstreams. A daemon that is not the leader does not know which ones these are and chooses from all that it knows.
+func (c *Cluster) EgressPeers(limit int) []string {
+	own := c.lostPaths()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	candidates := map[string]int{c.config.Self.Address: own}
+	fewest := own
+	_, leading := c.config.IsLeader()
+	for address, m := range c.members {
+		if m.Stopping || (leading && !m.live) {
+			continue
+		}
+		candidates[address] = m.LostPaths
+		fewest = min(fewest, m.LostPaths)
+	}
+	list := make([]string, 0, len(candidates))
+	for address, lost := range candidates {
+		// One path more may be that of an upstream which fails.
+		if lost <= fewest+1 {
+			list = append(list, address)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(limit, len(list))]
+}
+
 // add adds an address and reports whether it was known already; the lock is held.
 func (c *Cluster) add(address string) (known bool) {
 	if address == "" || address == c.config.Self.Address {
--- a/internal/membership/twpeerhttp/fuzz_test.go
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -31,6 +31,8 @@
 	f.Add("/peer/heartbeat", []byte(`{"rates":[{"id":"u","lifted":true,"ageMillis":-1}],"leaving":[{"id":"u"}],"rank":-4}`))
 	f.Add("/peer/finish", []byte(`[{"ID":"x","NotRun":true}]`))
 	f.Add("/peer/state", []byte(`{"planVersion":-1,"joining":{"moment":-1}}`))
+	f.Add("/peer/exchange", []byte("{\"to\":{\"id\":\"u\"},\"headBytes\":3,\"remainingMillis\":-1}\nGET body"))
+	f.Add("/peer/exchange", []byte(`{"headBytes":9223372036854775807,"remainingMillis":9223372036854775807}`))
 	f.Fuzz(func(t *testing.T, path string, body []byte) {
 		proof := twproof.New(twproof.Config{Incarnation: "i", MaxAge: time.Second})
 		quotas := twquota.New(twquota.Config{
@@ -87,6 +89,11 @@
 				}
 				return reply
 			},
+			Exchange: func(
+				context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+			) (*turmericwall.Answer, error) {
+				return nil, &turmericwall.EgressRefusal{Reason: turmericwall.EgressUnknownUpstream}
+			},
 			Finish: func(turmericwall.PlacementUpdate) {}, AdoptPlacedCall: func(turmericwall.PlacedCall) {},
 		})
 		request := httptest.NewRequest(http.MethodPost, "/peer/heartbeat", bytes.NewReader(body))
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -15,6 +15,7 @@
 	pathRuns      = "/peer/runs"
 	pathAdmit     = "/peer/admit"
 	pathCharge    = "/peer/charge"
+	pathExchange  = "/peer/exchange"
 )
 
 // wirePlaceRequest is a request for a placement as it is sent. Deadlines are sent as the time that is left, since the
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -1,5 +1,5 @@
 // Package twpeerhttp carries the calls between daemons: heartbeats, shared state, placements by the leader, their
-// ends, and sends to upstreams that state a rate.
+// ends, sends to upstreams that state a rate, and requests to upstreams that a peer sends.
 //
 // It uses JSON over HTTP/1.1 instead of gRPC, since VMs have little memory and daemons exchange few calls.
 package twpeerhttp
@@ -29,6 +29,10 @@
 	AdoptPlacedCall func(turmericwall.PlacedCall)
 	Admit           func(turmericwall.AdmitRequest) turmericwall.AdmitReply
 	Charge          func(turmericwall.ChargeRequest) turmericwall.ChargeReply
+	// Exchange sends a request to an upstream for a peer; see turmericwall.EgressClient.
+	Exchange func(
+		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+	) (*turmericwall.Answer, error)
 }
 
 // Server is the HTTP handler of the calls from peers.
@@ -57,6 +61,7 @@
 	s.mux.HandleFunc("POST "+pathRuns, s.runs)
 	s.mux.HandleFunc("POST "+pathAdmit, s.admit)
 	s.mux.HandleFunc("POST "+pathCharge, s.charge)
+	s.mux.HandleFunc("POST "+pathExchange, s.exchange)
 	return s
 }
 
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -324,6 +324,17 @@
 	return ok && e.upstream.Key() == key && !e.upstream.Leaving
 }
 
+// Find returns the incarnation, and whether it accepts new calls; ok is false if it is not known.
+func (v *View) Find(key turmericwall.UpstreamKey) (upstream turmericwall.Upstream, acceptsCalls, ok bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e, known := v.entries[key.ID]
+	if !known || e.upstream.Key() != key {
+		return turmericwall.Upstream{}, false, false
+	}
+	return e.upstream, !e.upstream.Leaving, true
+}
+
 // Contains reports whether the incarnation is known, leaving or not.
 func (v *View) Contains(key turmericwall.UpstreamKey) bool {
 	v.mu.RLock()
--- a/peering.go
+++ b/peering.go
@@ -1,6 +1,9 @@
 package turmericwall
 
-import "context"
+import (
+	"context"
+	"fmt"
+)
 
 // Heartbeat is the message that the leader sends to each daemon several times a second. Ages are in milliseconds at the
 // time of sending.
@@ -102,6 +105,8 @@
 	Rates []UpstreamRate `json:"rates,omitempty"`
 	// Leaving are the upstreams that announced in an answer to this daemon or to a peer that they leave.
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
+	// LostPaths is the number of upstreams to which the daemon has no network path, as far as it can tell.
+	LostPaths int `json:"lostPaths,omitempty"`
 	// Forwarded are the replies of the daemons to which the heartbeat was forwarded; those without a reply are missing.
 	Forwarded []HeartbeatReply `json:"forwarded,omitempty"`
 }
@@ -123,6 +128,8 @@
 	Joining *HeartbeatReply `json:"joining,omitempty"`
 	// WantMembers requests the list of members too.
 	WantMembers bool `json:"wantMembers,omitempty"`
+	// WantEgress requests daemons that send requests to upstreams for a daemon that has no path to them.
+	WantEgress bool `json:"wantEgress,omitempty"`
 }
 
 // SharedState is the state that a peer sends to a daemon that does not read the store itself.
@@ -151,6 +158,8 @@
 	// Members are the addresses in the answering daemon's list of members, as of MembersVersion.
 	Members        []string `json:"members,omitempty"`
 	MembersVersion int64    `json:"membersVersion,omitempty"`
+	// Egress are the addresses of some daemons that have paths to upstreams, as far as the answering daemon knows.
+	Egress []string `json:"egress,omitempty"`
 }
 
 // PlacedCall is a placed call that a daemon reports to a new leader, which did not place it itself.
@@ -199,6 +208,45 @@
 	RetryMillis int64   `json:"retryMillis,omitempty"`
 }
 
+// EgressReason is why a daemon does not send a request for a peer.
+type EgressReason string
+
+// The reasons for which a request is not sent.
+const (
+	// EgressStopping means that the daemon drains.
+	EgressStopping EgressReason = "stopping"
+	// EgressBusy means that the daemon has too many exchanges or connections open.
+	EgressBusy EgressReason = "busy"
+	// EgressUnknownUpstream means that the daemon does not know the upstream at that address.
+	EgressUnknownUpstream EgressReason = "unknownUpstream"
+	// EgressUpstreamLeaving means that the upstream accepts no calls.
+	EgressUpstreamLeaving EgressReason = "upstreamLeaving"
+	// EgressBackOff means that the upstream asked the daemon to back off.
+	EgressBackOff EgressReason = "backOff"
+	// EgressUnreachable means that the daemon can't connect to the upstream.
+	EgressUnreachable EgressReason = "unreachable"
+)
+
+// EgressRefusal is the error of a daemon that does not send a request for a peer. Nothing was sent.
+type EgressRefusal struct {
+	Reason EgressReason
+	// LostPaths is the number of upstreams to which the daemon has no network path, as far as it can tell.
+	LostPaths int
+}
+
+// Error returns the reason and the remedy.
+func (r *EgressRefusal) Error() string {
+	return fmt.Sprintf("the peer did not send the request (%s); ask another one", r.Reason)
+}
+
+// EgressClient has peers send requests to upstreams.
+type EgressClient interface {
+	// Exchange has the peer at an address (host:port) send a request and returns as soon as the head of the upstream's
+	// answer was received. The error is an *EgressRefusal if the peer sent nothing, and otherwise a *SendError, with Sent
+	// set if the peer may have sent the request.
+	Exchange(ctx context.Context, address string, to Upstream, request UpstreamRequest) (*Answer, error)
+}
+
 // PeerClient calls other daemons at their addresses (host:port).
 type PeerClient interface {
 	// Heartbeat sends a heartbeat and returns the daemon's reply.
