fix: don't report engines as failed that this daemon has no path to

What callers saw: model calls of daemons that are not cut off were placed late or refused, beside daemons that are.

Cause: a daemon without a path reported each engine that it could not reach as failed, and the leader ejected the engine for all daemons. One observer's failure was taken for a fact about the observed.

Change: a failed send states whether the cause is this daemon's path; such an engine is avoided by the call and not reported.

TestEngineWithoutPathIsNotReportedAsFailed fails without the change (FailedEngine is d1).

--- a/internal/delivery/twrelay/failing_test.go
+++ b/internal/delivery/twrelay/failing_test.go
@@ -85,3 +85,24 @@
 	}
 	g.Expect(s.placer.updates).To(ContainElement(HaveField("SuspectedEngine", "p1")))
 }
+
+// Guards against engines that are ejected for all daemons because one daemon has no network path to them.
+func TestEngineWithoutPathIsNotReportedAsFailed(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(turmericwall.CallIdempotent)
+	s.placer.placements = []turmericwall.Placement{
+		{Decode: engine("d1", turmericwall.RoleDecode)}, {Decode: engine("d2", turmericwall.RoleDecode)},
+	}
+	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		return nil, &turmericwall.SendError{PathLost: true, Err: errConnectionReset}
+	}
+	s.placer.refusal = turmericwall.NewProblem(turmericwall.KindOverloaded, "full", "come back")
+	_, _ = s.serve(context.Background(), "/m/x")
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	g.Expect(s.placer.updates).To(HaveLen(2))
+	for _, update := range s.placer.updates {
+		g.Expect(update.FailedEngine).To(BeEmpty())
+	}
+	g.Expect(s.placer.requests[1].Avoid).To(ConsistOf("d1"))
+}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -144,7 +144,7 @@
 		if errors.Is(err, errNoMemory) {
 			update.FullEngine = p.Decode.ID
 		} else {
-			update.FailedEngine = p.Decode.ID
+			update.FailedEngine = r.failedEngine(p.Decode, err)
 			*avoid = append(*avoid, p.Decode.ID)
 		}
 		return false, notRunProblem(err)
@@ -188,7 +188,7 @@
 	}
 	if err != nil {
 		if !errors.Is(err, errBackOff) {
-			update.FailedEngine = p.Prefill.ID
+			update.FailedEngine = r.failedEngine(p.Prefill, err)
 		}
 		*avoid = append(*avoid, p.Prefill.ID)
 		return false, notRunProblem(err)
@@ -252,6 +252,9 @@
 		wait += 2 * max(time.Until(p.PrefillEndsAt), 0)
 	}
 	return time.AfterFunc(wait, func() {
+		if r.pathLost(p.Decode) {
+			return
+		}
 		r.config.Placer.ApplyUpdate(
 			turmericwall.PlacementUpdate{ID: p.ID, Service: service, Running: true, FailedEngine: p.Decode.ID},
 		)
@@ -273,7 +276,7 @@
 	var sent *turmericwall.SendError
 	if !errors.As(err, &sent) || !sent.IsSafeToResend() {
 		if ctx.Err() == nil {
-			update.FailedEngine = p.Decode.ID
+			update.FailedEngine = r.failedEngine(p.Decode, err)
 		}
 		return true, sendProblem(err)
 	}
@@ -286,12 +289,27 @@
 	case sent.NotRun && !sent.IncarnationReplaced:
 		update.FullEngine = p.Decode.ID
 	default:
-		update.FailedEngine = p.Decode.ID
+		update.FailedEngine = r.failedEngine(p.Decode, err)
 		*avoid = append(*avoid, p.Decode.ID)
 	}
 	return false, notRunProblem(err)
 }
 
+// failedEngine returns the ID of the engine if the error may be its fault, and otherwise none. The leader ejects a failed
+// engine for all daemons, most of which may reach it.
+func (r *Relay) failedEngine(engine turmericwall.Upstream, err error) string {
+	var sent *turmericwall.SendError
+	if (errors.As(err, &sent) && sent.PathLost) || r.pathLost(engine) {
+		return ""
+	}
+	return engine.ID
+}
+
+// pathLost reports whether this daemon has no network path to the upstream.
+func (r *Relay) pathLost(upstream turmericwall.Upstream) bool {
+	return r.config.PathLost != nil && r.config.PathLost(upstream.Key())
+}
+
 // reserve reserves memory at the decode engine before the prefill, which is wasted if the engine is full by its end.
 //
 // The connection to an unresponsive engine breaks only after 1.7 s. Without the shorter time-out, its calls were
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -50,6 +50,9 @@
 	Quotas turmericwall.QuotaMeter
 	// Throttle admits each send to an upstream.
 	Throttle turmericwall.UpstreamThrottle
+	// PathLost reports whether this daemon has no network path to the upstream, so that failures there say nothing about
+	// it; it may be nil.
+	PathLost func(upstream turmericwall.UpstreamKey) bool
 	// Daemons returns the number of live daemons, which share the retry budget.
 	Daemons func() int
 	// Daemon is the incarnation of this daemon.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -78,7 +78,7 @@
 		update.AnswerMillis = time.Since(s.firstEventAt).Milliseconds()
 	}
 	if err != nil && ctx.Err() == nil {
-		update.FailedEngine = s.engine.ID
+		update.FailedEngine = r.failedEngine(s.engine, err)
 	}
 	return err
 }
