fix: return sends that never left the daemon to the retry budget

Cause: a send was charged to the retry budget before the connect, and stayed charged when no connection was established. A daemon without a path emptied its part of a budget that bounds arrivals at upstreams. A failed prefill was charged in the same way.

Change: what failed before a byte was sent is returned to the budget and to the call's count of sends.

TestUnsentSendsDoNotUseTheRetryBudget fails without the change (503 in place of 200). A refused send still counts, as it arrived.

--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -167,6 +167,7 @@
 	defer a.stallTimer.Stop()
 	answer, err := r.config.Upstreams.Send(ctx, p.Decode, out)
 	if err != nil {
+		r.returnUnsent(a, err)
 		return r.handleSendError(ctx, p, err, &update, avoid)
 	}
 	return true, r.streamAnswer(ctx, a, p, answer, &update)
@@ -356,7 +357,10 @@
 	export, err := r.config.Upstreams.Prefill(ctx, p.Prefill, turmericwall.OutgoingCall{
 		Call: a.call, Deadline: out.Deadline, Priority: out.Priority,
 	})
-	if err != nil && !a.prefilled {
+	switch {
+	case err != nil && a.prefilled:
+		r.returnUnsent(a, err)
+	case err != nil && wasSent(err):
 		r.chargeSend(a)
 	}
 	if err == nil {
@@ -365,6 +369,12 @@
 	return export, err
 }
 
+// wasSent reports whether a byte of the failed send may have reached the upstream.
+func wasSent(err error) bool {
+	var sent *turmericwall.SendError
+	return !errors.As(err, &sent) || sent.Sent
+}
+
 // releaseEngines releases the reservation and the export of a failed placement, independently of the caller's context.
 func (r *Relay) releaseEngines(
 	decode turmericwall.Upstream, reservation string, prefill turmericwall.Upstream, export turmericwall.EngineExport,
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -86,6 +86,7 @@
 		}
 		avoid[got.upstream.ID] = true
 		last = got.err
+		r.returnUnsent(a, got.err)
 		var sent *turmericwall.SendError
 		if !errors.As(got.err, &sent) || !sent.IsSafeToResend() {
 			return turmericwall.NewProblem(turmericwall.KindUpstreamFailed, "the upstream gave no answer",
@@ -139,6 +140,9 @@
 				go closeLateReplies(replies, pending)
 				return r.writeReply(a, got)
 			}
+			if got.err != nil {
+				r.returnUnsent(a, got.err)
+			}
 			if failure.answer == nil {
 				failure = got
 			}
--- a/internal/delivery/twrelay/plain_test.go
+++ b/internal/delivery/twrelay/plain_test.go
@@ -242,3 +242,37 @@
 	g.Expect(len(s.upstreams.sentTo())-calls).To(BeNumerically("<=", 64), "0.8 of 0.2 x 150 and 50")
 	g.Expect(len(s.upstreams.sentTo()) - calls).To(BeNumerically(">", 50))
 }
+
+// Guards against calls that are refused because sends that never left this daemon used up the retry budget.
+func TestUnsentSendsDoNotUseTheRetryBudget(t *testing.T) {
+	for _, kind := range []turmericwall.CallKind{turmericwall.CallNonIdempotent, turmericwall.CallIdempotent} {
+		g := NewWithT(t)
+		s := newFixture(kind)
+		spendBudget(s)
+		sends := 0
+		s.upstreams.send = func(
+			context.Context, turmericwall.Upstream, turmericwall.OutgoingCall,
+		) (*turmericwall.Answer, error) {
+			if sends++; sends == 1 {
+				return nil, &turmericwall.SendError{ConnectFailed: true, Err: errConnectionReset}
+			}
+			return answer(200, "ok"), nil
+		}
+		w, _ := s.serve(context.Background(), "/p/x")
+		g.Expect(w.Code).To(Equal(200), string(kind))
+		s.upstreams.send = func(
+			context.Context, turmericwall.Upstream, turmericwall.OutgoingCall,
+		) (*turmericwall.Answer, error) {
+			return nil, notRunError()
+		}
+		before := len(s.upstreams.sentTo())
+		_, _ = s.serve(context.Background(), "/p/x")
+		g.Expect(len(s.upstreams.sentTo())-before).To(Equal(1), "a refused send was made, and the budget is used up")
+	}
+}
+
+// spendBudget uses up the retry budget of the plain service.
+func spendBudget(s *fixture) {
+	for s.retries.Spend(time.Now(), "plain", 1) {
+	}
+}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -334,6 +334,17 @@
 	return true
 }
 
+// returnUnsent takes a send back that failed before it left this daemon: no upstream has received anything.
+func (r *Relay) returnUnsent(a *attempt, err error) {
+	if wasSent(err) || a.countedSends == 0 {
+		return
+	}
+	a.countedSends--
+	if a.countedSends > 0 {
+		r.config.Retries.Return(time.Now(), a.service.Name)
+	}
+}
+
 // chargeSend counts a send that turned out to be an attempt of the call only after it was made.
 func (r *Relay) chargeSend(a *attempt) {
 	if a.countedSends > 0 {
--- a/internal/delivery/twretries/budget.go
+++ b/internal/delivery/twretries/budget.go
@@ -100,6 +100,19 @@
 	return b.config.Slack / float64(maxDaemons)
 }
 
+// Return returns a retry that was taken and not made.
+func (b *Budget) Return(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windowAt(now, service)
+	for n := w.newest; n > w.newest-bucketCount && n >= 0; n-- {
+		if w.retries[n%bucketCount] > 0 {
+			w.retries[n%bucketCount]--
+			return
+		}
+	}
+}
+
 // Charge counts a retry that was already made.
 func (b *Budget) Charge(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/delivery/twretries/budget_test.go
+++ b/internal/delivery/twretries/budget_test.go
@@ -101,3 +101,13 @@
 	}
 	g.Expect(b.Spend(start, "s", 5)).To(BeFalse())
 }
+
+func TestReturnedRetriesAreAvailableAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := newBudget()
+	g.Expect(countSpent(b, start, 100)).To(Equal(8))
+	b.Return(start.Add(2*time.Second), "s")
+	g.Expect(countSpent(b, start.Add(2*time.Second), 100)).To(Equal(1))
+	b.Return(start.Add(time.Minute), "s")
+	g.Expect(countSpent(b, start.Add(time.Minute), 100)).To(Equal(8), "what left the window can't be returned")
+}
