fix: try a plain upstream again that was slow once

What callers saw: nothing yet; an upstream that was silent for a second got no call afterwards for as long as the others answered within 15 ms, so that the others had its load.

Cause: an average older than three seconds is dropped so that the upstream is tried again, but 15 ms were assumed of it then, which never wins against upstreams that answer in five.

Change: of an upstream without a recent answer slightly less than the lowest recent average is assumed.

Where upstreams answer in 17 ms or more nothing changes.

--- a/internal/delivery/twpicker/picker.go
+++ b/internal/delivery/twpicker/picker.go
@@ -20,6 +20,8 @@
 	// maxAverageAge is how long an average is used without a new answer, so that an upstream that was slow once is tried
 	// again.
 	maxAverageAge = 3 * time.Second
+	// unknownShare is the share of the lowest average that is assumed of an upstream without a recent answer.
+	unknownShare = 0.9
 	// minEjectionMillis is the first ejection after failuresBeforeEjection failures; each further one doubles, up to
 	// maxEjectionMillis.
 	minEjectionMillis      = 700
@@ -72,13 +74,14 @@
 	defer p.mu.Unlock()
 	best := -1
 	bestScore := math.Inf(1)
+	unknownMillis := p.unknownAnswerMillis(now, upstreams)
 	for n := range upstreams {
 		i := int((p.config.FirstChoice + uint64(n)) % uint64(len(upstreams)))
 		u := upstreams[i]
 		if u.Leaving || avoid[u.ID] {
 			continue
 		}
-		if score := p.score(now, u); score < bestScore {
+		if score := p.score(now, u, unknownMillis); score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -139,11 +142,24 @@
 	}
 }
 
+// unknownAnswerMillis returns the answer time that is assumed of upstreams without a recent answer. It is below that of
+// the others, because an upstream that was slow once would else never be tried again among fast ones.
+func (p *Picker) unknownAnswerMillis(now time.Time, upstreams []turmericwall.Upstream) float64 {
+	millis := float64(initialAnswerMillis)
+	for _, u := range upstreams {
+		if r, ok := p.stats[u.Key()]; ok && now.Sub(r.updatedAt) < maxAverageAge {
+			millis = min(millis, unknownShare*max(r.answerMillis, 1))
+		}
+	}
+	return millis
+}
+
 // score returns the expected answer time in milliseconds. Ejected upstreams score higher than all others, and so do
-// upstreams whose ejection has expired while the probing call is open.
-func (p *Picker) score(now time.Time, u turmericwall.Upstream) float64 {
+// upstreams whose ejection has expired while the probing call is open. unknownMillis is assumed of upstreams without a
+// recent answer.
+func (p *Picker) score(now time.Time, u turmericwall.Upstream, unknownMillis float64) float64 {
 	r := p.statsOf(u)
-	answerMillis := float64(initialAnswerMillis)
+	answerMillis := unknownMillis
 	failureRate := 0.0
 	if now.Sub(r.updatedAt) < maxAverageAge {
 		answerMillis, failureRate = max(r.answerMillis, 1), r.failureRate
--- a/internal/delivery/twpicker/picker_test.go
+++ b/internal/delivery/twpicker/picker_test.go
@@ -107,3 +107,21 @@
 		g.Expect(n).To(BeNumerically("<", 100), id)
 	}
 }
+
+// Guards against an upstream that gets no calls for good because it was slow once and the others are fast.
+func TestUpstreamThatWasSlowOnceIsTriedAgainAmongFastOnes(t *testing.T) {
+	g := NewWithT(t)
+	p := twpicker.New(twpicker.Config{Zone: "there"})
+	slow := threeUpstreams()[1]
+	p.RecordAnswer(start, slow, time.Second, true)
+	tried := 0
+	for millis := 0; millis < 6000; millis += 50 {
+		now := start.Add(time.Duration(millis) * time.Millisecond)
+		u, _ := p.Pick(now, threeUpstreams(), nil)
+		p.RecordAnswer(now, u, 5*time.Millisecond, true)
+		if u.ID == slow.ID {
+			tried++
+		}
+	}
+	g.Expect(tried).To(BeNumerically(">", 0))
+}
