fix: don't break off calls of an upstream that is silent for a second

Cause: TCP_USER_TIMEOUT was 800 ms on connections to upstreams, after which the kernel closes a sound connection with a call on it, and a prefill was broken off 600 ms after twice its expected duration. The option also decides when keep-alive probes give up: the store's comment promised three lost probes, where the first one decides; connections to upstreams had no probes, so that a stream from an upstream that vanished was noticed by its caller only; those between daemons had probes and no bound of unacknowledged data.

Change: twsocket sets both together.

--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twsocket"
 )
 
 const (
@@ -31,11 +32,16 @@
 // Client calls other daemons; it implements turmericwall.PeerClient and is safe for concurrent use.
 type Client struct{ http *http.Client }
 
+// Liveness returns the rule for connections between daemons, on both sides. A request to an upstream that a peer sends
+// ends when this daemon is gone.
+func Liveness() twsocket.Liveness {
+	return twsocket.New(twsocket.Config{ProbeSeconds: 1, DeadMillis: 2000})
+}
+
 // NewClient returns a client without open connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}}
+	liveness := Liveness()
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: liveness.Control, KeepAliveConfig: liveness.KeepAlive()}
 	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
 	}}}
