--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -270,48 +270,6 @@
 	errRetryBudgetUsed = errors.New("the service's retry budget is used up")
 )
 
-// handleSendError records in end and avoid which engine is at fault for a failed send to the decode engine. It reports
-// whether the call has its final outcome, because it may have run; otherwise the call is placed again.
-func (r *Relay) handleSendError(
-	ctx context.Context, p turmericwall.Placement, err error, update *turmericwall.PlacementUpdate, avoid *[]string,
-) (bool, error) {
-	var sent *turmericwall.SendError
-	if !errors.As(err, &sent) || !sent.IsSafeToResend() {
-		if ctx.Err() == nil {
-			update.FailedEngine = r.failedEngine(p.Decode, err)
-		}
-		return true, sendProblem(err)
-	}
-	switch {
-	case sent.NotRun && !sent.IncarnationReplaced && p.Prefill.ID != "":
-		// Either the export expired, or the decode engine refuses calls although it granted the reservation. This call
-		// avoids both; the engine that works is cleared by its next success.
-		update.FullEngine, update.SuspectedEngine = p.Decode.ID, p.Prefill.ID
-		*avoid = append(*avoid, p.Prefill.ID, p.Decode.ID)
-	case sent.NotRun && !sent.IncarnationReplaced:
-		update.FullEngine = p.Decode.ID
-	default:
-		update.FailedEngine = r.failedEngine(p.Decode, err)
-		*avoid = append(*avoid, p.Decode.ID)
-	}
-	return false, notRunProblem(err)
-}
-
-// failedEngine returns the ID of the engine if the error may be its fault, and otherwise none. The leader ejects a failed
-// engine for all daemons, most of which may reach it.
-func (r *Relay) failedEngine(engine turmericwall.Upstream, err error) string {
-	var sent *turmericwall.SendError
-	if (errors.As(err, &sent) && sent.PathLost) || r.pathLost(engine) {
-		return ""
-	}
-	return engine.ID
-}
-
-// pathLost reports whether this daemon has no network path to the upstream.
-func (r *Relay) pathLost(upstream turmericwall.Upstream) bool {
-	return r.config.PathLost != nil && r.config.PathLost(upstream.Key())
-}
-
 // reserve reserves memory at the decode engine before the prefill, which is wasted if the engine is full by its end.
 //
 // The connection to an unresponsive engine breaks only after 1.7 s. Without the shorter time-out, its calls were
@@ -370,12 +328,6 @@
 	return export, err
 }
 
-// wasSent reports whether a byte of the failed send may have reached the upstream.
-func wasSent(err error) bool {
-	var sent *turmericwall.SendError
-	return !errors.As(err, &sent) || sent.Sent
-}
-
 // releaseEngines releases the reservation and the export of a failed placement, independently of the caller's context.
 func (r *Relay) releaseEngines(
 	decode turmericwall.Upstream, reservation string, prefill turmericwall.Upstream, export turmericwall.EngineExport,
@@ -403,9 +355,3 @@
 	}
 	return priority
 }
-
-// noEngineProblem returns the refusal of a model call that no engine ran.
-func noEngineProblem(cause error) error {
-	return turmericwall.NewProblem(turmericwall.KindOverloaded, "no engine took the call",
-		"come back at the time given").WithRetryAt(time.Now().Add(noEngineRetryAfter)).WithCause(cause)
-}
--- /dev/null
+++ b/internal/delivery/twrelay/sends.go
@@ -0,0 +1,35 @@
+package twrelay
+
+import (
+	"time"
+)
+
+// spendSend counts one send. Sends after the first are taken from the retry budget that all daemons share; it returns
+// false when the budget is used up.
+func (r *Relay) spendSend(a *attempt) bool {
+	if a.countedSends > 0 && !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+		a.retryDenied = true
+		return false
+	}
+	a.countedSends++
+	return true
+}
+
+// returnUnsent takes a send back that failed before it left this daemon: no upstream has received anything.
+func (r *Relay) returnUnsent(a *attempt, err error) {
+	if wasSent(err) || a.countedSends == 0 {
+		return
+	}
+	a.countedSends--
+	if a.countedSends > 0 {
+		r.config.Retries.Return(time.Now(), a.service.Name)
+	}
+}
+
+// chargeSend counts a send that turned out to be an attempt of the call only after it was made.
+func (r *Relay) chargeSend(a *attempt) {
+	if a.countedSends > 0 {
+		r.config.Retries.Charge(time.Now(), a.service.Name)
+	}
+	a.countedSends++
+}
