fix: tell failing upstreams from lost paths by the share of paths that a peer lacks

What callers would see: with two engines crashed at the same time, and three daemons, no peer's word that an engine can't be reached would count, because each of them lacks two paths; the engines would never be reported, and each call would try them again.

Cause: a peer stated the number of its lost paths, and one was taken as the most that failing upstreams explain.

Change: it states the share of the service's upstreams. Up to a third may fail at a time; beyond that its word counts only if three peers say the same, which has a test now (it held before too). detour() is split into steps.

--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -14,6 +14,9 @@
 const (
 	// maxPeers is how many peers are asked to send one request, each after one that did not send it.
 	maxPeers = 3
+	// maxFailingShare is the largest share of a service's upstreams that may fail at a time. A daemon that lacks the paths
+	// to more of them has lost paths itself.
+	maxFailingShare = 0.34
 	// refusedSpan and unreachableSpan are how long a peer is left out that refused a request, or could not be reached.
 	refusedSpan     = time.Second
 	unreachableSpan = 2 * time.Second
@@ -108,64 +111,98 @@
 	}
 	t.requestRefresh()
 	last := cause
-	tried := make(map[string]bool, maxPeers)
-	unreachable := 0
+	asked := &askedPeers{addresses: make(map[string]bool, maxPeers)}
 	for range maxPeers {
-		peer, ok := t.peers.pick(time.Now(), t.config.KnownPeers(), tried)
+		peer, ok := t.peers.pick(time.Now(), t.config.KnownPeers(), asked.addresses)
 		if !ok {
 			break
 		}
-		tried[peer] = true
-		answer, err := t.config.Peers.Exchange(ctx, peer, to, request)
+		asked.addresses[peer] = true
+		answer, err := t.exchangeThrough(ctx, peer, to, request)
 		if err == nil {
-			t.config.Count("detours")
-			answer.Body = &body{ReadCloser: answer.Body, onEnd: func() { t.peers.release(peer) }}
 			return answer, nil
 		}
-		t.peers.release(peer)
-		var refusal *turmericwall.EgressRefusal
-		if !errors.As(err, &refusal) {
-			if err := t.handleFailure(ctx, peer, err); err != nil {
-				return nil, err
-			}
-			last = err
-			continue
-		}
-		last = refusal
-		t.config.Count("detours_refused_" + string(refusal.Reason))
-		switch refusal.Reason {
-		case turmericwall.EgressUpstreamLeaving:
-			return nil, &turmericwall.SendError{Err: refusal}
-		case turmericwall.EgressUnreachable:
-			unreachable++
-			if refusal.LostPaths <= 1 || unreachable == maxPeers {
-				t.config.Paths.RecordAtFault(time.Now(), to.Key())
-				return nil, &turmericwall.SendError{ConnectFailed: true, Err: fmt.Errorf("connect to %s: %w", to.ID, refusal)}
-			}
-			t.peers.leaveOut(peer, time.Now().Add(refusedSpan))
-		case turmericwall.EgressStopping, turmericwall.EgressBusy:
-			t.peers.leaveOut(peer, time.Now().Add(refusedSpan))
+		if !t.mayAskNext(ctx, peer, to, err, asked) {
+			return nil, sendError(to, err)
 		}
+		last = err
 	}
 	t.config.Count("detours_failed")
 	return nil, &turmericwall.SendError{
-		ConnectFailed: true, PathLost: len(tried) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service),
+		ConnectFailed: true, PathLost: len(asked.addresses) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service),
 		Err: fmt.Errorf("connect to %s: %w", to.ID, last),
 	}
 }
 
-// handleFailure handles the error of an exchange through a peer that did not refuse it. It returns the error if no
-// other peer may send the request.
-func (t *Transport) handleFailure(ctx context.Context, peer string, err error) error {
-	var sent *turmericwall.SendError
-	if errors.As(err, &sent) && sent.Sent {
-		return err
+// askedPeers are the peers that were asked to send one request.
+type askedPeers struct {
+	addresses map[string]bool
+	// unreachable is how many of them can't connect to the upstream.
+	unreachable int
+}
+
+// exchangeThrough has one peer send the request. The detour is open until the end of the answer's body.
+func (t *Transport) exchangeThrough(
+	ctx context.Context, peer string, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
+) (*turmericwall.Answer, error) {
+	answer, err := t.config.Peers.Exchange(ctx, peer, to, request)
+	if err != nil {
+		t.peers.release(peer)
+		return nil, err
+	}
+	t.config.Count("detours")
+	answer.Body = &body{ReadCloser: answer.Body, onEnd: func() { t.peers.release(peer) }}
+	return answer, nil
+}
+
+// mayAskNext reports whether another peer may send the request after the error of one.
+func (t *Transport) mayAskNext(
+	ctx context.Context, peer string, to turmericwall.Upstream, err error, asked *askedPeers,
+) bool {
+	var refusal *turmericwall.EgressRefusal
+	if errors.As(err, &refusal) {
+		t.config.Count("detours_refused_" + string(refusal.Reason))
+		return t.mayAskAfterRefusal(peer, to, refusal, asked)
 	}
-	if ctx.Err() != nil {
-		return &turmericwall.SendError{Err: err}
+	var sent *turmericwall.SendError
+	if ctx.Err() != nil || (errors.As(err, &sent) && sent.Sent) {
+		return false
 	}
 	t.peers.leaveOut(peer, time.Now().Add(unreachableSpan))
-	return nil
+	return true
+}
+
+// mayAskAfterRefusal is mayAskNext after a peer has stated that it sent nothing.
+//
+// A peer that lacks a large share of the paths itself says nothing about the upstream, unless all peers say the same.
+func (t *Transport) mayAskAfterRefusal(
+	peer string, to turmericwall.Upstream, refusal *turmericwall.EgressRefusal, asked *askedPeers,
+) bool {
+	switch refusal.Reason {
+	case turmericwall.EgressUpstreamLeaving:
+		return false
+	case turmericwall.EgressUnknownUpstream, turmericwall.EgressBackOff:
+		return true
+	case turmericwall.EgressUnreachable:
+		asked.unreachable++
+		if refusal.LostShare <= maxFailingShare || asked.unreachable == maxPeers {
+			t.config.Paths.RecordAtFault(time.Now(), to.Key())
+			return false
+		}
+	}
+	t.peers.leaveOut(peer, time.Now().Add(refusedSpan))
+	return true
+}
+
+// sendError returns the error of a request that no other peer may send.
+func sendError(to turmericwall.Upstream, err error) error {
+	var sent *turmericwall.SendError
+	if errors.As(err, &sent) {
+		return err
+	}
+	var refusal *turmericwall.EgressRefusal
+	unreachable := errors.As(err, &refusal) && refusal.Reason == turmericwall.EgressUnreachable
+	return &turmericwall.SendError{ConnectFailed: unreachable, Err: fmt.Errorf("connect to %s: %w", to.ID, err)}
 }
 
 func (t *Transport) requestRefresh() {
--- a/internal/delivery/twdetour/transport_test.go
+++ b/internal/delivery/twdetour/transport_test.go
@@ -68,8 +68,8 @@
 	return &turmericwall.Answer{Status: 200, Body: io.NopCloser(strings.NewReader("ok"))}, nil
 }
 
-func refused(reason turmericwall.EgressReason, lostPaths int) error {
-	return &turmericwall.EgressRefusal{Reason: reason, LostPaths: lostPaths}
+func refused(reason turmericwall.EgressReason, lostShare float64) error {
+	return &turmericwall.EgressRefusal{Reason: reason, LostShare: lostShare}
 }
 
 func sendError(err error) turmericwall.SendError {
@@ -125,9 +125,9 @@
 		{"busy", refused(turmericwall.EgressBusy, 0), 2, false, true},
 		{"does not know the upstream", refused(turmericwall.EgressUnknownUpstream, 0), 2, false, true},
 		{"asked to back off", refused(turmericwall.EgressBackOff, 0), 2, false, true},
-		{"has lost paths itself", refused(turmericwall.EgressUnreachable, 4), 2, false, true},
+		{"has lost paths itself", refused(turmericwall.EgressUnreachable, 0.9), 2, false, true},
 		{"not reached", &turmericwall.SendError{Err: errors.New("refused")}, 2, false, true},
-		{"reaches the others", refused(turmericwall.EgressUnreachable, 1), 1, true, false},
+		{"reaches the others", refused(turmericwall.EgressUnreachable, 0.1), 1, true, false},
 		{"says that the upstream leaves", refused(turmericwall.EgressUpstreamLeaving, 0), 1, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -176,3 +176,16 @@
 	}
 	g.Expect(fakes.asked).To(ConsistOf("p1", "p2", "p3", "p4", "p5"))
 }
+
+// Guards against failing upstreams that are never reported because many of them fail at the same time.
+func TestUpstreamIsAtFaultIfNoPeerReachesIt(t *testing.T) {
+	g := NewWithT(t)
+	transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) {
+		return nil, refused(turmericwall.EgressUnreachable, 0.9)
+	})
+	paths.RecordLoss(time.Now(), target)
+	_, err := transport.Exchange(context.Background(), target, request)
+	g.Expect(sendError(err).PathLost).To(BeFalse())
+	g.Expect(fakes.asked).To(HaveLen(3))
+	g.Expect(transport.PathLost(target.Key())).To(BeFalse())
+}
--- a/internal/delivery/twdirect/transport.go
+++ b/internal/delivery/twdirect/transport.go
@@ -141,5 +141,5 @@
 	}
 	t.config.Connections.CloseIdle(to)
 	t.config.Recorder.Record(turmericwall.EventPathLost).Str("upstream", to.ID).
-		Int("lost", int64(t.config.Paths.Lost(now))).Err(cause).Send()
+		Int("lost", int64(t.config.Paths.Lost(now, ""))).Err(cause).Send()
 }
--- a/internal/delivery/twegress/egress.go
+++ b/internal/delivery/twegress/egress.go
@@ -22,6 +22,8 @@
 	Paths  *twpath.Paths
 	// Find returns the upstream with the key as this daemon knows it, and whether it accepts calls.
 	Find func(key turmericwall.UpstreamKey) (upstream turmericwall.Upstream, acceptsCalls, ok bool)
+	// Upstreams returns the number of upstreams of a service.
+	Upstreams func(service string) int
 	// BackoffUntil returns the end of the back-off that the upstream asked this daemon for; zero if there is none.
 	BackoffUntil func(key turmericwall.UpstreamKey) time.Time
 	// IsStopping reports whether this daemon drains.
@@ -48,7 +50,7 @@
 ) (*turmericwall.Answer, error) {
 	if e.open.Add(1) > maxOpen {
 		e.open.Add(-1)
-		return nil, e.refusal(turmericwall.EgressBusy)
+		return nil, e.refusal(turmericwall.EgressBusy, to.Service)
 	}
 	answer, err := e.exchange(ctx, to, request)
 	if err != nil {
@@ -63,10 +65,10 @@
 	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
 ) (*turmericwall.Answer, error) {
 	if reason := e.check(to, request); reason != "" {
-		return nil, e.refusal(reason)
+		return nil, e.refusal(reason, to.Service)
 	}
 	if !e.config.Paths.Use(time.Now(), to) {
-		return nil, e.refusal(turmericwall.EgressUnreachable)
+		return nil, e.refusal(turmericwall.EgressUnreachable, to.Service)
 	}
 	answer, err := e.config.Direct.Exchange(ctx, to, request)
 	if err == nil {
@@ -78,9 +80,9 @@
 	case !errors.As(err, &sent) || sent.Sent:
 		return nil, err
 	case sent.ConnectFailed:
-		return nil, e.refusal(turmericwall.EgressUnreachable)
+		return nil, e.refusal(turmericwall.EgressUnreachable, to.Service)
 	}
-	return nil, e.refusal(turmericwall.EgressBusy)
+	return nil, e.refusal(turmericwall.EgressBusy, to.Service)
 }
 
 // check returns the reason why the request must not be sent; empty if there is none. Requests that belong to no call
@@ -100,8 +102,12 @@
 	return ""
 }
 
-func (e *Egress) refusal(reason turmericwall.EgressReason) error {
-	return &turmericwall.EgressRefusal{Reason: reason, LostPaths: e.config.Paths.Lost(time.Now())}
+// refusal returns the refusal of a request to an upstream of the service.
+func (e *Egress) refusal(reason turmericwall.EgressReason, service string) error {
+	lost := e.config.Paths.Lost(time.Now(), service)
+	return &turmericwall.EgressRefusal{
+		Reason: reason, LostShare: float64(lost) / float64(max(e.config.Upstreams(service), 1)),
+	}
 }
 
 // body is the body of an answer that is returned to a peer.
--- a/internal/delivery/twegress/egress_test.go
+++ b/internal/delivery/twegress/egress_test.go
@@ -54,6 +54,7 @@
 		Find: func(key turmericwall.UpstreamKey) (turmericwall.Upstream, bool, bool) {
 			return p.known, !p.leaving, key == p.known.Key()
 		},
+		Upstreams: func(string) int { return 4 },
 		BackoffUntil: func(turmericwall.UpstreamKey) time.Time {
 			if p.backOff {
 				return time.Now().Add(time.Second)
--- a/internal/delivery/twpath/paths.go
+++ b/internal/delivery/twpath/paths.go
@@ -216,11 +216,12 @@
 	return true
 }
 
-// Lost returns the number of lost paths, without those to upstreams that are at fault.
-func (p *Paths) Lost(now time.Time) int {
+// Lost returns the number of lost paths to the service, or to all if it is empty, without those to upstreams that are
+// at fault.
+func (p *Paths) Lost(now time.Time, service string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, _ := p.losses(now, "")
+	n, _ := p.losses(now, service)
 	return n
 }
 
--- a/internal/delivery/twpath/paths_test.go
+++ b/internal/delivery/twpath/paths_test.go
@@ -60,7 +60,7 @@
 	g.Expect(p.IsAtFault(at(20), upstream("a", 1).Key())).To(BeTrue())
 	g.Expect(p.IsLost(at(20), upstream("a", 1).Key())).To(BeFalse())
 	g.Expect(p.IsCutOff(at(20), "a")).To(BeFalse())
-	g.Expect(p.Lost(at(20))).To(BeZero())
+	g.Expect(p.Lost(at(20), "")).To(BeZero())
 	g.Expect(p.IsAtFault(at(1000), upstream("a", 1).Key())).To(BeFalse())
 }
 
@@ -78,7 +78,7 @@
 	g.Expect(p.DueProbes(at(2000), 1)).To(HaveLen(1))
 	g.Expect(p.DueProbes(at(20_000), 9)).To(BeEmpty(), "nothing has needed the paths for long")
 	p.DiscardUnknown(at(20_000), func(turmericwall.UpstreamKey) bool { return true })
-	g.Expect(p.Lost(at(20_000))).To(BeZero())
+	g.Expect(p.Lost(at(20_000), "a")).To(BeZero())
 }
 
 func TestPathIsCheckedOnceInAWhile(t *testing.T) {
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -40,7 +40,7 @@
 type wireExchangeReply struct {
 	// Refused is the reason why nothing was sent; empty if the request was sent.
 	Refused   turmericwall.EgressReason `json:"refused,omitempty"`
-	LostPaths int                       `json:"lostPaths,omitempty"`
+	LostShare float64                   `json:"lostShare,omitempty"`
 	// Error is the error of a request that was sent and got no answer.
 	Error  string      `json:"error,omitempty"`
 	Status int         `json:"status,omitempty"`
@@ -108,7 +108,7 @@
 		})
 	case reply.Refused != "":
 		_, _ = io.Copy(io.Discard, reader)
-		return fail(&turmericwall.EgressRefusal{Reason: reply.Refused, LostPaths: reply.LostPaths})
+		return fail(&turmericwall.EgressRefusal{Reason: reply.Refused, LostShare: reply.LostShare})
 	case reply.Error != "":
 		return fail(&turmericwall.SendError{Sent: true, Err: errors.New(reply.Error)})
 	}
@@ -206,7 +206,7 @@
 func exchangeError(err error) wireExchangeReply {
 	var refusal *turmericwall.EgressRefusal
 	if errors.As(err, &refusal) {
-		return wireExchangeReply{Refused: refusal.Reason, LostPaths: refusal.LostPaths}
+		return wireExchangeReply{Refused: refusal.Reason, LostShare: refusal.LostShare}
 	}
 	return wireExchangeReply{Error: err.Error()}
 }
--- a/internal/membership/twpeerhttp/exchange_test.go
+++ b/internal/membership/twpeerhttp/exchange_test.go
@@ -75,7 +75,7 @@
 
 func TestPeerStatesWhetherItSentTheRequest(t *testing.T) {
 	g := NewWithT(t)
-	refusal := &turmericwall.EgressRefusal{Reason: turmericwall.EgressUnreachable, LostPaths: 3}
+	refusal := &turmericwall.EgressRefusal{Reason: turmericwall.EgressUnreachable, LostShare: 0.5}
 	result := error(refusal)
 	address := newPeer(t, func(
 		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
--- a/peering.go
+++ b/peering.go
@@ -230,8 +230,8 @@
 // EgressRefusal is the error of a daemon that does not send a request for a peer. Nothing was sent.
 type EgressRefusal struct {
 	Reason EgressReason
-	// LostPaths is the number of upstreams to which the daemon has no network path, as far as it can tell.
-	LostPaths int
+	// LostShare is the share of the service's upstreams to which the daemon has no network path, as far as it can tell.
+	LostShare float64
 }
 
 // Error returns the reason and the remedy.
