fix: find a cut at once although an upstream failed before it

What callers would see: with an upstream that fails and a cut after it, the daemon finds each lost path by a connect that times out, 250 ms each, in place of inferring them from the first two.

Cause: the daemon counts as cut off if the service was not reached since the first loss, and the earlier loss lies before the last successes. Found by reading.

Change: only losses since the service was last reached count, and paths in use are checked after each loss, at most once a second. Connections between daemons are idle for less time than the peer keeps them, since a request that meets the close counts as sent.

TestEarlierLossDoesNotHideACut fails without the change.

--- a/internal/delivery/twpath/paths.go
+++ b/internal/delivery/twpath/paths.go
@@ -101,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.lost[upstream]
-	return ok && now.Before(l.atFaultUntil)
+	return ok && l.isAtFault(now)
 }
 
 // Use reports whether the direct path to the upstream may be used now, and records that it is needed.
@@ -137,7 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.lost[upstream]
-	return ok && !now.Before(l.atFaultUntil)
+	return ok && !l.isAtFault(now)
 }
 
 // IsCutOff reports whether the daemon has no path to the service: several are lost, and none was reached since.
@@ -147,29 +147,38 @@
 	return p.isCutOff(now, service)
 }
 
-// isCutOff is IsCutOff; the lock is held.
+// isCutOff is IsCutOff; the lock is held. Paths that were lost before the service was last reached don't count: their
+// upstreams may be at fault without a peer having said so.
 func (p *Paths) isCutOff(now time.Time, service string) bool {
-	n, since := p.losses(now, service)
-	return n >= minLostPaths && p.lastReachedAt[service].Before(since)
+	n := 0
+	for _, l := range p.lost {
+		if l.upstream.Service == service && !l.isAtFault(now) && l.since.After(p.lastReachedAt[service]) {
+			n++
+		}
+	}
+	return n >= minLostPaths
 }
 
+// isAtFault reports whether a peer lately could not connect to the upstream either.
+func (l *loss) isAtFault(now time.Time) bool { return now.Before(l.atFaultUntil) }
+
 // losses returns how many paths to the service, or to all if it is empty, are lost without an upstream at fault, and
-// when the first of them was lost; the lock is held.
-func (p *Paths) losses(now time.Time, service string) (n int, since time.Time) {
+// when the last of them was lost; the lock is held.
+func (p *Paths) losses(now time.Time, service string) (n int, last time.Time) {
 	for _, l := range p.lost {
-		if now.Before(l.atFaultUntil) || (service != "" && l.upstream.Service != service) {
+		if l.isAtFault(now) || (service != "" && l.upstream.Service != service) {
 			continue
 		}
 		n++
-		if since.IsZero() || l.since.Before(since) {
-			since = l.since
+		if l.since.After(last) {
+			last = l.since
 		}
 	}
-	return n, since
+	return n, last
 }
 
-// DueProbes returns up to limit upstreams to which a connection should be tried now: on the lost paths, and once on each
-// path in use since several others were lost.
+// DueProbes returns up to limit upstreams to which a connection should be tried now: on the lost paths, and while several
+// are lost on each path in use that was not checked since the last loss.
 func (p *Paths) DueProbes(now time.Time, limit int) []turmericwall.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,7 +193,7 @@
 		l.probedAt = now
 		due = append(due, l.upstream)
 	}
-	n, since := p.losses(now, "")
+	n, last := p.losses(now, "")
 	if n < minLostPaths {
 		return due
 	}
@@ -192,7 +201,7 @@
 		if len(due) == limit {
 			return due
 		}
-		if now.Sub(u.usedAt) > usedSpan || !u.checkedAt.Before(since) {
+		if now.Sub(u.usedAt) > usedSpan || !u.checkedAt.Before(last) || now.Sub(u.checkedAt) < checkInterval {
 			continue
 		}
 		u.checkedAt = now
--- a/internal/delivery/twpath/paths_test.go
+++ b/internal/delivery/twpath/paths_test.go
@@ -49,6 +49,18 @@
 	g.Expect(p.Use(at(60), upstream("a", 1))).To(BeFalse())
 }
 
+// Guards against an upstream that failed earlier, because of which a later cut is found path by path.
+func TestEarlierLossDoesNotHideACut(t *testing.T) {
+	g := NewWithT(t)
+	p := twpath.New()
+	p.RecordLoss(at(0), upstream("a", 1))
+	p.RecordReached(at(100), upstream("a", 2))
+	p.RecordLoss(at(200), upstream("a", 2))
+	g.Expect(p.IsCutOff(at(210), "a")).To(BeFalse())
+	p.RecordLoss(at(220), upstream("a", 3))
+	g.Expect(p.IsCutOff(at(230), "a")).To(BeTrue())
+}
+
 // Guards against failing upstreams that count as lost paths, so that they are never reported.
 func TestUpstreamAtFaultIsNoLostPath(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -22,8 +22,9 @@
 	callTimeout = 800 * time.Millisecond
 	// maxMessageBytes limits a message: the state of the largest deployment is under 2 MB.
 	maxMessageBytes = 4 << 20
-	// idleTimeout is how long a connection without calls is kept open.
-	idleTimeout = 20 * time.Second
+	// idleTimeout is how long a connection without calls is kept open: less than the peer keeps it, so that no request is
+	// sent while the peer closes it.
+	idleTimeout = 15 * time.Second
 )
 
 // errStatus is returned when a peer answers with another status than 200.
