feat: state who ended a request and at which step, from its id alone

Cause: the outcome was derived from whether a header had been written, and nothing was logged between a placement and the outcome.

No logic of calls changes.

--- a/events.go
+++ b/events.go
@@ -15,6 +15,7 @@
 	EventRequestRefused     EventID = 2002
 	EventRequestAnswered    EventID = 2003
 	EventRequestFailed      EventID = 2004
+	EventStreamBegun        EventID = 2005
 	EventPlacementGranted   EventID = 3001
 	EventPlacementRefused   EventID = 3002
 	EventLeaderUnreachable  EventID = 3003
@@ -24,6 +25,7 @@
 	EventCancelSent         EventID = 3007
 	EventCancelConfirmed    EventID = 3008
 	EventRunMoved           EventID = 3009
+	EventCallSent           EventID = 3010
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -73,6 +75,7 @@
 	EventRequestRefused:     "Request refused",
 	EventRequestAnswered:    "Request answered",
 	EventRequestFailed:      "Request failed",
+	EventStreamBegun:        "Stream begun",
 	EventPlacementGranted:   "Placement granted",
 	EventPlacementRefused:   "Placement refused",
 	EventLeaderUnreachable:  "Leader unreachable",
@@ -82,6 +85,7 @@
 	EventCancelSent:         "Cancel sent",
 	EventCancelConfirmed:    "Cancel confirmed",
 	EventRunMoved:           "Run moved",
+	EventCallSent:           "Call sent",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
@@ -120,6 +124,10 @@
 	EventListingIgnored:     "Listing ignored",
 }
 
+// IsFailure reports whether the event is a failure that has to be explained, so that its line must not be dropped in
+// favour of others.
+func (e EventID) IsFailure() bool { return e == EventRequestFailed || e == EventTaskFailed }
+
 // String returns the event's message.
 func (e EventID) String() string { return eventMessages[e] }
 
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -277,11 +277,16 @@
 }
 
 func (s *fixture) serve(ctx context.Context, path string) (*httptest.ResponseRecorder, error) {
+	return s.serveWithin(ctx, path, time.Second)
+}
+
+// serveWithin serves a call whose caller waits for the span.
+func (s *fixture) serveWithin(ctx context.Context, path string, span time.Duration) (*httptest.ResponseRecorder, error) {
 	now := time.Now()
 	w := httptest.NewRecorder()
 	err := s.relay.Serve(ctx, w, turmericwall.RoutedCall{
 		ID: "id1", Host: "h", Method: http.MethodPost, Target: path, Path: path, ReceivedAt: now,
-		Deadline: now.Add(time.Second),
+		Deadline: now.Add(span),
 		Work:     turmericwall.ModelWork{PromptTokens: 5000, HintTokens: 3000, MaxTokens: 6500},
 	})
 	return w, err
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -62,6 +62,7 @@
 		return turmericwall.Placement{}, err
 	}
 	avoid = slices.Concat(avoid, closed)
+	a.step = stepPlacement
 	target := a.call.ReceivedAt.Add(time.Duration(a.route.TargetMillis) * time.Millisecond)
 	placement, err := r.config.Placer.Place(ctx, turmericwall.PlaceRequest{
 		ID: a.call.ID + "/" + strconv.Itoa(attemptNumber), Service: a.service.Name, Owner: r.config.Daemon,
@@ -78,8 +79,8 @@
 	a.stats.late = placement.Late
 	a.stats.prefillEngine = placement.Prefill.ID
 	a.stats.expectedPrefillMillis = placement.PrefillEndsAt.Sub(a.call.ReceivedAt).Milliseconds()
-	r.config.Recorder.Record(turmericwall.EventPlacementGranted).Str("request", placement.ID).
-		Str("decode", placement.Decode.ID).
+	r.config.Recorder.Record(turmericwall.EventPlacementGranted).Str("request", a.call.ID).
+		Str("attempt", strconv.Itoa(attemptNumber)).Str("decode", placement.Decode.ID).
 		Str("prefill", placement.Prefill.ID).Int("placedMillis", a.stats.placedMillis).
 		Int("expectedReadMillis", a.stats.expectedPrefillMillis).
 		Int("planVersion", a.planVersion).Int("upstreamsVersion", r.config.View.Version()).
@@ -139,6 +140,7 @@
 		a.recordThrottled(err)
 		return false, a.throttleRefusal
 	}
+	a.step = stepReservation
 	reservation, err := r.reserve(ctx, p)
 	if err != nil {
 		r.returnAdmissions(p.Decode, p.Prefill)
@@ -166,6 +168,7 @@
 	}
 	a.stallTimer = r.startStallTimer(p, a.service.Name)
 	defer a.stallTimer.Stop()
+	r.recordSent(a, p.Decode)
 	answer, err := r.config.Upstreams.Send(ctx, p.Decode, out)
 	if err != nil {
 		r.returnUnsent(a, err)
@@ -183,6 +186,7 @@
 	if p.Prefill.ID == "" {
 		return false, nil
 	}
+	a.step = stepPrefill
 	began := time.Now()
 	out.Export, err = r.sendPrefill(ctx, a, p, *out)
 	if errors.Is(err, errRetryBudgetUsed) {
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -128,13 +128,17 @@
 	s.moving = false
 	r, a := s.relay, s.attempt
 	s.logMove(result)
+	a.step = stepMove
 	if result.err != nil {
 		s.rest = s.partialEvent
+		if streamErr != nil {
+			streamErr = errors.Join(streamErr, errMoveFailed, result.err)
+		}
 		return streamErr
 	}
 	defer r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: result.placement.ID, Service: a.service.Name})
 	if s.lastEventID == 0 {
-		return errors.Join(streamErr, errNoEvent)
+		return errors.Join(streamErr, errMoveFailed, errNoEvent)
 	}
 	to := result.placement.Decode
 	if !result.copied {
@@ -146,17 +150,17 @@
 		Call: a.call, Deadline: a.deadline, Step: turmericwall.StepImport, Export: result.export, ResumeAfter: s.lastEventID,
 	})
 	if err != nil {
-		return errors.Join(streamErr, err)
+		return errors.Join(streamErr, errMoveFailed, err)
 	}
 	if answer.Status != 200 || isEncoded(answer) {
 		_ = answer.Body.Close()
-		return errors.Join(streamErr, fmt.Errorf("the engine answered status %d to a moved run", answer.Status))
+		return errors.Join(streamErr, errMoveFailed, fmt.Errorf("the engine answered status %d to a moved run", answer.Status))
 	}
 	// The earlier run has ended. If its placement lasted until the end of the stream, its memory would stay reserved.
 	r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: s.placementID, Service: a.service.Name})
 	s.engine = to
 	s.placementID = result.placement.ID
-	a.upstreamID = to.ID
+	a.upstreamID, a.step = to.ID, stepEvents
 	return s.copyEvents(ctx, answer.Body)
 }
 
@@ -182,4 +186,7 @@
 	s.relay.releaseEngines(outcome.placement.Decode, "", s.engine, outcome.export)
 }
 
-var errNoEvent = errors.New("the stream was moved before its first event")
+var (
+	errNoEvent    = errors.New("the stream was moved before its first event")
+	errMoveFailed = errors.New("the run was stopped in order to be moved, and did not continue")
+)
--- /dev/null
+++ b/internal/delivery/twrelay/outcome.go
@@ -0,0 +1,240 @@
+package twrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// Outcome describes how one call ended.
+type Outcome struct {
+	Service string
+	// Account is the client account; empty when the call carried no key.
+	Account string
+	Kind    turmericwall.CallKind
+	// Result is answered, refused, failed, brokenOff or left.
+	Result string
+	// Cause is the kind of problem of a refused call; empty for other results.
+	Cause turmericwall.Kind
+	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, network, move or
+	// process. It is empty for other results, and for calls that are at fault themselves.
+	EndedBy string
+	// DurationMillis is the time from reading the call to its end.
+	DurationMillis int64
+	// FirstEventMillis is the time until a stream's first event was passed on; 0 when there was none.
+	FirstEventMillis int64
+}
+
+// step is a step of a call, as the log names it.
+type step string
+
+const (
+	stepAdmission   step = "admission"
+	stepPlacement   step = "placement"
+	stepReservation step = "reservation"
+	stepPrefill     step = "prefill"
+	// stepSend lasts until the head of the upstream's answer was received.
+	stepSend step = "send"
+	// stepFirstEvent and stepEvents are the waits for the first event of a stream and for the next ones.
+	stepFirstEvent step = "firstEvent"
+	stepEvents     step = "events"
+	stepMove       step = "move"
+	stepAnswer     step = "answer"
+)
+
+// Who ended a call.
+const (
+	endedByCaller   = "caller"
+	endedByDeadline = "deadline"
+	endedByUpstream = "upstream"
+	endedByNetwork  = "network"
+	endedByMove     = "move"
+	endedByProcess  = "process"
+)
+
+// callerError is the error of a write to the caller.
+type callerError struct{ err error }
+
+// Error returns the text of the cause.
+func (e *callerError) Error() string { return fmt.Sprintf("write to the caller: %v", e.err) }
+
+// Unwrap returns the cause.
+func (e *callerError) Unwrap() error { return e.err }
+
+// callerWriter marks the errors of writes to the caller.
+type callerWriter struct{ http.ResponseWriter }
+
+// Write writes to the caller. The error is a callerError.
+func (w callerWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	if err != nil {
+		return n, &callerError{err: err}
+	}
+	return n, nil
+}
+
+// Flush sends what was written.
+func (w callerWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// finish writes the error as the caller's answer unless an answer was begun, and records the outcome.
+func (r *Relay) finish(ctx context.Context, a *attempt, err error) error {
+	outcome := a.outcome()
+	status := 0
+	if err != nil {
+		outcome.EndedBy = endedBy(ctx, err)
+	}
+	switch {
+	case err == nil:
+		outcome.Result = "answered"
+	case outcome.EndedBy == endedByCaller:
+		outcome.Result = "left"
+	case a.headerWritten:
+		outcome.Result = "brokenOff"
+	default:
+		status = writeProblem(a.w, deadlineProblem(ctx, err))
+		outcome.Result = "failed"
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+			status == http.StatusUnauthorized {
+			outcome.Result = "refused"
+			outcome.Cause = problemKind(err)
+			outcome.EndedBy = ""
+		}
+	}
+	r.record(a, outcome, status, err)
+	if outcome.Result == "brokenOff" || outcome.Result == "left" {
+		return ErrAnswerTruncated
+	}
+	return nil
+}
+
+// outcome returns the outcome of the call so far, without a result.
+func (a *attempt) outcome() Outcome {
+	return Outcome{
+		Service: a.service.Name, Account: a.call.Account, Kind: a.route.Kind, DurationMillis: a.elapsedMillis(),
+		FirstEventMillis: a.stats.firstEventMillis,
+	}
+}
+
+// recordPanic records the outcome of a call whose handler panics: the server closes the caller's connection.
+func (r *Relay) recordPanic(a *attempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	outcome := a.outcome()
+	outcome.Result, outcome.EndedBy = "brokenOff", endedByProcess
+	r.record(a, outcome, 0, fmt.Errorf("the handler panicked: %v", cause))
+	panic(cause)
+}
+
+// endedBy returns who ended a call with the error; empty if the call itself is at fault.
+func endedBy(ctx context.Context, err error) string {
+	var toCaller *callerError
+	var sent *turmericwall.SendError
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled), errors.As(err, &toCaller):
+		return endedByCaller
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return endedByDeadline
+	case errors.Is(err, errMoveFailed):
+		return endedByMove
+	case errors.As(err, &sent) && (sent.PathLost || sent.ConnectFailed), isTimeout(err):
+		return endedByNetwork
+	case isCallersFault(err):
+		return ""
+	}
+	return endedByUpstream
+}
+
+// isTimeout reports whether the error is that of a connection without acknowledgements or packets.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) ||
+		(errors.As(err, &timeout) && timeout.Timeout())
+}
+
+// isCallersFault reports whether the call can't be served as it is.
+func isCallersFault(err error) bool {
+	switch problemKind(err) {
+	case turmericwall.KindNotFound, turmericwall.KindTooLarge, turmericwall.KindBadRequest:
+		return true
+	}
+	return false
+}
+
+// problemKind returns the kind of the problem in err, or "" when there is none.
+func problemKind(err error) turmericwall.Kind {
+	var p *turmericwall.Problem
+	if !errors.As(err, &p) {
+		return ""
+	}
+	return p.Kind()
+}
+
+// record writes the line of the call's outcome and reports it for the metrics.
+func (r *Relay) record(a *attempt, outcome Outcome, status int, err error) {
+	event := turmericwall.EventRequestAnswered
+	switch outcome.Result {
+	case "refused":
+		event = turmericwall.EventRequestRefused
+	case "failed", "brokenOff", "left":
+		event = turmericwall.EventRequestFailed
+	}
+	entry := r.config.Recorder.Record(event).Str("request", a.call.ID).Str("result", outcome.Result).
+		Str("route", a.route.Name).Str("account", a.call.Account).Str("service", a.service.Name).
+		Int("planVersion", a.planVersion).
+		Int("upstreamsVersion", r.config.View.Version()).Str("upstream", a.upstreamID).Int("tries", int64(a.countedSends)).
+		Int("millis", outcome.DurationMillis)
+	if err != nil {
+		entry = entry.Str("step", string(a.step)).Err(err)
+	}
+	if outcome.EndedBy != "" {
+		entry = entry.Str("endedBy", outcome.EndedBy)
+	}
+	if a.retryDenied {
+		entry = entry.Int("retryDenied", 1)
+	}
+	if !a.deadline.IsZero() {
+		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
+	}
+	if a.service.Engine != nil {
+		entry = entry.Str("reason", a.placementReason).Str("reader", a.stats.prefillEngine).
+			Int("late", boolToInt64(a.stats.late)).Int("expectedReadMillis", a.stats.expectedPrefillMillis).
+			Int("placedMillis", a.stats.placedMillis).Int("readMillis", a.stats.prefilledMillis).
+			Int("firstMillis", a.stats.firstEventMillis).
+			Int("gapMillis", a.stats.maxEventGapMillis).Int("events", int64(a.stats.events)).
+			Int("promptTokens", int64(a.call.Work.PromptTokens)).Int("hintTokens", int64(a.call.Work.HintTokens)).
+			Int("maxTokens", int64(a.call.Work.MaxTokens))
+	}
+	if status != 0 {
+		entry = entry.Int("status", int64(status))
+	}
+	entry.Send()
+	if r.config.Observe != nil {
+		r.config.Observe(outcome)
+	}
+}
+
+// recordSent records that the call is about to be sent to an upstream, so that the log shows where it was if the process
+// ends with it.
+func (r *Relay) recordSent(a *attempt, upstream turmericwall.Upstream) {
+	a.step = stepSend
+	r.config.Recorder.Record(turmericwall.EventCallSent).Str("request", a.call.ID).Str("upstream", upstream.ID).
+		Str("route", a.route.Name).Int("sends", int64(a.countedSends)).Int("millis", a.elapsedMillis()).Send()
+}
+
+func boolToInt64(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -122,6 +122,7 @@
 		pending++
 		sends++
 		a.upstreamID = upstream.ID
+		r.recordSent(a, upstream)
 		go func() { replies <- r.send(ctx, a, upstream) }()
 	}
 	sendNext()
@@ -176,6 +177,7 @@
 		return reply{}, false
 	}
 	a.upstreamID = upstream.ID
+	r.recordSent(a, upstream)
 	return r.send(ctx, a, upstream), true
 }
 
@@ -280,7 +282,7 @@
 	if got.complete && got.answer.Length < 0 {
 		setContentLength(a.w, len(got.buffered))
 	}
-	a.headerWritten = true
+	a.headerWritten, a.step = true, stepAnswer
 	a.w.WriteHeader(got.answer.Status)
 	if _, err := a.w.Write(got.buffered); err != nil {
 		return err
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -70,22 +70,6 @@
 	config Config
 }
 
-// Outcome describes how one call ended.
-type Outcome struct {
-	Service string
-	// Account is the client account; empty when the call carried no key.
-	Account string
-	Kind    turmericwall.CallKind
-	// Result is answered, refused, failed, brokenOff or left.
-	Result string
-	// Cause is the kind of problem of a refused call; empty for other results.
-	Cause turmericwall.Kind
-	// DurationMillis is the time from reading the call to its end.
-	DurationMillis int64
-	// FirstEventMillis is the time until a stream's first event was passed on; 0 when there was none.
-	FirstEventMillis int64
-}
-
 // New returns a relay.
 func New(config Config) *Relay { return &Relay{config: config} }
 
@@ -112,6 +96,8 @@
 	moves int
 	// prefilled is set once a prefill engine has exported the prompt.
 	prefilled bool
+	// step is what the call waits for, or waited for last.
+	step step
 	// upstreamID is the upstream of the last send.
 	upstreamID      string
 	placementReason string
@@ -144,7 +130,8 @@
 // Serve serves one call and writes its answer. It returns ErrAnswerTruncated when the caller's connection must be
 // closed: the answer can't be completed, or the caller has left.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, call turmericwall.RoutedCall) error {
-	a := &attempt{call: call, w: w}
+	a := &attempt{call: call, w: callerWriter{w}, step: stepAdmission}
+	defer r.recordPanic(a)
 	plan, ok := r.config.Routes.Plan()
 	if !ok {
 		return r.finish(ctx, a, turmericwall.NewProblem(turmericwall.KindNotReady, "no routes are known yet",
@@ -235,89 +222,3 @@
 	}
 	return time.Now().Add(span).After(at)
 }
-
-// finish writes the error as the caller's answer unless an answer was begun, and records the outcome.
-func (r *Relay) finish(ctx context.Context, a *attempt, err error) error {
-	outcome := Outcome{
-		Service: a.service.Name, Account: a.call.Account, Kind: a.route.Kind, DurationMillis: a.elapsedMillis(),
-		FirstEventMillis: a.stats.firstEventMillis,
-	}
-	status := 0
-	switch {
-	case err == nil:
-		outcome.Result = "answered"
-	case a.headerWritten:
-		outcome.Result = "brokenOff"
-	case errors.Is(ctx.Err(), context.Canceled):
-		outcome.Result = "left"
-	default:
-		status = writeProblem(a.w, deadlineProblem(ctx, err))
-		outcome.Result = "failed"
-		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
-			status == http.StatusUnauthorized {
-			outcome.Result = "refused"
-			outcome.Cause = problemKind(err)
-		}
-	}
-	r.logOutcome(a, outcome, status, err)
-	if r.config.Observe != nil {
-		r.config.Observe(outcome)
-	}
-	if outcome.Result == "brokenOff" || outcome.Result == "left" {
-		return ErrAnswerTruncated
-	}
-	return nil
-}
-
-// problemKind returns the kind of the problem in err, or "" when there is none.
-func problemKind(err error) turmericwall.Kind {
-	var p *turmericwall.Problem
-	if !errors.As(err, &p) {
-		return ""
-	}
-	return p.Kind()
-}
-
-func (r *Relay) logOutcome(a *attempt, outcome Outcome, status int, err error) {
-	event := turmericwall.EventRequestAnswered
-	switch outcome.Result {
-	case "refused":
-		event = turmericwall.EventRequestRefused
-	case "failed", "brokenOff", "left":
-		event = turmericwall.EventRequestFailed
-	}
-	entry := r.config.Recorder.Record(event).Str("request", a.call.ID).Str("result", outcome.Result).
-		Str("route", a.route.Name).Str("account", a.call.Account).Str("service", a.service.Name).
-		Int("planVersion", a.planVersion).
-		Int("upstreamsVersion", r.config.View.Version()).Str("upstream", a.upstreamID).Int("tries", int64(a.countedSends)).
-		Int("millis", outcome.DurationMillis)
-	if a.retryDenied {
-		entry = entry.Int("retryDenied", 1)
-	}
-	if !a.deadline.IsZero() {
-		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
-	}
-	if a.service.Engine != nil {
-		entry = entry.Str("reason", a.placementReason).Str("reader", a.stats.prefillEngine).
-			Int("late", boolToInt64(a.stats.late)).Int("expectedReadMillis", a.stats.expectedPrefillMillis).
-			Int("placedMillis", a.stats.placedMillis).Int("readMillis", a.stats.prefilledMillis).
-			Int("firstMillis", a.stats.firstEventMillis).
-			Int("gapMillis", a.stats.maxEventGapMillis).Int("events", int64(a.stats.events)).
-			Int("promptTokens", int64(a.call.Work.PromptTokens)).Int("hintTokens", int64(a.call.Work.HintTokens)).
-			Int("maxTokens", int64(a.call.Work.MaxTokens))
-	}
-	if status != 0 {
-		entry = entry.Int("status", int64(status))
-	}
-	if err != nil {
-		entry = entry.Err(err)
-	}
-	entry.Send()
-}
-
-func boolToInt64(set bool) int64 {
-	if set {
-		return 1
-	}
-	return 0
-}
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -52,7 +52,7 @@
 		return r.writeReply(a, reply{answer: answer, buffered: buffered, complete: complete})
 	}
 	copyHeader(a.w, answer)
-	a.headerWritten = true
+	a.headerWritten, a.step = true, stepFirstEvent
 	a.w.WriteHeader(answer.Status)
 	flush(a.w)
 	s := &answerStream{
@@ -157,6 +157,9 @@
 		s.firstEventAt = now
 		s.attempt.stallTimer.Stop()
 		stats.firstEventMillis = s.attempt.elapsedMillis()
+		s.attempt.step = stepEvents
+		s.relay.config.Recorder.Record(turmericwall.EventStreamBegun).Str("request", s.attempt.call.ID).
+			Str("upstream", s.engine.ID).Int("firstMillis", stats.firstEventMillis).Send()
 		s.reportPrefill()
 	} else {
 		s.recordEventGap(now.Sub(s.lastEventAt).Milliseconds())
--- a/internal/operations/tweventlog/log.go
+++ b/internal/operations/tweventlog/log.go
@@ -27,7 +27,8 @@
 	Output io.Writer
 	// Daemon is the daemon's name, which is written into each line.
 	Daemon string
-	// Level is the lowest level that is written: debug, info, warn or error. Events have the level info.
+	// Level is the lowest level that is written: debug, info, warn or error. Failures have the level warn, other events
+	// info.
 	Level string
 	// Trace receives the lines of requests; it may be nil.
 	Trace *twtrace.Trace
@@ -45,7 +46,11 @@
 
 // Record starts the line of an event; Send writes it.
 func (l *Log) Record(event turmericwall.EventID) turmericwall.LogEntry {
-	return &entry{trace: l.trace, event: l.logger.Info().Int("event", int(event)), id: event}
+	level := zerolog.InfoLevel
+	if event.IsFailure() {
+		level = zerolog.WarnLevel
+	}
+	return &entry{trace: l.trace, event: l.logger.WithLevel(level).Int("event", int(event)), id: event}
 }
 
 // timestampHook adds the time in UTC. It has milliseconds, since the decisions on a request follow each other within a
--- a/internal/operations/twexplain/explain.go
+++ b/internal/operations/twexplain/explain.go
@@ -21,6 +21,8 @@
 // Explanation holds the log lines that explain one request.
 type Explanation struct {
 	lines []line
+	// end states how the request ended.
+	end string
 }
 
 type line struct {
@@ -46,13 +48,14 @@
 	if err := scanner.Err(); err != nil {
 		return nil, fmt.Errorf("read the log: %w", err)
 	}
-	return &Explanation{lines: selectLines(all)}, nil
+	return &Explanation{lines: selectLines(all), end: endOf(all)}, nil
 }
 
 // Found reports whether any line has the request's id.
 func (e *Explanation) Found() bool { return len(e.lines) > 0 }
 
-// Write writes one line for each event in the order of time; those of the request itself are marked with an asterisk.
+// Write writes one line for each event in the order of time, and then how the request ended. The events of the request
+// itself are marked with an asterisk.
 func (e *Explanation) Write(out io.Writer) error {
 	for _, l := range e.lines {
 		mark := " "
@@ -63,6 +66,9 @@
 			return fmt.Errorf("write the explanation: %w", err)
 		}
 	}
+	if _, err := fmt.Fprintln(out, "= "+e.end); err != nil {
+		return fmt.Errorf("write the explanation: %w", err)
+	}
 	return nil
 }
 
--- a/internal/operations/twexplain/explain_test.go
+++ b/internal/operations/twexplain/explain_test.go
@@ -29,7 +29,8 @@
 	g.Expect(e.Write(&out)).To(Succeed())
 	g.Expect(out.String()).To(Equal("  2026-04-01T00:00:01.000Z a Store unavailable table=plan\n" +
 		"* 2026-04-01T00:00:02.000Z a Leader unreachable leader=b request=id1/0\n" +
-		"* 2026-04-01T00:00:02.500Z a Request refused request=id1 status=503\n"))
+		"* 2026-04-01T00:00:02.500Z a Request refused request=id1 status=503\n" +
+		"= Request refused at a\n"))
 }
 
 func TestUnknownRequestIsNotFound(t *testing.T) {
@@ -38,3 +39,33 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(e.Found()).To(BeFalse())
 }
+
+// Guards against requests whose end nobody can tell: those that were open when their daemon's process ended have no
+// outcome, and the outcome of the others must name who ended them.
+func TestEndOfARequestIsStatedFromItsIDAlone(t *testing.T) {
+	const sent = `{"daemon":"a","event":3010,"request":"id1","time":"2026-04-01T00:00:02.000Z","message":"Call sent"}` + "\n"
+	const started = `{"daemon":"a","event":1001,"time":"2026-04-01T00:00:09.000Z","message":"Started"}` + "\n"
+	for _, c := range []struct{ name, logs, want string }{
+		{"process killed", sent + started, `no outcome; the last step was "send" at a, whose process ended with it ` +
+			`without a drain (killed, out of memory or a fatal error), and started again at 2026-04-01T00:00:09.000Z`},
+		{"process drained", sent + `{"daemon":"a","event":1003,"time":"2026-04-01T00:00:01.500Z","message":"Drain started"}` +
+			"\n" + started, "whose process ended with it in its drain"},
+		{"task failed", sent + `{"daemon":"a","event":1005,"time":"2026-04-01T00:00:03.000Z","message":"Task failed"}` +
+			"\n" + started, "whose process ended with it after a failed task"},
+		{"another daemon started", sent + strings.Replace(started, `"a"`, `"b"`, 1), "still open"},
+		{
+			"broken off", sent + `{"daemon":"a","event":2004,"request":"id1","endedBy":"network","step":"events",` +
+				`"time":"2026-04-01T00:00:03.000Z","message":"Request failed"}` + "\n" + started,
+			"Request failed at a, ended by network, step events",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e, err := twexplain.Read(strings.NewReader(c.logs), "id1")
+			g.Expect(err).NotTo(HaveOccurred())
+			var out bytes.Buffer
+			g.Expect(e.Write(&out)).To(Succeed())
+			g.Expect(out.String()[strings.Index(out.String(), "\n= ")+3:]).To(ContainSubstring(c.want))
+		})
+	}
+}
--- a/internal/operations/twlogwriter/writer.go
+++ b/internal/operations/twlogwriter/writer.go
@@ -1,5 +1,6 @@
 // Package twlogwriter writes log lines asynchronously, so that a slow or blocked output never delays requests. Lines
-// beyond the queue's length or the permitted rate are dropped and counted.
+// beyond the queue's length or the permitted rate are dropped and counted. Warnings have a rate and a part of the queue
+// of their own.
 package twlogwriter
 
 import (
@@ -8,33 +9,56 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
 	// queueLines bounds the lines that wait for the output; with about 300 bytes a line that is 300 KB.
 	queueLines = 1024
-	// maxLinesPerSecond bounds the volume of the log; a daemon writes about 30 lines a second at peak load.
+	// reservedLines is the part of the queue that only warnings use.
+	reservedLines = 256
+	// maxLinesPerSecond bounds the volume of the log; a daemon writes about 60 lines a second at peak load.
 	maxLinesPerSecond = 400
+	// maxWarningsPerSecond is the bound for warnings, on top.
+	maxWarningsPerSecond = 200
 )
 
 // Writer queues lines for its output, and drops and counts those that exceed its limits.
 type Writer struct {
-	lines           chan []byte
-	currentSecond   atomic.Int64
-	writtenInSecond atomic.Int64
-	dropped         atomic.Int64
+	lines            chan []byte
+	events, warnings rate
+	dropped          atomic.Int64
+}
+
+// rate counts lines by the second.
+type rate struct{ second, lines atomic.Int64 }
+
+// admits counts a line and reports whether it is within the limit.
+func (r *rate) admits(now time.Time, limit int64) bool {
+	second := now.Unix()
+	if r.second.Swap(second) != second {
+		r.lines.Store(0)
+	}
+	return r.lines.Add(1) <= limit
 }
 
 // New returns a writer with an empty queue; Run writes the queued lines.
 func New() *Writer { return &Writer{lines: make(chan []byte, queueLines)} }
 
 // Write queues a copy of one line, or drops it. It never blocks and never fails.
-func (w *Writer) Write(line []byte) (int, error) {
-	now := time.Now().Unix()
-	if w.currentSecond.Swap(now) != now {
-		w.writtenInSecond.Store(0)
+func (w *Writer) Write(line []byte) (int, error) { return w.WriteLevel(zerolog.InfoLevel, line) }
+
+// WriteLevel is Write for a line of the level.
+func (w *Writer) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	now := time.Now()
+	admitted := false
+	if level >= zerolog.WarnLevel {
+		admitted = w.warnings.admits(now, maxWarningsPerSecond)
+	} else {
+		admitted = len(w.lines) < queueLines-reservedLines && w.events.admits(now, maxLinesPerSecond)
 	}
-	if w.writtenInSecond.Add(1) > maxLinesPerSecond {
+	if !admitted {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
--- a/internal/operations/twlogwriter/writer_test.go
+++ b/internal/operations/twlogwriter/writer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/turmericwall/turmericwall/internal/operations/twlogwriter"
 )
@@ -50,3 +51,20 @@
 	g.Expect(w.Run(ctx, &out)).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring("Log lines dropped"))
 }
+
+// Guards against a burst of other lines in which those of failed calls are dropped.
+func TestWarningsAreNotDroppedInFavourOfOtherLines(t *testing.T) {
+	g := NewWithT(t)
+	w := twlogwriter.New()
+	for range 3000 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	for i := range 100 {
+		_, _ = w.WriteLevel(zerolog.WarnLevel, fmt.Appendf(nil, "failed %d\n", i))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	var out bytes.Buffer
+	g.Expect(w.Run(ctx, &out)).To(Succeed())
+	g.Expect(strings.Count(out.String(), "failed")).To(Equal(100))
+}
--- a/internal/placement/twdelegate/delegate.go
+++ b/internal/placement/twdelegate/delegate.go
@@ -80,7 +80,7 @@
 		}
 		d.withdraw(request)
 		d.config.Recorder.Record(turmericwall.EventLeaderUnreachable).
-			Str("request", request.ID).Str("leader", leader.Name).Err(err).Send()
+			Str("request", request.CallID()).Str("leader", leader.Name).Err(err).Send()
 	}
 	placement, err := d.config.Local.Place(ctx, request)
 	if err == nil {
--- a/placements.go
+++ b/placements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -34,6 +35,14 @@
 	Avoid []string
 }
 
+// CallID returns the ID of the call, without the number of the placement attempt.
+func (r PlaceRequest) CallID() string {
+	if at := strings.LastIndexByte(r.ID, '/'); at >= 0 {
+		return r.ID[:at]
+	}
+	return r.ID
+}
+
 // Placement states which engines serve one model call.
 type Placement struct {
 	ID     string
