--- a/internal/delivery/twrelay/resume_test.go
+++ b/internal/delivery/twrelay/resume_test.go
@@ -255,7 +255,9 @@
 	g := NewWithT(t)
 	s := newModelFixture(splitPlacement("d1"), turmericwall.Placement{Decode: engine("d2", turmericwall.RoleDecode)})
 	answers := leavingStream(s, "d1", moved)
-	answers["d2"] = func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) { return nil, notRunError() }
+	answers["d2"] = func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		return nil, notRunError()
+	}
 	s.upstreams.send = answers.send
 	w, err := s.serveWithin(context.Background(), "/m/x", resumeSpan)
 	g.Expect(err).NotTo(HaveOccurred())
