--- a/events.go
+++ b/events.go
@@ -26,6 +26,7 @@
 	EventCancelConfirmed    EventID = 3008
 	EventRunMoved           EventID = 3009
 	EventCallSent           EventID = 3010
+	EventStreamResumed      EventID = 3011
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -86,6 +87,7 @@
 	EventCancelConfirmed:    "Cancel confirmed",
 	EventRunMoved:           "Run moved",
 	EventCallSent:           "Call sent",
+	EventStreamResumed:      "Stream resumed",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
--- a/internal/delivery/twrelay/failures.go
+++ b/internal/delivery/twrelay/failures.go
@@ -8,29 +8,30 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// handleSendError records in end and avoid which engine is at fault for a failed send to the decode engine. It reports
-// whether the call has its final outcome, because it may have run; otherwise the call is placed again.
-func (r *Relay) handleSendError(
-	ctx context.Context, p turmericwall.Placement, err error, update *turmericwall.PlacementUpdate, avoid *[]string,
-) (bool, error) {
+// handleSendError records which engine is at fault for a failed send to the decode engine. It reports whether the call
+// has its final outcome, because it may have run and must not run again; otherwise the call is placed again.
+func (r *Relay) handleSendError(ctx context.Context, a *attempt, run *modelRun, err error) (bool, error) {
+	p, update := run.placement, &run.update
 	var sent *turmericwall.SendError
 	if !errors.As(err, &sent) || !sent.IsSafeToResend() {
 		if ctx.Err() == nil {
 			update.FailedEngine = r.failedEngine(p.Decode, err)
 		}
-		return true, sendProblem(err)
+		a.avoid = append(a.avoid, p.Decode.ID)
+		return a.prepared == nil && !r.mayResume(ctx, a), sendProblem(err)
 	}
+	a.runs--
 	switch {
 	case sent.NotRun && !sent.IncarnationReplaced && p.Prefill.ID != "":
 		// Either the export expired, or the decode engine refuses calls although it granted the reservation. This call
 		// avoids both; the engine that works is cleared by its next success.
 		update.FullEngine, update.SuspectedEngine = p.Decode.ID, p.Prefill.ID
-		*avoid = append(*avoid, p.Prefill.ID, p.Decode.ID)
+		a.avoid = append(a.avoid, p.Prefill.ID, p.Decode.ID)
 	case sent.NotRun && !sent.IncarnationReplaced:
 		update.FullEngine = p.Decode.ID
 	default:
 		update.FailedEngine = r.failedEngine(p.Decode, err)
-		*avoid = append(*avoid, p.Decode.ID)
+		a.avoid = append(a.avoid, p.Decode.ID)
 	}
 	return false, notRunProblem(err)
 }
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -45,6 +45,8 @@
 	reservations   int
 	droppedExports int
 	move           func(from, to turmericwall.Upstream) (turmericwall.EngineExport, bool, error)
+	// copyErr is the error of copies that are made while the run continues.
+	copyErr error
 	// onMove is called when a move begins, and moveSpan is how long it takes.
 	onMove   func()
 	moveSpan time.Duration
@@ -107,6 +109,12 @@
 	return nil
 }
 
+func (u *fakeUpstreams) CopyRun(
+	context.Context, turmericwall.Upstream, turmericwall.Upstream, string,
+) (turmericwall.EngineExport, error) {
+	return turmericwall.EngineExport{Address: "d1:1", Handle: "copy"}, u.copyErr
+}
+
 func (u *fakeUpstreams) MoveRun(
 	ctx context.Context, from, to turmericwall.Upstream, _ string,
 ) (turmericwall.EngineExport, bool, error) {
--- a/internal/delivery/twrelay/head.go
+++ b/internal/delivery/twrelay/head.go
@@ -1,6 +1,7 @@
 package twrelay
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -57,3 +58,36 @@
 		"the upstream answered "+strconv.Itoa(answer.Status)+" without saying that the call did not run",
 		"look before calling again").WithOutcome(turmericwall.OutcomeUnknown)
 }
+
+// headReader sends a call in a goroutine, so that the silence of its engine can be noticed.
+type headReader struct {
+	// done has the result of the send.
+	done     chan headResult
+	arrivals arrivals
+}
+
+// headResult is the result of a send: the answer with its head, or an error.
+type headResult struct {
+	answer *turmericwall.Answer
+	err    error
+}
+
+// startSend sends the call.
+func startSend(
+	ctx context.Context, upstreams turmericwall.UpstreamClient, to turmericwall.Upstream, call turmericwall.OutgoingCall,
+) *headReader {
+	h := &headReader{done: make(chan headResult, 1)}
+	go func() {
+		answer, err := upstreams.Send(ctx, to, call)
+		h.arrivals.record()
+		h.done <- headResult{answer: answer, err: err}
+	}()
+	return h
+}
+
+// discard waits for the result of a cancelled send and closes its answer.
+func (h *headReader) discard() {
+	if result := <-h.done; result.answer != nil {
+		_ = result.answer.Body.Close()
+	}
+}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -30,47 +30,77 @@
 	noEngineRetryAfter = time.Second
 )
 
-// serveModelCall serves a call for a model engine: placement, prefill, then decode. After a failure that is safe to
-// retry it tries another placement.
+// serveModelCall serves a call for a model engine: placement, prefill, then decode. A run that fails is replaced by
+// another one where that is safe.
 func (r *Relay) serveModelCall(ctx context.Context, a *attempt) error {
-	var avoid []string
+	defer r.releasePrepared(a)
+	run, err := r.startRun(ctx, a)
+	if err != nil {
+		return a.problemOfRuns(err)
+	}
+	return newAnswerStream(r, a).passOn(ctx, run)
+}
+
+// startRun starts a run of the call, at another engine after each failure that is safe to retry.
+func (r *Relay) startRun(ctx context.Context, a *attempt) (*modelRun, error) {
 	var last error
-	for n := range maxPlacements {
-		placement, err := r.place(ctx, a, n, avoid)
-		if err != nil {
-			return err
+	for range maxPlacements {
+		var done bool
+		var err error
+		run := a.takePrepared()
+		if run == nil {
+			run, done, err = r.prepareRun(ctx, a)
+		}
+		if err == nil {
+			done, err = r.sendRun(ctx, a, run)
+		}
+		if err == nil {
+			return run, nil
 		}
-		done, err := r.tryPlacement(ctx, a, placement, &avoid)
 		if done || ctx.Err() != nil {
-			return err
+			return nil, err
 		}
 		last = err
 	}
 	if a.throttleRefusal != nil && errors.Is(last, a.throttleRefusal) {
-		return last
+		return nil, last
+	}
+	return nil, noEngineProblem(last)
+}
+
+// problemOfRuns returns the error of a call whose runs can't be started, which doesn't state "not run" once one may have
+// begun.
+func (a *attempt) problemOfRuns(err error) error {
+	if a.runs == 0 {
+		return err
 	}
-	return noEngineProblem(last)
+	return unknownProblem(err)
 }
 
-// place requests a placement on engines that are neither in avoid nor in back-off. attemptNumber makes the placement's
-// ID unique.
-func (r *Relay) place(
-	ctx context.Context, a *attempt, attemptNumber int, avoid []string,
-) (turmericwall.Placement, error) {
+// place requests a placement on engines that neither failed the call nor are in back-off.
+func (r *Relay) place(ctx context.Context, a *attempt) (turmericwall.Placement, error) {
 	closed, err := r.enginesInBackoff(a)
 	if err != nil {
 		return turmericwall.Placement{}, err
 	}
-	avoid = slices.Concat(avoid, closed)
 	a.step = stepPlacement
-	target := a.call.ReceivedAt.Add(time.Duration(a.route.TargetMillis) * time.Millisecond)
-	placement, err := r.config.Placer.Place(ctx, turmericwall.PlaceRequest{
-		ID: a.call.ID + "/" + strconv.Itoa(attemptNumber), Service: a.service.Name, Owner: r.config.Daemon,
-		Zone: r.config.Zone, Work: a.call.Work, TargetDeadline: target, GiveUpDeadline: a.deadline,
-		CallerDeadline: a.call.Deadline, Avoid: avoid,
+	attemptNumber := strconv.Itoa(a.placements)
+	a.placements++
+	request := turmericwall.PlaceRequest{
+		ID: a.call.ID + "/" + attemptNumber, Service: a.service.Name, Owner: r.config.Daemon,
+		Zone: r.config.Zone, Work: a.call.Work, TargetDeadline: a.call.ReceivedAt.Add(a.target()),
+		GiveUpDeadline: a.deadline,
+		CallerDeadline: a.call.Deadline, Avoid: slices.Concat(a.avoid, closed),
 		EventGapMillis: a.route.EventGapMillis, Account: a.call.Account, Units: a.quotaUnits,
 		Priority: a.route.Priority,
-	})
+	}
+	if a.runs > 0 {
+		// The call was charged with its first run, and its caller waits for the next event like for a first one.
+		request.Units = 0
+		request.Work = a.remainingWork()
+		request.TargetDeadline = time.Now().Add(a.target())
+	}
+	placement, err := r.config.Placer.Place(ctx, request)
 	if err != nil {
 		return placement, err
 	}
@@ -80,7 +110,7 @@
 	a.stats.prefillEngine = placement.Prefill.ID
 	a.stats.expectedPrefillMillis = placement.PrefillEndsAt.Sub(a.call.ReceivedAt).Milliseconds()
 	r.config.Recorder.Record(turmericwall.EventPlacementGranted).Str("request", a.call.ID).
-		Str("attempt", strconv.Itoa(attemptNumber)).Str("decode", placement.Decode.ID).
+		Str("attempt", attemptNumber).Str("decode", placement.Decode.ID).
 		Str("prefill", placement.Prefill.ID).Int("placedMillis", a.stats.placedMillis).
 		Int("expectedReadMillis", a.stats.expectedPrefillMillis).
 		Int("planVersion", a.planVersion).Int("upstreamsVersion", r.config.View.Version()).
@@ -122,90 +152,124 @@
 	return nil
 }
 
-// tryPlacement runs one placement; done reports whether the call has its final outcome.
-func (r *Relay) tryPlacement(
-	ctx context.Context, a *attempt, p turmericwall.Placement, avoid *[]string,
-) (done bool, err error) {
-	update := turmericwall.PlacementUpdate{ID: p.ID, Service: a.service.Name}
-	defer func() {
-		update.NotRun = isNotRun(err)
-		r.config.Placer.ApplyUpdate(update)
-	}()
+// prepareRun places the call, reserves memory and has the prompt read, so that only the send to the decode engine is
+// left. If that fails, done reports whether the call must not be placed again.
+func (r *Relay) prepareRun(ctx context.Context, a *attempt) (run *modelRun, done bool, err error) {
+	placement, err := r.place(ctx, a)
+	if err != nil {
+		return nil, true, err
+	}
+	run = newModelRun(a, placement)
+	if done, err = r.prepare(ctx, a, run); err != nil {
+		run.update.NotRun = isNotRun(err)
+		r.config.Placer.ApplyUpdate(run.update)
+		return nil, done, err
+	}
+	return run, false, nil
+}
+
+// prepare admits the sends of a placed run, reserves memory at the decode engine and has the prompt read.
+func (r *Relay) prepare(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
+	p := run.placement
 	a.upstreamID = p.Decode.ID
 	if err := r.config.Authenticator.CheckCredential(a.credential); err != nil {
 		return true, err
 	}
 	if limitedID, err := r.admitPlacement(ctx, p); err != nil {
-		*avoid = append(*avoid, limitedID)
+		a.avoid = append(a.avoid, limitedID)
 		a.recordThrottled(err)
 		return false, a.throttleRefusal
 	}
 	a.step = stepReservation
-	reservation, err := r.reserve(ctx, p)
+	run.out.Reservation, err = r.reserve(ctx, p)
 	if err != nil {
 		r.returnAdmissions(p.Decode, p.Prefill)
 		if errors.Is(err, errNoMemory) {
-			update.FullEngine = p.Decode.ID
+			run.update.FullEngine = p.Decode.ID
 		} else {
-			update.FailedEngine = r.failedEngine(p.Decode, err)
-			*avoid = append(*avoid, p.Decode.ID)
+			run.update.FailedEngine = r.failedEngine(p.Decode, err)
+			a.avoid = append(a.avoid, p.Decode.ID)
 		}
 		return false, notRunProblem(err)
 	}
-	out := turmericwall.OutgoingCall{
-		Call: a.call, Deadline: a.deadline, Reservation: reservation,
-		Priority: queuePriority(a.route, p),
+	if done, err = r.runPrefill(ctx, a, run); err == nil {
+		done, err = r.checkBeforeDecode(a, p.Decode)
 	}
-	if done, err := r.runPrefill(ctx, a, p, &out, &update, avoid); err != nil {
+	if err != nil {
 		r.returnAdmissions(p.Decode)
-		go r.releaseEngines(p.Decode, reservation, p.Prefill, turmericwall.EngineExport{})
-		return done, err
+		go r.releaseEngines(p.Decode, run.out.Reservation, p.Prefill, run.out.Export)
 	}
-	if done, err := r.checkBeforeDecode(a, p.Decode); err != nil {
-		r.returnAdmissions(p.Decode)
-		go r.releaseEngines(p.Decode, reservation, p.Prefill, out.Export)
-		return done, err
+	return done, err
+}
+
+// sendRun sends a prepared run to its decode engine and returns once the head of the answer was received. If that
+// fails, done reports whether the call must not be placed again.
+func (r *Relay) sendRun(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
+	a.upstreamID = run.engine.ID
+	a.runs++
+	run.stallTimer = r.startStallTimer(run.placement, a.service.Name)
+	r.recordSent(a, run.engine)
+	run.answer, err = r.awaitHead(ctx, a, run)
+	if err == nil {
+		return false, nil
 	}
-	a.stallTimer = r.startStallTimer(p, a.service.Name)
-	defer a.stallTimer.Stop()
-	r.recordSent(a, p.Decode)
-	answer, err := r.config.Upstreams.Send(ctx, p.Decode, out)
-	if err != nil {
-		r.returnUnsent(a, err)
-		return r.handleSendError(ctx, p, err, &update, avoid)
+	run.stop()
+	r.returnUnsent(a, err)
+	done, err = r.handleSendError(ctx, a, run, err)
+	run.update.NotRun = isNotRun(err)
+	r.config.Placer.ApplyUpdate(run.update)
+	return done, err
+}
+
+// awaitHead sends the run and waits for the head of its answer, or until another run is prepared because the engine is
+// silent.
+func (r *Relay) awaitHead(ctx context.Context, a *attempt, run *modelRun) (*turmericwall.Answer, error) {
+	run.ctx, run.cancel = context.WithCancel(ctx)
+	head := startSend(run.ctx, r.config.Upstreams, run.engine, run.out)
+	silence := time.NewTimer(run.silenceSpan())
+	defer silence.Stop()
+	for {
+		select {
+		case result := <-head.done:
+			return result.answer, result.err
+		case <-silence.C:
+			if r.prepareTakeover(ctx, a, run, &head.arrivals) {
+				run.cancel()
+				head.discard()
+				return nil, &turmericwall.SendError{Sent: true, Err: errSilent}
+			}
+			silence.Reset(run.silenceSpan())
+		}
 	}
-	return true, r.streamAnswer(ctx, a, p, answer, &update)
 }
 
 // runPrefill has the placement's prefill engine, if there is one, compute and export the prompt; done reports whether
 // the call must not be placed again.
-func (r *Relay) runPrefill(
-	ctx context.Context, a *attempt, p turmericwall.Placement, out *turmericwall.OutgoingCall,
-	update *turmericwall.PlacementUpdate, avoid *[]string,
-) (done bool, err error) {
+func (r *Relay) runPrefill(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
+	p := run.placement
 	if p.Prefill.ID == "" {
 		return false, nil
 	}
 	a.step = stepPrefill
 	began := time.Now()
-	out.Export, err = r.sendPrefill(ctx, a, p, *out)
+	run.out.Export, err = r.sendPrefill(ctx, a, p, run.out)
 	if errors.Is(err, errRetryBudgetUsed) {
 		return true, noEngineProblem(err)
 	}
 	if err != nil {
 		if !errors.Is(err, errBackOff) {
-			update.FailedEngine = r.failedEngine(p.Prefill, err)
+			run.update.FailedEngine = r.failedEngine(p.Prefill, err)
 		}
-		*avoid = append(*avoid, p.Prefill.ID)
+		a.avoid = append(a.avoid, p.Prefill.ID)
 		return false, notRunProblem(err)
 	}
-	out.Step = turmericwall.StepImport
-	update.Prefilled = true
-	update.PrefillMillis = time.Since(began).Milliseconds()
+	run.out.Step = turmericwall.StepImport
+	run.update.Prefilled = true
+	run.update.PrefillMillis = time.Since(began).Milliseconds()
 	a.stats.prefilledMillis = a.elapsedMillis()
 	r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
-		ID: p.ID, Service: update.Service, Running: true, Prefilled: true,
-		PrefillMillis: update.PrefillMillis,
+		ID: p.ID, Service: run.update.Service, Running: true, Prefilled: true,
+		PrefillMillis: run.update.PrefillMillis,
 	})
 	return false, nil
 }
@@ -318,7 +382,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack)
 	defer cancel()
 	export, err := r.config.Upstreams.Prefill(ctx, p.Prefill, turmericwall.OutgoingCall{
-		Call: a.call, Deadline: out.Deadline, Priority: out.Priority,
+		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
 	})
 	switch {
 	case err != nil && a.prefilled:
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -10,14 +10,44 @@
 )
 
 const (
-	// maxMoves is how often one stream may change its engine.
+	// maxMoves is how often one stream may change its engine by a move.
 	maxMoves = 3
 	// moveRetryDelay is the delay after a move for which no engine had room; about one run ends on each engine in it.
 	moveRetryDelay = 250 * time.Millisecond
-	// moveTimeout bounds one move; copying a run's memory over the usual link takes about a hundredth of it.
+	// moveTimeout bounds the placement of a move. The copy isn't bounded: the run continues until it is complete.
 	moveTimeout = 1500 * time.Millisecond
+	// maxReturnDelay is how long after the leaving of an engine was noticed a run may return to it: an engine gets no more
+	// calls two seconds after it states that it leaves, which daemons notice up to 1.3 s later.
+	maxReturnDelay = 500 * time.Millisecond
+	// importRetrySpan is how long an engine keeps the copy of a run at least, and importRetryDelay the pause between two
+	// sends to one that can't be reached.
+	importRetrySpan  = 2 * time.Second
+	importRetryDelay = 50 * time.Millisecond
 )
 
+var (
+	errNoEvent    = errors.New("the stream was moved before its first event")
+	errNotCopied  = errors.New("the memory of the run was not copied")
+	errMoveFailed = errors.New("the run was stopped in order to be moved, and did not continue")
+)
+
+// streamMove is the state of a stream whose engine is leaving.
+type streamMove struct {
+	// running is set while the run is being moved; the result arrives on done.
+	running bool
+	done    chan moveResult
+	// result is that of a move which has stopped the run, or may have; nil if there is none.
+	result *moveResult
+	// requests counts the requested moves; the next one is not requested before nextAt. moves counts those that the
+	// stream went on with.
+	requests, moves int
+	nextAt          time.Time
+	noticedAt       time.Time
+}
+
+// isPending reports whether a move is under way or has stopped the run.
+func (m *streamMove) isPending() bool { return m.running || m.result != nil }
+
 // moveResult is the outcome of moving one run.
 type moveResult struct {
 	placement turmericwall.Placement
@@ -34,8 +64,8 @@
 	from turmericwall.Upstream
 	// sequence numbers the move requests of the call, from 1.
 	sequence int
-	// heldTokens is the engine memory that the run uses.
-	heldTokens int
+	// work is the rest of the call: its prompt is what the run holds in memory.
+	work turmericwall.ModelWork
 }
 
 // moveIfLeaving starts to move the run when its engine is leaving.
@@ -44,149 +74,234 @@
 // caller would lose the whole answer, and the prefill would be wasted. A run that is moved with its memory continues on
 // another engine.
 func (s *answerStream) moveIfLeaving(ctx context.Context) {
-	if s.moving {
-		s.checkRefusedMove()
+	m := &s.move
+	if m.isPending() || s.relay.config.View.AcceptsCalls(s.run.engine.Key()) {
 		return
 	}
-	if s.relay.config.View.AcceptsCalls(s.engine.Key()) {
-		return
+	now := time.Now()
+	if m.noticedAt.IsZero() {
+		m.noticedAt = now
 	}
-	if s.attempt.moves >= maxMoves || time.Now().Before(s.nextMoveAt) {
+	if m.moves >= maxMoves || now.Before(m.nextAt) {
 		return
 	}
-	s.moving = true
-	s.moveRequests++
-	request := moveRequest{
-		from: s.engine, sequence: s.moveRequests,
-		heldTokens: s.attempt.call.Work.PromptTokens + s.attempt.stats.events*s.attempt.service.Engine.TokensPerEvent,
-	}
-	go func() { s.moveDone <- s.relay.moveRun(ctx, s.attempt, request) }()
+	m.running = true
+	m.requests++
+	request := moveRequest{from: s.run.engine, sequence: m.requests, work: s.attempt.remainingWork()}
+	go func() { m.done <- s.relay.moveRun(ctx, s.attempt, request) }()
 }
 
-// checkRefusedMove lets the stream be moved again when a move failed before it stopped the run.
-func (s *answerStream) checkRefusedMove() {
-	select {
-	case result := <-s.moveDone:
-		if result.stopped || result.err == nil {
-			s.moveDone <- result
-			return
-		}
-		s.moving = false
-		s.nextMoveAt = time.Now().Add(moveRetryDelay)
+// recordMove records the result of a move. One that has not stopped the run is requested again later.
+func (s *answerStream) recordMove(result moveResult) {
+	s.move.running = false
+	if result.err != nil && !result.stopped {
+		s.move.nextAt = time.Now().Add(moveRetryDelay)
 		s.logMove(result)
-	default:
+		return
 	}
+	s.move.result = &result
 }
 
-// moveRun places a run on another engine and copies its memory there. The send that resumes the run is taken from the
-// retry budget before the run is stopped, because a stopped run that can't be resumed loses its answer.
+// moveRun places a run on another engine, copies its memory there while it continues, and stops it then. The send that
+// resumes the run is taken from the retry budget before the run is stopped, because a stopped run that can't be resumed
+// loses its answer.
 func (r *Relay) moveRun(ctx context.Context, a *attempt, request moveRequest) moveResult {
+	placement, err := r.placeMove(ctx, a, request)
+	if err != nil {
+		return moveResult{err: err}
+	}
+	abandon := func() {
+		r.config.Throttle.ReturnSend(placement.Decode.Key())
+		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: a.service.Name})
+	}
+	copied, err := r.config.Upstreams.CopyRun(ctx, request.from, placement.Decode, a.call.ID)
+	if err != nil {
+		abandon()
+		return moveResult{err: err}
+	}
+	if !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+		abandon()
+		go r.releaseEngines(placement.Decode, "", request.from, copied)
+		return moveResult{err: errRetryBudgetUsed}
+	}
+	export, moved, err := r.config.Upstreams.MoveRun(ctx, request.from, placement.Decode, a.call.ID)
+	if err != nil {
+		abandon()
+		r.config.Retries.Return(time.Now(), a.service.Name)
+		var sent *turmericwall.SendError
+		return moveResult{stopped: !errors.As(err, &sent) || !sent.IsSafeToResend(), err: err}
+	}
+	return moveResult{placement: placement, export: export, copied: moved}
+}
+
+// placeMove places a run on another engine and admits the send to it.
+func (r *Relay) placeMove(
+	ctx context.Context, a *attempt, request moveRequest,
+) (placement turmericwall.Placement, err error) {
 	if !r.config.Throttle.BackoffUntil(request.from.Key()).IsZero() {
-		return moveResult{err: errBackOff}
+		return placement, errBackOff
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	work := a.call.Work
-	generatedTokens := request.heldTokens - work.PromptTokens
-	work.PromptTokens = request.heldTokens
-	work.HintTokens = max(work.HintTokens-generatedTokens, a.service.Engine.TokensPerEvent)
-	work.MaxTokens = max(work.MaxTokens-generatedTokens, a.service.Engine.TokensPerEvent)
-	placement, err := r.config.Placer.Place(ctx, turmericwall.PlaceRequest{
+	placement, err = r.config.Placer.Place(ctx, turmericwall.PlaceRequest{
 		ID: fmt.Sprintf("%s/m%d", a.call.ID, request.sequence), Service: a.service.Name, Owner: r.config.Daemon,
-		Zone: request.from.Zone, Work: work, TargetDeadline: a.deadline, GiveUpDeadline: a.deadline,
+		Zone: request.from.Zone, Work: request.work, TargetDeadline: a.deadline, GiveUpDeadline: a.deadline,
 		CallerDeadline: a.call.Deadline, EventGapMillis: a.route.EventGapMillis, Moving: true,
 		Avoid: []string{request.from.ID},
 	})
 	if err != nil {
-		return moveResult{err: err}
+		return placement, err
 	}
-	if err := r.checkAcceptsCalls(placement.Decode); err != nil {
-		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: a.service.Name})
-		return moveResult{err: err}
+	if err = r.checkAcceptsCalls(placement.Decode); err == nil {
+		err = r.config.Throttle.Admit(ctx, placement.Decode.Key())
 	}
-	if err := r.config.Throttle.Admit(ctx, placement.Decode.Key()); err != nil {
+	if err != nil {
 		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: a.service.Name})
-		return moveResult{err: err}
 	}
-	if !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
-		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: a.service.Name})
-		return moveResult{err: errRetryBudgetUsed}
+	return placement, err
+}
+
+// awaitMove waits for the result of a move that is under way.
+func (s *answerStream) awaitMove(ctx context.Context) {
+	if !s.move.running {
+		return
 	}
-	export, copied, err := r.config.Upstreams.MoveRun(ctx, request.from, placement.Decode, a.call.ID)
-	if err != nil {
-		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: a.service.Name})
-		var sent *turmericwall.SendError
-		return moveResult{stopped: !errors.As(err, &sent) || !sent.IsSafeToResend(), err: err}
+	select {
+	case result := <-s.move.done:
+		s.recordMove(result)
+	case <-ctx.Done():
 	}
-	return moveResult{placement: placement, export: export, copied: copied}
 }
 
-// resumeMoved continues the answer on the engine that the run was moved to; streamErr is the error with which the
-// earlier stream ended.
-func (s *answerStream) resumeMoved(ctx context.Context, streamErr error) error {
-	result := <-s.moveDone
-	s.moving = false
-	r, a := s.relay, s.attempt
+// importMoved continues the run that was stopped in order to be moved, at the engine that it was moved to or else where
+// it was. Without an error it returns no run if no move stopped the run.
+func (s *answerStream) importMoved(ctx context.Context) (*modelRun, error) {
+	s.awaitMove(ctx)
+	m := &s.move
+	if m.result == nil {
+		return nil, nil
+	}
+	result := *m.result
+	m.result = nil
+	s.attempt.step = stepMove
 	s.logMove(result)
-	a.step = stepMove
 	if result.err != nil {
-		s.rest = s.partialEvent
-		if streamErr != nil {
-			streamErr = errors.Join(streamErr, errMoveFailed, result.err)
+		return nil, result.err
+	}
+	source := s.run.engine
+	run, err := s.importRun(ctx, result, source)
+	if err != nil {
+		s.relay.config.Placer.ApplyUpdate(
+			turmericwall.PlacementUpdate{ID: result.placement.ID, Service: s.attempt.service.Name},
+		)
+		go s.relay.releaseEngines(result.placement.Decode, "", source, result.export)
+		return nil, err
+	}
+	m.moves++
+	m.noticedAt = time.Time{}
+	return run, nil
+}
+
+// importRun sends the call to the engine that has the copy of its run, or to its source if that engine did not take it.
+// While the engine can't be reached, the send is repeated: the copy is kept there for a while.
+func (s *answerStream) importRun(
+	ctx context.Context, result moveResult, source turmericwall.Upstream,
+) (*modelRun, error) {
+	if s.attempt.lastEventID == 0 {
+		return nil, errNoEvent
+	}
+	run := newModelRun(s.attempt, result.placement)
+	run.out.Step, run.out.Export = turmericwall.StepImport, result.export
+	run.update.Prefilled = true
+	// The first send was taken from the retry budget before the run was stopped.
+	s.attempt.countedSends++
+	err := errNotCopied
+	if result.copied {
+		err = s.sendMoved(ctx, run, result.placement.Decode)
+	}
+	for until := time.Now().Add(importRetrySpan); err != nil; {
+		if !isSafeToResend(err) {
+			return nil, err
+		}
+		last, engine := err, result.placement.Decode
+		switch {
+		case time.Since(s.move.noticedAt) < maxReturnDelay:
+			engine = source
+		case !result.copied || wasSent(err) || time.Now().After(until):
+			return nil, err
+		}
+		if !pause(ctx, importRetryDelay) || !s.relay.spendSend(s.attempt) {
+			return nil, errors.Join(err, errRetryBudgetUsed)
+		}
+		if err = s.sendMoved(ctx, run, engine); err != nil {
+			err = errors.Join(err, last)
 		}
-		return streamErr
 	}
-	defer r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: result.placement.ID, Service: a.service.Name})
-	if s.lastEventID == 0 {
-		return errors.Join(streamErr, errMoveFailed, errNoEvent)
+	return run, nil
+}
+
+// isSafeToResend reports whether the engine of a failed send has certainly not run the call.
+func isSafeToResend(err error) bool {
+	var sent *turmericwall.SendError
+	return errors.Is(err, errNotCopied) || (errors.As(err, &sent) && sent.IsSafeToResend())
+}
+
+// pause waits for the span; it returns false if ctx ends before.
+func pause(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-time.After(span):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	to := result.placement.Decode
-	if !result.copied {
-		to = s.engine
+}
+
+// sendMoved sends a run that was moved to its engine. It is the same run, so that it doesn't count as a further one.
+func (s *answerStream) sendMoved(ctx context.Context, run *modelRun, engine turmericwall.Upstream) (err error) {
+	run.engine = engine
+	s.attempt.upstreamID = engine.ID
+	s.relay.recordSent(s.attempt, run.engine)
+	run.ctx, run.cancel = context.WithCancel(ctx)
+	run.answer, err = s.relay.config.Upstreams.Send(run.ctx, run.engine, run.out)
+	if err == nil && (run.answer.Status != 200 || isEncoded(run.answer)) {
+		err = fmt.Errorf("the engine answered status %d to a moved run", run.answer.Status)
+		_ = run.answer.Body.Close()
 	}
-	a.countedSends++
-	a.moves++
-	answer, err := r.config.Upstreams.Send(ctx, to, turmericwall.OutgoingCall{
-		Call: a.call, Deadline: a.deadline, Step: turmericwall.StepImport, Export: result.export, ResumeAfter: s.lastEventID,
-	})
 	if err != nil {
-		return errors.Join(streamErr, errMoveFailed, err)
-	}
-	if answer.Status != 200 || isEncoded(answer) {
-		_ = answer.Body.Close()
-		return errors.Join(streamErr, errMoveFailed, fmt.Errorf("the engine answered status %d to a moved run", answer.Status))
+		run.stop()
+		s.relay.returnUnsent(s.attempt, err)
 	}
-	// The earlier run has ended. If its placement lasted until the end of the stream, its memory would stay reserved.
-	r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: s.placementID, Service: a.service.Name})
-	s.engine = to
-	s.placementID = result.placement.ID
-	a.upstreamID, a.step = to.ID, stepEvents
-	return s.copyEvents(ctx, answer.Body)
+	return err
 }
 
 func (s *answerStream) logMove(outcome moveResult) {
 	entry := s.relay.config.Recorder.Record(turmericwall.EventRunMoved).Str("request", s.attempt.call.ID).
-		Str("from", s.engine.ID).
-		Str("to", outcome.placement.Decode.ID).Int("lastEvent", s.lastEventID)
+		Str("from", s.run.engine.ID).
+		Str("to", outcome.placement.Decode.ID).Int("lastEvent", s.attempt.lastEventID)
 	if outcome.err != nil {
 		entry = entry.Err(outcome.err)
 	}
 	entry.Send()
 }
 
-// releaseAbandonedMove releases the placement and the export of a move that completes after the stream has ended.
-func (s *answerStream) releaseAbandonedMove() {
-	outcome := <-s.moveDone
+// releaseMove releases the placement and the export of a move that is not needed any more.
+func (s *answerStream) releaseMove() {
+	m := &s.move
+	if m.result != nil {
+		s.relay.releaseMoved(s.attempt, s.run.engine, *m.result)
+		m.result = nil
+	}
+	if m.running {
+		from := s.run.engine
+		go func() { s.relay.releaseMoved(s.attempt, from, <-m.done) }()
+	}
+}
+
+// releaseMoved releases the placement and the export of a move.
+func (r *Relay) releaseMoved(a *attempt, from turmericwall.Upstream, outcome moveResult) {
 	if outcome.err != nil {
 		return
 	}
-	s.relay.config.Placer.ApplyUpdate(
-		turmericwall.PlacementUpdate{ID: outcome.placement.ID, Service: s.attempt.service.Name},
-	)
-	s.relay.releaseEngines(outcome.placement.Decode, "", s.engine, outcome.export)
+	r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: outcome.placement.ID, Service: a.service.Name})
+	r.releaseEngines(outcome.placement.Decode, "", from, outcome.export)
 }
-
-var (
-	errNoEvent    = errors.New("the stream was moved before its first event")
-	errMoveFailed = errors.New("the run was stopped in order to be moved, and did not continue")
-)
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -28,6 +28,8 @@
 	DurationMillis int64
 	// FirstEventMillis is the time until a stream's first event was passed on; 0 when there was none.
 	FirstEventMillis int64
+	// Resumes is the number of runs with which a stream went on after an earlier one.
+	Resumes int
 }
 
 // step is a step of a call, as the log names it.
@@ -120,7 +122,7 @@
 func (a *attempt) outcome() Outcome {
 	return Outcome{
 		Service: a.service.Name, Account: a.call.Account, Kind: a.route.Kind, DurationMillis: a.elapsedMillis(),
-		FirstEventMillis: a.stats.firstEventMillis,
+		FirstEventMillis: a.stats.firstEventMillis, Resumes: a.resumes,
 	}
 }
 
@@ -132,7 +134,7 @@
 	}
 	outcome := a.outcome()
 	outcome.Result, outcome.EndedBy = "brokenOff", endedByProcess
-	r.record(a, outcome, 0, fmt.Errorf("the handler panicked: %v", cause))
+	r.record(a, outcome, 0, fmt.Errorf("%w: %v", errPanicked, cause))
 	panic(cause)
 }
 
@@ -145,6 +147,8 @@
 		return endedByCaller
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return endedByDeadline
+	case errors.Is(err, errPanicked):
+		return endedByProcess
 	case errors.Is(err, errMoveFailed):
 		return endedByMove
 	case errors.As(err, &sent) && (sent.PathLost || sent.ConnectFailed), isTimeout(err):
@@ -212,6 +216,7 @@
 			Int("placedMillis", a.stats.placedMillis).Int("readMillis", a.stats.prefilledMillis).
 			Int("firstMillis", a.stats.firstEventMillis).
 			Int("gapMillis", a.stats.maxEventGapMillis).Int("events", int64(a.stats.events)).
+			Int("runs", int64(a.runs)).Int("resumes", int64(a.resumes)).
 			Int("promptTokens", int64(a.call.Work.PromptTokens)).Int("hintTokens", int64(a.call.Work.HintTokens)).
 			Int("maxTokens", int64(a.call.Work.MaxTokens))
 	}
--- a/internal/delivery/twrelay/problems.go
+++ b/internal/delivery/twrelay/problems.go
@@ -46,6 +46,16 @@
 	return status
 }
 
+// unknownProblem returns the problem of a call that may have run. It never states that the call did not run, whatever
+// the last of several errors states.
+func unknownProblem(err error) error {
+	if p, ok := err.(*turmericwall.Problem); ok && p.Outcome() != turmericwall.OutcomeNotRun {
+		return err
+	}
+	return turmericwall.NewProblem(turmericwall.KindUpstreamFailed, "the upstream gave no complete answer",
+		"call again").WithOutcome(turmericwall.OutcomeUnknown).WithCause(err)
+}
+
 func statusOf(p *turmericwall.Problem) int {
 	switch p.Kind() {
 	case turmericwall.KindNotFound:
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -49,6 +49,8 @@
 	Quotas turmericwall.QuotaMeter
 	// Throttle admits each send to an upstream.
 	Throttle turmericwall.UpstreamThrottle
+	// LastReceivedAt returns when anything was last received from an upstream; it may be nil.
+	LastReceivedAt func(upstream turmericwall.Upstream) time.Time
 	// PathLost reports whether this daemon has no network path to the upstream, so that failures there say nothing about
 	// it; it may be nil.
 	PathLost func(upstream turmericwall.UpstreamKey) bool
@@ -92,8 +94,17 @@
 	countedSends int
 	// retryDenied is set when the retry budget did not allow a further send.
 	retryDenied bool
-	// moves counts the changes of the stream's engine.
-	moves int
+	// placements counts the placements of the call, and runs the engines on which it may have run.
+	placements, runs int
+	// resumes counts the runs with which the stream went on after an earlier one.
+	resumes int
+	// prepared is the run that replaces a silent one; nil if there is none. takeovers counts the runs prepared for that.
+	prepared  *modelRun
+	takeovers int
+	// avoid are the engines that failed the call.
+	avoid []string
+	// lastEventID is the id of the last event that was passed on; 0 before the first.
+	lastEventID int64
 	// prefilled is set once a prefill engine has exported the prompt.
 	prefilled bool
 	// step is what the call waits for, or waited for last.
@@ -105,8 +116,6 @@
 	throttleRefusal *turmericwall.Problem
 	// stats is how a model call went.
 	stats modelStats
-	// stallTimer fires when the engine sends no first event.
-	stallTimer *time.Timer
 }
 
 // modelStats holds the timings of a model call, in milliseconds since the call was read; 0 for what did not happen.
--- a/internal/delivery/twrelay/resume_test.go
+++ b/internal/delivery/twrelay/resume_test.go
@@ -278,3 +278,18 @@
 	g.Expect(w.Body.String()).To(Equal(events(1, 6)))
 	g.Expect(s.upstreams.sends[1].Export.Handle).To(Equal("h2"), "a new prefill, as the run is lost")
 }
+
+// Guards against a call that waits until its deadline for an engine that became silent after it got the call.
+func TestASilentEngineBeforeTheAnswerIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+	s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		<-ctx.Done()
+		return nil, &turmericwall.SendError{Sent: true, Err: ctx.Err()}
+	}}.send
+	began := time.Now()
+	w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+}
--- /dev/null
+++ b/internal/delivery/twrelay/run.go
@@ -0,0 +1,69 @@
+package twrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// modelRun is one run of a model call at a decode engine.
+type modelRun struct {
+	placement turmericwall.Placement
+	// engine runs the call: the placement's decode engine, or the source of a move that came to nothing.
+	engine turmericwall.Upstream
+	out    turmericwall.OutgoingCall
+	// update is the report on the placement at the end of the run.
+	update turmericwall.PlacementUpdate
+	// ctx ends the exchange with the engine.
+	ctx    context.Context
+	cancel context.CancelFunc
+	answer *turmericwall.Answer
+	// stallTimer fires when the engine sends no first event; nil for a run that was moved.
+	stallTimer *time.Timer
+	placedAt   time.Time
+	// firstEventAt is zero before the first event; events counts those that were passed on.
+	firstEventAt time.Time
+	events       int
+	// speedReported is set once the placer got an early report of the run's speed.
+	speedReported bool
+}
+
+// newModelRun returns a run that is placed. After an earlier run it resumes the stream after the last event passed on.
+func newModelRun(a *attempt, p turmericwall.Placement) *modelRun {
+	return &modelRun{
+		placement: p, engine: p.Decode, placedAt: time.Now(),
+		update: turmericwall.PlacementUpdate{ID: p.ID, Service: a.service.Name},
+		out: turmericwall.OutgoingCall{
+			Call: a.call, Deadline: a.deadline, Priority: queuePriority(a.route, p), ResumeAfter: a.lastEventID,
+		},
+	}
+}
+
+// stop ends the exchange with the engine.
+func (m *modelRun) stop() {
+	if m.stallTimer != nil {
+		m.stallTimer.Stop()
+	}
+	m.cancel()
+}
+
+// mayRunAgain reports whether the call may be sent to a further engine although it may have run.
+func (a *attempt) mayRunAgain() bool {
+	return a.route.Resumable && a.runs < max(a.route.MaxUpstreams, 1) && (a.stats.events == 0 || a.lastEventID > 0)
+}
+
+// remainingWork returns the size of the rest of the call: what was generated is part of the prompt.
+func (a *attempt) remainingWork() turmericwall.ModelWork {
+	work := a.call.Work
+	generatedTokens := a.stats.events * a.service.Engine.TokensPerEvent
+	work.PromptTokens += generatedTokens
+	work.HintTokens = max(work.HintTokens-generatedTokens, a.service.Engine.TokensPerEvent)
+	work.MaxTokens = max(work.MaxTokens-generatedTokens, a.service.Engine.TokensPerEvent)
+	return work
+}
+
+// target returns the time within which the caller expects the first event.
+func (a *attempt) target() time.Duration {
+	return time.Duration(a.route.TargetMillis) * time.Millisecond
+}
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -7,16 +7,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/tweventbuffer"
 )
 
-// readBufferBytes is the size of one read of a stream; an event has a few hundred bytes.
-const readBufferBytes = 4 << 10
-
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 256 << 10
 
@@ -25,159 +21,245 @@
 	idPrefix       = []byte("id:")
 )
 
-// readBufferPool shares the read buffers, so that a daemon needs memory only for the streams that have bytes to pass
-// on.
-var readBufferPool = sync.Pool{New: func() any { return new([readBufferBytes]byte) }}
+var (
+	errEventTooLong = errors.New("an event of the stream is too long")
+	errStopped      = errors.New("the run was stopped in order to be moved")
+)
 
-// streamAnswer passes the answer of a decode engine on as it arrives, in complete events only.
-func (r *Relay) streamAnswer(
-	ctx context.Context, a *attempt, p turmericwall.Placement, answer *turmericwall.Answer,
-	update *turmericwall.PlacementUpdate,
-) error {
-	if err := checkUnstatedNotRun(answer); err != nil {
-		return err
-	}
-	if isEncoded(answer) {
-		_ = answer.Body.Close()
-		return sendProblem(&turmericwall.SendError{Sent: true, Err: errUnexpectedEncoding})
+// answerStream is one stream of events on its way to the caller, over all runs of its call.
+type answerStream struct {
+	relay   *Relay
+	attempt *attempt
+	// events are written to the caller.
+	events *tweventbuffer.Buffer
+	run    *modelRun
+	reader *bodyReader
+	// partialEvent holds the bytes after the last complete event of the run.
+	partialEvent []byte
+	lastEventAt  time.Time
+	// failure is the answer of a failed engine that is passed on if no other engine answers; nil if there is none.
+	failure *reply
+	move    streamMove
+}
+
+func newAnswerStream(r *Relay, a *attempt) *answerStream {
+	return &answerStream{
+		relay: r, attempt: a,
+		events: tweventbuffer.New(tweventbuffer.Config{Writer: a.w, MaxHold: r.config.MaxEventHold}),
+		move:   streamMove{done: make(chan moveResult, 1)},
 	}
-	if answer.Status >= http.StatusMultipleChoices {
-		if answer.Status >= http.StatusInternalServerError {
-			update.FailedEngine = p.Decode.ID
-		}
-		buffered, complete, err := bufferBody(answer)
-		if err != nil {
-			return sendProblem(err)
-		}
-		return r.writeReply(a, reply{answer: answer, buffered: buffered, complete: complete})
-	}
-	copyHeader(a.w, answer)
-	a.headerWritten, a.step = true, stepFirstEvent
-	a.w.WriteHeader(answer.Status)
-	flush(a.w)
-	s := &answerStream{
-		relay: r, attempt: a, engine: p.Decode, placementID: p.ID, update: update,
-		events:   tweventbuffer.New(tweventbuffer.Config{Writer: a.w, MaxHold: r.config.MaxEventHold}),
-		moveDone: make(chan moveResult, 1),
-	}
-	err := s.copyEvents(ctx, answer.Body)
-	for range maxMoves {
-		if !s.moving || ctx.Err() != nil {
+}
+
+// passOn passes the answer of a run on as it arrives, in complete events only. When the run ends early, the stream goes
+// on with another one if it may.
+func (s *answerStream) passOn(ctx context.Context, run *modelRun) error {
+	for {
+		s.run = run
+		err := s.passRunOn(ctx)
+		s.endRun(ctx, err)
+		if err == nil {
 			break
 		}
-		err = s.resumeMoved(ctx, err)
+		next, continueErr := s.continueElsewhere(ctx, err)
+		if continueErr != nil {
+			return s.close(continueErr)
+		}
+		run = next
 	}
-	if s.moving {
-		go s.releaseAbandonedMove()
+	return s.close(nil)
+}
+
+// passRunOn passes the answer of the present run on.
+func (s *answerStream) passRunOn(ctx context.Context) error {
+	answer := s.run.answer
+	if err := s.checkHead(answer); err != nil {
+		s.run.stop()
+		return err
 	}
-	if writeErr := s.events.Close(s.rest); err == nil {
-		err = writeErr
+	if answer.Status < http.StatusMultipleChoices {
+		return s.passEventsOn(ctx)
 	}
-	if !s.firstEventAt.IsZero() {
-		update.AnswerTokens = a.stats.events * max(a.service.Engine.TokensPerEvent, 1)
-		update.AnswerMillis = time.Since(s.firstEventAt).Milliseconds()
+	defer s.run.stop()
+	buffered, complete, err := bufferBody(answer)
+	if err != nil {
+		return sendProblem(err)
 	}
-	if err != nil && ctx.Err() == nil {
-		update.FailedEngine = r.failedEngine(s.engine, err)
+	got := reply{answer: answer, buffered: buffered, complete: complete}
+	if answer.Status >= http.StatusInternalServerError {
+		s.run.update.FailedEngine = s.run.engine.ID
+		if complete && s.attempt.mayRunAgain() {
+			s.failure = &got
+			return errEngineFailed
+		}
 	}
-	return err
+	s.failure = nil
+	return s.relay.writeReply(s.attempt, got)
 }
 
-// answerStream is one stream of events on its way to the caller.
-type answerStream struct {
-	relay   *Relay
-	attempt *attempt
-	// events are written to the caller; rest are the bytes after the last complete one of a body that has ended.
-	events       *tweventbuffer.Buffer
-	rest         []byte
-	engine       turmericwall.Upstream
-	update       *turmericwall.PlacementUpdate
-	firstEventAt time.Time
-	// speedReported is set once the placer got an early report of the answer's speed.
-	speedReported bool
-	lastEventAt   time.Time
-	// lastEventID is the id of the last event that was passed on; 0 before the first.
-	lastEventID int64
-	// placementID is the stream's current placement; it changes with each move.
-	placementID string
-	// moveRequests counts the requested moves; the next one is not requested before nextMoveAt.
-	moveRequests int
-	nextMoveAt   time.Time
-	// moving is set while the run is being moved to another engine; the result arrives on moveDone.
-	moving   bool
-	moveDone chan moveResult
-	// partialEvent holds the bytes after the last complete event of a body that ended during a move.
-	partialEvent []byte
+var errEngineFailed = errors.New("the engine answered with a failure")
+
+// checkHead checks whether the answer can be passed on, and closes it otherwise.
+func (s *answerStream) checkHead(answer *turmericwall.Answer) error {
+	if err := checkUnstatedNotRun(answer); err != nil {
+		return err
+	}
+	if isEncoded(answer) {
+		_ = answer.Body.Close()
+		return sendProblem(&turmericwall.SendError{Sent: true, Err: errUnexpectedEncoding})
+	}
+	if s.attempt.headerWritten && answer.Status != http.StatusOK {
+		_ = answer.Body.Close()
+		return errors.New("the engine answered status " + strconv.Itoa(answer.Status) + " to a resumed run")
+	}
+	return nil
 }
 
-// copyEvents passes complete events on until the end of the body.
-func (s *answerStream) copyEvents(ctx context.Context, body io.ReadCloser) error {
-	defer func() { _ = body.Close() }()
-	buf := readBufferPool.Get().(*[readBufferBytes]byte)
-	defer readBufferPool.Put(buf)
-	var rest []byte
+// passEventsOn passes the events of the present run on until its end, or until another run is prepared because the
+// engine is silent. The reader of the body has ended when it returns.
+func (s *answerStream) passEventsOn(ctx context.Context) error {
+	s.partialEvent = nil
+	s.attempt.step = stepEvents
+	if s.attempt.stats.events == 0 {
+		s.attempt.step = stepFirstEvent
+	}
+	s.reader = startReader(s.run.ctx, s.run.answer.Body)
+	defer s.reader.wait()
+	defer s.run.stop()
+	silence := time.NewTimer(s.run.silenceSpan())
+	defer silence.Stop()
 	for {
-		n, readErr := body.Read(buf[:])
-		rest = append(rest, buf[:n]...)
-		if at := bytes.LastIndex(rest, eventSeparator); at >= 0 {
-			if err := s.writeEvents(rest[:at+len(eventSeparator)]); err != nil {
+		select {
+		case c, ok := <-s.reader.chunks:
+			if !ok {
+				return s.run.ctx.Err()
+			}
+			s.reader.arrivals.receive()
+			if err := s.passChunkOn(ctx, c); err != nil {
 				return err
 			}
-			rest = append(rest[:0], rest[at+len(eventSeparator):]...)
-			s.moveIfLeaving(ctx)
-		}
-		if readErr == io.EOF {
-			return s.finishBody(rest)
-		}
-		if readErr != nil {
-			return readErr
-		}
-		if len(rest) > maxEventBytes {
-			return errors.New("an event of the stream is too long")
+			if c.err != nil {
+				return s.endOfBody(ctx, c.err)
+			}
+			silence.Reset(s.run.silenceSpan())
+		case result := <-s.move.done:
+			s.recordMove(result)
+		case <-silence.C:
+			if !s.move.isPending() && s.relay.prepareTakeover(ctx, s.attempt, s.run, &s.reader.arrivals) {
+				return errSilent
+			}
+			silence.Reset(s.run.silenceSpan())
 		}
 	}
 }
 
-// finishBody handles the bytes after the last complete event at the end of the body. The body of a run that is being
-// moved may end in the middle of an event, which the next engine then sends completely.
-func (s *answerStream) finishBody(rest []byte) error {
-	if s.moving {
-		s.partialEvent = rest
-		return nil
+// endOfBody returns the error with which a run ended; nil at the end of a complete body. The body of a run that was
+// stopped in order to be moved may end like a complete one.
+func (s *answerStream) endOfBody(ctx context.Context, readErr error) error {
+	if readErr != io.EOF {
+		return readErr
+	}
+	s.awaitMove(ctx)
+	if result := s.move.result; result != nil && (result.err == nil || s.run.answer.EndsWithConnection) {
+		return errStopped
+	}
+	return nil
+}
+
+// passChunkOn passes the complete events on, with the bytes that were left of the chunk before.
+func (s *answerStream) passChunkOn(ctx context.Context, c chunk) error {
+	s.partialEvent = append(s.partialEvent, c.bytes...)
+	if at := bytes.LastIndex(s.partialEvent, eventSeparator); at >= 0 {
+		if err := s.writeEvents(s.partialEvent[:at+len(eventSeparator)]); err != nil {
+			return err
+		}
+		s.partialEvent = append(s.partialEvent[:0], s.partialEvent[at+len(eventSeparator):]...)
+		s.moveIfLeaving(ctx)
+	}
+	if len(s.partialEvent) > maxEventBytes {
+		return errEventTooLong
 	}
-	s.rest = rest
 	return nil
 }
 
-// writeEvents writes complete events to the caller.
+// writeEvents writes complete events to the caller, without those that it has already.
 func (s *answerStream) writeEvents(events []byte) error {
+	a := s.attempt
+	if s.run.events == 0 {
+		events = withoutDelivered(events, a.lastEventID)
+		if len(events) == 0 {
+			return nil
+		}
+	}
+	s.writeHeader()
 	now := time.Now()
-	stats := &s.attempt.stats
-	if s.firstEventAt.IsZero() {
-		s.firstEventAt = now
-		s.attempt.stallTimer.Stop()
-		stats.firstEventMillis = s.attempt.elapsedMillis()
-		s.attempt.step = stepEvents
-		s.relay.config.Recorder.Record(turmericwall.EventStreamBegun).Str("request", s.attempt.call.ID).
-			Str("upstream", s.engine.ID).Int("firstMillis", stats.firstEventMillis).Send()
-		s.reportPrefill()
+	s.recordArrival(now)
+	count := bytes.Count(events, eventSeparator)
+	a.stats.events += count
+	s.run.events += count
+	a.lastEventID = max(a.lastEventID, parseLastEventID(events))
+	s.reportSpeed(now)
+	return s.events.Write(events)
+}
+
+// writeHeader writes the header of the present run's answer, unless that of an earlier run was written. It is written
+// with the first event, so that until then another engine can answer the call.
+func (s *answerStream) writeHeader() {
+	a := s.attempt
+	if a.headerWritten {
+		return
+	}
+	copyHeader(a.w, s.run.answer)
+	a.headerWritten = true
+	a.w.WriteHeader(s.run.answer.Status)
+}
+
+// close writes what is held back, and at the end of a complete answer the bytes after its last event.
+func (s *answerStream) close(err error) error {
+	s.releaseMove()
+	if err != nil && !s.attempt.headerWritten {
+		if s.failure != nil {
+			return s.relay.writeReply(s.attempt, *s.failure)
+		}
+		return unknownProblem(err)
+	}
+	var rest []byte
+	if err == nil {
+		rest = s.partialEvent
+		if !s.attempt.headerWritten {
+			s.writeHeader()
+		}
+	}
+	return errors.Join(err, s.events.Close(rest))
+}
+
+// recordArrival records when events arrived, and reports the run's progress to the placer.
+func (s *answerStream) recordArrival(now time.Time) {
+	a := s.attempt
+	if a.stats.events == 0 {
+		a.stats.firstEventMillis = a.elapsedMillis()
+		a.step = stepEvents
+		s.relay.config.Recorder.Record(turmericwall.EventStreamBegun).Str("request", a.call.ID).
+			Str("upstream", s.run.engine.ID).Int("firstMillis", a.stats.firstEventMillis).Send()
 	} else {
 		s.recordEventGap(now.Sub(s.lastEventAt).Milliseconds())
 	}
+	if s.run.firstEventAt.IsZero() {
+		s.run.firstEventAt = now
+		if s.run.stallTimer != nil {
+			s.run.stallTimer.Stop()
+		}
+		s.reportPrefill(now)
+	}
 	s.lastEventAt = now
-	stats.events += bytes.Count(events, eventSeparator)
-	s.lastEventID = max(s.lastEventID, parseLastEventID(events))
-	s.reportSpeed(now)
-	return s.events.Write(events)
 }
 
 // recordEventGap records the pause before an event. The first one that exceeds the route's limit is reported at once,
 // so that the placer does not run the next prefill beside streams that are slowed down as much.
 func (s *answerStream) recordEventGap(millis int64) {
 	stats, limitMillis := &s.attempt.stats, s.attempt.route.EventGapMillis
-	if limitMillis > 0 && millis > limitMillis && stats.maxEventGapMillis <= limitMillis {
+	if limitMillis > 0 && millis > limitMillis && stats.maxEventGapMillis <= limitMillis && s.run.events > 0 {
 		s.relay.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
-			ID: s.placementID, Service: s.update.Service, Running: true,
+			ID: s.run.placement.ID, Service: s.run.update.Service, Running: true,
 			EventGapExceeded: true,
 		})
 	}
@@ -185,35 +267,65 @@
 }
 
 // reportPrefill reports the duration of a local prefill to the placer.
-func (s *answerStream) reportPrefill() {
-	if s.update.Prefilled {
+func (s *answerStream) reportPrefill(now time.Time) {
+	if s.run.update.Prefilled {
 		return
 	}
-	s.update.Prefilled = true
-	s.update.PrefillMillis = s.attempt.stats.firstEventMillis - s.attempt.stats.placedMillis
+	s.run.update.Prefilled = true
+	s.run.update.PrefillMillis = now.Sub(s.run.placedAt).Milliseconds()
 	s.relay.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
-		ID: s.update.ID, Service: s.update.Service, Running: true, Prefilled: true,
-		PrefillMillis: s.update.PrefillMillis,
+		ID: s.run.update.ID, Service: s.run.update.Service, Running: true, Prefilled: true,
+		PrefillMillis: s.run.update.PrefillMillis,
 	})
 }
 
-// speedReportDelay is how long a stream runs before its speed is reported.
+// speedReportDelay is how long a run sends events before its speed is reported.
 const speedReportDelay = 400 * time.Millisecond
 
-// reportSpeed reports the speed of the answer before its end, because the first answers after a start end only after
+// reportSpeed reports the speed of the run before its end, because the first answers after a start end only after
 // seconds and the placer needs an estimate before then.
 func (s *answerStream) reportSpeed(now time.Time) {
-	if s.speedReported || now.Sub(s.firstEventAt) < speedReportDelay {
+	run := s.run
+	if run.speedReported || now.Sub(run.firstEventAt) < speedReportDelay {
 		return
 	}
-	s.speedReported = true
+	run.speedReported = true
 	s.relay.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
-		ID: s.placementID, Service: s.update.Service, Running: true,
-		AnswerTokens: (s.attempt.stats.events - 1) * max(s.attempt.service.Engine.TokensPerEvent, 1),
-		AnswerMillis: now.Sub(s.firstEventAt).Milliseconds(),
+		ID: run.placement.ID, Service: run.update.Service, Running: true,
+		AnswerTokens: (run.events - 1) * max(s.attempt.service.Engine.TokensPerEvent, 1),
+		AnswerMillis: now.Sub(run.firstEventAt).Milliseconds(),
 	})
 }
 
+// endRun reports the end of the present run to the placer.
+func (s *answerStream) endRun(ctx context.Context, err error) {
+	run := s.run
+	run.stop()
+	if !run.firstEventAt.IsZero() {
+		run.update.AnswerTokens = run.events * max(s.attempt.service.Engine.TokensPerEvent, 1)
+		run.update.AnswerMillis = time.Since(run.firstEventAt).Milliseconds()
+	}
+	var toCaller *callerError
+	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
+		run.update.FailedEngine = s.relay.failedEngine(run.engine, err)
+		s.attempt.avoid = append(s.attempt.avoid, run.engine.ID)
+	}
+	s.relay.config.Placer.ApplyUpdate(run.update)
+}
+
+// withoutDelivered returns the events without those at their beginning whose ids are not after the last one delivered.
+func withoutDelivered(events []byte, last int64) []byte {
+	for last > 0 && len(events) > 0 {
+		end := bytes.Index(events, eventSeparator) + len(eventSeparator)
+		id := parseLastEventID(events[:end])
+		if id == 0 || id > last {
+			break
+		}
+		events = events[end:]
+	}
+	return events
+}
+
 // parseLastEventID returns the id of the last event, or 0 when it has none.
 func parseLastEventID(events []byte) int64 {
 	at := bytes.LastIndex(events, idPrefix)
@@ -227,9 +339,3 @@
 	}
 	return id
 }
-
-func flush(w http.ResponseWriter) {
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
-	}
-}
--- a/internal/delivery/twretries/budget.go
+++ b/internal/delivery/twretries/budget.go
@@ -72,15 +72,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
-	w.daemonCounts[w.newest%bucketCount] = max(w.daemonCounts[w.newest%bucketCount], daemons)
-	allowed := usedShare * (b.config.Ratio*float64(sum(w.calls)) + b.slack(now, w))
-	if float64(sum(w.retries)+1) > allowed {
+	if !b.allows(now, w, daemons, 1) {
 		return false
 	}
 	w.retries[w.newest%bucketCount]++
 	return true
 }
 
+// Allows reports whether the number of retries could be taken from the budget now.
+func (b *Budget) Allows(now time.Time, service string, daemons, retries int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(now, b.windowAt(now, service), daemons, retries)
+}
+
+func (b *Budget) allows(now time.Time, w *window, daemons, retries int) bool {
+	w.daemonCounts[w.newest%bucketCount] = max(w.daemonCounts[w.newest%bucketCount], daemons)
+	allowed := usedShare * (b.config.Ratio*float64(sum(w.calls)) + b.slack(now, w))
+	return float64(sum(w.retries)+retries) <= allowed
+}
+
 // slack returns this daemon's part of the slack.
 //
 // What a terminated daemon has spent still counts in the window. Its part is therefore shared by the other daemons only
--- a/upstreams.go
+++ b/upstreams.go
@@ -50,6 +50,8 @@
 	Length int64
 	// Body returns io.EOF only at the end of a complete body. Closing it earlier stops the upstream's work.
 	Body io.ReadCloser
+	// EndsWithConnection is set if only the end of the connection ends the body.
+	EndsWithConnection bool
 	// NotRun is set if the upstream states that it did not run the call and never will.
 	NotRun bool
 	// SentAt is when the request was sent.
@@ -164,6 +166,8 @@
 	Reserve(ctx context.Context, to Upstream, tokens int, deadline time.Time) (reservation string, ok bool, err error)
 	// DropReservation releases an unused reservation.
 	DropReservation(ctx context.Context, to Upstream, reservation string) error
+	// CopyRun copies a call's memory to another engine while the run continues, so that MoveRun copies only what is new.
+	CopyRun(ctx context.Context, from, to Upstream, callID string) (EngineExport, error)
 	// MoveRun stops a call's run and copies its memory to another engine, where the run can continue from the export.
 	// If the copy fails, copied is false and the export can be imported by the engine from; the run has stopped there
 	// too.
