fix: take each repeated prefill from the retry budget before it is sent

Cause: a prefill that failed after it was sent was charged to the budget afterwards, whether the budget allowed it or not, and the next prefill of the call was not taken from it. A call whose prefill engines are silent could send four. Change: the first prefill is free, each further one is taken before it is sent.

--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -368,15 +368,17 @@
 	return plan.Engine.MaxReservationMillis
 }
 
-// sendPrefill sends the prompt to the prefill engine and counts the send against the retry budget where it is a retry.
+// sendPrefill sends the prompt to the prefill engine. The first prefill is no retry; each further one is taken from the
+// retry budget before it is sent, whether the one before succeeded or not.
 func (r *Relay) sendPrefill(
 	ctx context.Context, a *attempt, p turmericwall.Placement, out turmericwall.OutgoingCall,
 ) (turmericwall.EngineExport, error) {
 	if err := r.checkAcceptsCalls(p.Prefill); err != nil {
 		return turmericwall.EngineExport{}, &turmericwall.SendError{Err: err}
 	}
-	// The first prefill for another engine is not an attempt of the call; later and failed ones are.
-	if a.prefilled && !r.spendSend(a) {
+	repeated := a.prefillSent
+	if repeated && !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+		a.retryDenied = true
 		return turmericwall.EngineExport{}, errRetryBudgetUsed
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack)
@@ -385,13 +387,10 @@
 		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
 	})
 	switch {
-	case err != nil && a.prefilled:
-		r.returnUnsent(a, err)
-	case err != nil && wasSent(err):
-		r.chargeSend(a)
-	}
-	if err == nil {
-		a.prefilled = true
+	case err == nil || wasSent(err):
+		a.prefillSent = true
+	case repeated:
+		r.config.Retries.Return(time.Now(), a.service.Name)
 	}
 	return export, err
 }
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -105,8 +105,8 @@
 	avoid []string
 	// lastEventID is the id of the last event that was passed on; 0 before the first.
 	lastEventID int64
-	// prefilled is set once a prefill engine has exported the prompt.
-	prefilled bool
+	// prefillSent is set once a prefill may have reached an engine.
+	prefillSent bool
 	// step is what the call waits for, or waited for last.
 	step step
 	// upstreamID is the upstream of the last send.
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	sends := 1
-	if a.prefilled {
+	if a.prefillSent {
 		sends = 2
 	}
 	if !r.config.Retries.Allows(time.Now(), a.service.Name, r.config.Daemons(), sends) {
--- a/internal/delivery/twrelay/sends.go
+++ b/internal/delivery/twrelay/sends.go
@@ -25,11 +25,3 @@
 		r.config.Retries.Return(time.Now(), a.service.Name)
 	}
 }
-
-// chargeSend counts a send that turned out to be an attempt of the call only after it was made.
-func (r *Relay) chargeSend(a *attempt) {
-	if a.countedSends > 0 {
-		r.config.Retries.Charge(time.Now(), a.service.Name)
-	}
-	a.countedSends++
-}
--- a/internal/delivery/twretries/budget.go
+++ b/internal/delivery/twretries/budget.go
@@ -124,14 +124,6 @@
 	}
 }
 
-// Charge counts a retry that was already made.
-func (b *Budget) Charge(now time.Time, service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.windowAt(now, service)
-	w.retries[w.newest%bucketCount]++
-}
-
 // windowAt returns the service's window, advanced to the time.
 func (b *Budget) windowAt(now time.Time, service string) *window {
 	w, ok := b.services[service]
--- a/internal/delivery/twretries/budget_test.go
+++ b/internal/delivery/twretries/budget_test.go
@@ -93,13 +93,15 @@
 	g.Expect(spendAsOnlyDaemon(start.Add(21*time.Second))).To(Equal(40), "0.8 of 50")
 }
 
-func TestChargedRetriesCountAgainstTheBudget(t *testing.T) {
+// Guards against runs that are prepared, and their prompts read, for which the budget does not suffice.
+func TestAllowsOnlyWhatCanBeSpent(t *testing.T) {
 	g := NewWithT(t)
 	b := newBudget()
-	for range 8 {
-		b.Charge(start, "s")
+	for left := 8; left >= 0; left-- {
+		g.Expect(b.Allows(start, "s", 5, left)).To(BeTrue())
+		g.Expect(b.Allows(start, "s", 5, left+1)).To(BeFalse())
+		b.Spend(start, "s", 5)
 	}
-	g.Expect(b.Spend(start, "s", 5)).To(BeFalse())
 }
 
 func TestReturnedRetriesAreAvailableAgain(t *testing.T) {
