fix: keep a stream's read buffers until its last chunk was passed on

Cause: the goroutine that reads a body returned its buffers to the pool when it ended, while the stream still used the bytes of its last chunk. Where a read returns bytes together with the end of the body, the next stream wrote over them. Change: the stream returns the buffers when it has ended.

--- a/internal/delivery/twrelay/body.go
+++ b/internal/delivery/twrelay/body.go
@@ -30,11 +30,16 @@
 	chunks chan chunk
 	// arrivals counts the reads.
 	arrivals arrivals
+	// buffers are used in turn: while the owner has the bytes of one, the next read fills the other.
+	buffers [2]*[readBufferBytes]byte
 }
 
 // startReader reads the body until its end or that of ctx.
 func startReader(ctx context.Context, body io.ReadCloser) *bodyReader {
 	b := &bodyReader{chunks: make(chan chunk)}
+	for i := range b.buffers {
+		b.buffers[i] = readBufferPool.Get().(*[readBufferBytes]byte)
+	}
 	go b.run(ctx, body)
 	return b
 }
@@ -42,13 +47,8 @@
 func (b *bodyReader) run(ctx context.Context, body io.ReadCloser) {
 	defer close(b.chunks)
 	defer func() { _ = body.Close() }()
-	buffers := [2]*[readBufferBytes]byte{}
-	for i := range buffers {
-		buffers[i] = readBufferPool.Get().(*[readBufferBytes]byte)
-		defer readBufferPool.Put(buffers[i])
-	}
 	for n := 0; ; n++ {
-		buffer := buffers[n%len(buffers)]
+		buffer := b.buffers[n%len(b.buffers)]
 		read, err := readBody(body, buffer[:])
 		b.arrivals.record()
 		select {
@@ -72,8 +72,12 @@
 	return body.Read(buffer)
 }
 
-// wait returns when the goroutine has ended; the context of its exchange must have ended before.
+// wait returns when the goroutine has ended; the context of its exchange must have ended before. The bytes of the last
+// chunk aren't valid any more.
 func (b *bodyReader) wait() {
 	for range b.chunks {
 	}
+	for _, buffer := range b.buffers {
+		readBufferPool.Put(buffer)
+	}
 }
