fix: give calls that are open when the daemon exits their last answer

Callers saw: a connection closed without an answer, 7.7 s after a call was passed on to an upstream that had become silent, when the drain of the daemon ended. On, before any mend: TestCallsThatOutlastADrainGetTheirLastAnswer (new in this commit) fails with such a call, whose line names the caller as the one who left.

Cause: at the end of a drain the servers' connections were closed, and nobody waited for the handlers; a task that failed or panicked ended the process at once, without a drain; a SIGHUP ended it while nothing received it, before the daemon's tasks ran and after they had stopped.

Change: the drain ends the contexts of open calls with a cause of their own, and waits 0.23 s for their answers: refused if no upstream has the call, unknown if one has it, closed without the end if the stream was begun; endedBy is 'process'. After a failed task, whose error (1005) is now written at once, the daemon drains; a panic of a task is its error. SIGHUP is received from the first moment to the last. A call whose deadline passes before any upstream has it is refused as not run, too.

Unit tests: twrelay stopping_test.go, twtask, twfront, twrun (SIGHUP). Ruled out: that loses the outcome lines of these calls; they were there, with the wrong cause.

--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -102,7 +102,7 @@
 	case a.headerWritten:
 		outcome.Result = "brokenOff"
 	default:
-		status = writeProblem(a.w, deadlineProblem(ctx, err))
+		status = writeProblem(a.w, a.lastProblem(ctx, err))
 		outcome.Result = "failed"
 		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
 			status == http.StatusUnauthorized {
@@ -143,6 +143,8 @@
 	var toCaller *callerError
 	var sent *turmericwall.SendError
 	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return endedByProcess
 	case errors.Is(ctx.Err(), context.Canceled), errors.As(err, &toCaller):
 		return endedByCaller
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/delivery/twrelay/problems.go
+++ b/internal/delivery/twrelay/problems.go
@@ -10,15 +10,22 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// deadlineProblem replaces err by a problem that names the call's deadline, if the deadline has passed and the call may
-// have run.
-func deadlineProblem(ctx context.Context, err error) error {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return err
-	}
+// lastProblem returns the problem that the caller gets for the error. When the call's deadline has passed or the daemon
+// exits, the problem names that; a call that was sent to no upstream is refused as not run.
+func (a *attempt) lastProblem(ctx context.Context, err error) error {
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
 	var p *turmericwall.Problem
-	if errors.As(err, &p) && p.Outcome() == turmericwall.OutcomeNotRun {
+	switch {
+	case !stopping && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return err
+	case errors.As(err, &p) && p.Outcome() == turmericwall.OutcomeNotRun:
 		return err
+	case a.countedSends == 0 && a.runs == 0:
+		return turmericwall.NewProblem(turmericwall.KindNotReady, "the call's time here is over, and no upstream has it",
+			"come back at the time given").WithRetryAt(time.Now().Add(stoppingRetryAfter)).
+			WithOutcome(turmericwall.OutcomeNotRun).WithCause(err)
+	case stopping:
+		return unknownProblem(err)
 	}
 	return turmericwall.NewProblem(turmericwall.KindOutcomeUnknown, "the call's time is over",
 		"look before calling again").
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -34,6 +34,9 @@
 // that the answer can't be taken as complete.
 var ErrAnswerTruncated = errors.New("the answer was broken off; close the caller's connection")
 
+// ErrStopping is the cause with which the contexts of calls end that are still open when the daemon exits.
+var ErrStopping = errors.New("the daemon exits before the call's end")
+
 // Config holds the relay's dependencies.
 type Config struct {
 	Routes    *twroutes.Table
