--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -19,10 +19,12 @@
 	// maxReturnDelay is how long after the leaving of an engine was noticed a run may return to it: an engine gets no more
 	// calls two seconds after it states that it leaves, which daemons notice up to 1.3 s later.
 	maxReturnDelay = 500 * time.Millisecond
-	// importRetrySpan is how long an engine keeps the copy of a run at least, and importRetryDelay the pause between two
-	// sends to one that can't be reached.
-	importRetrySpan  = 2 * time.Second
-	importRetryDelay = 50 * time.Millisecond
+	// importRetrySpan is how long the engine with the copy of a run is tried, importRetryDelay the pause between two sends
+	// if it can't be reached, and refusedImportDelay the pause if it refused the run, as while it changes its role.
+	importRetrySpan    = 2 * time.Second
+	importRetryDelay   = 50 * time.Millisecond
+	refusedImportDelay = 250 * time.Millisecond
+	maxRefusedImports  = 2
 )
 
 var (
@@ -203,7 +205,7 @@
 }
 
 // importRun sends the call to the engine that has the copy of its run, or to its source if that engine did not take it.
-// While the engine can't be reached, the send is repeated: the copy is kept there for a while.
+// When the source must get no more calls, the engine with the copy is tried again for a while.
 func (s *answerStream) importRun(
 	ctx context.Context, result moveResult, source turmericwall.Upstream,
 ) (*modelRun, error) {
@@ -219,18 +221,23 @@
 	if result.copied {
 		err = s.sendMoved(ctx, run, result.placement.Decode)
 	}
+	refusals := 0
 	for until := time.Now().Add(importRetrySpan); err != nil; {
 		if !isSafeToResend(err) {
 			return nil, err
 		}
-		last, engine := err, result.placement.Decode
+		last, engine, delay := err, result.placement.Decode, importRetryDelay
+		if wasSent(err) && result.copied {
+			refusals++
+			delay = refusedImportDelay
+		}
 		switch {
 		case time.Since(s.move.noticedAt) < maxReturnDelay:
-			engine = source
-		case !result.copied || wasSent(err) || time.Now().After(until):
+			engine, delay = source, 0
+		case !result.copied || refusals > maxRefusedImports || time.Now().After(until):
 			return nil, err
 		}
-		if !pause(ctx, importRetryDelay) || !s.relay.spendSend(s.attempt) {
+		if !pause(ctx, delay) || !s.relay.spendSend(s.attempt) {
 			return nil, errors.Join(err, errRetryBudgetUsed)
 		}
 		if err = s.sendMoved(ctx, run, engine); err != nil {
