fix: let a starting daemon's reads prove no plan just after a return of the store

The store had continued from a copy without the removal, and a daemon that started just then took the copy for a proof of its plan, although a peer had a newer one.

Cause: a watch withholds the proof for two seconds when it sees the store's era rise; a daemon that starts afterwards sees no rise. Change: the first listing in a later era than the first counts as a return. A peer's proof, which a live leader sends with each heartbeat, confirms at once as before; only daemons without one wait, and only where the store ever continued from a copy.

Evidence: TestFirstListingAfterAReturnConfirmsNothingUntilLostWritesAreBack, red before (confirmed at once).

--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -24,6 +24,9 @@
 	lostHistoryPause = 100 * time.Millisecond
 	// rewriteSpan is the time after a return from a copy in which what the store lost may not be written again yet.
 	rewriteSpan = 2 * time.Second
+	// firstEra is the era of a store that has never continued from a copy. In a later one a watch that has read nothing
+	// can't tell how long ago the return was.
+	firstEra = 1
 	// minWait is the shortest wait for changes; it keeps reads of a slow store from following each other without a
 	// pause.
 	minWait = 100 * time.Millisecond
@@ -185,7 +188,7 @@
 		}
 		w.endOutage()
 		w.recordListing(snapshot.Version)
-		if w.after > 0 && twposition.Position(snapshot.Version).Era() > twposition.Position(w.after).Era() {
+		if twposition.Position(snapshot.Version).Era() > max(twposition.Position(w.after).Era(), firstEra) {
 			w.rewrittenAt = time.Now().Add(rewriteSpan)
 		}
 		// A lagging replica may answer with an older version; the version never goes back.
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -302,3 +302,24 @@
 	g.Consistently(confirmed.Load, "1800ms").Should(BeEquivalentTo(1), "only the listing before the return")
 	g.Eventually(confirmed.Load, "1s").Should(BeNumerically(">", 1))
 }
+
+// Guards against a daemon that starts just after a return of the store from a copy, and takes the copy for a proof of the
+// plan although its peers have a newer one.
+func TestFirstListingAfterAReturnConfirmsNothingUntilLostWritesAreBack(t *testing.T) {
+	g := NewWithT(t)
+	f := &feed{lists: []turmericwall.Snapshot{snapshot(2_000_000_000_004, 2)}, extraLatency: time.Millisecond}
+	for range 40 {
+		f.changes = append(f.changes, snapshot(2_000_000_000_004, 0))
+	}
+	var confirmed atomic.Int64
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	w := twwatch.New(twwatch.Config{
+		Feed: f, Table: "t", Recorder: log, Follower: &follower{}, Wait: 100 * time.Millisecond,
+		OnConfirmed: func(twboottime.Instant) { confirmed.Add(1) },
+	})
+	go func() { done <- w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	g.Consistently(confirmed.Load, "1800ms").Should(BeZero())
+	g.Eventually(confirmed.Load, "1s").Should(BeNumerically(">", 0))
+}
