fix: let a share that went into debt save up a whole call

Cause: a full share admitted a call larger than itself and went into debt, and did so again as soon as it was full: twice in a window of eight seconds, 60 daemons together 11,800 units where 10,455 are allowed. Admitting all such calls at random, as for accounts that the leader listed, refuses too many of an account below its quota. Change: the first such call is admitted as before; after it the share saves up a whole call before it admits the next one. A daemon then admits no more than its rate after its first debt. Deterministic, no draw.

--- a/internal/admission/twquota/alone.go
+++ b/internal/admission/twquota/alone.go
@@ -26,9 +26,10 @@
 // not use, so that accounts far below their limits are not refused. The share of an account that the leader listed
 // starts with the fraction that was left, less what this daemon used since that was counted.
 //
-// A share may be smaller than a call. A full share then admits the call and goes into debt. For a listed account it
-// does so only at random, as often as the share allows on average: the debts of hundreds of daemons would add up to
-// many times the quota.
+// A share may be smaller than a call. A full share then admits one call and goes into debt, and saves up a whole call
+// before it admits the next one: two debts of each daemon in one window would exceed the quota. For a listed account it
+// admits at random, as often as the share allows on average: the debts of hundreds of daemons would add up to many
+// times the quota.
 func (m *Meter) chargeLocalShare(s clusterState, account turmericwall.ClientAccount, units float64) error {
 	daemons := s.daemons
 	if daemons == 0 {
@@ -49,14 +50,15 @@
 		m.localBuckets[account.Name] = b
 	}
 	b.refill(s.now, rate, capacity)
-	if b.level < min(units, capacity) && s.daemons == 0 {
+	needed := min(units, max(capacity, b.savingsGoal))
+	if b.level < needed && s.daemons == 0 {
 		return turmericwall.NewProblem(turmericwall.KindNotReady,
 			"this daemon doesn't know yet what is left of the quota of client account "+account.Name,
 			"come back at the time given").WithRetryAt(s.now.Add(unknownCountRetryDelay))
 	}
-	if b.level < min(units, capacity) {
+	if b.level < needed {
 		return newOverLimit(account, units, b.level, "of this daemon's part, without a leader",
-			b.assignRetryTime(s.now, rate, min(units, capacity)))
+			b.assignRetryTime(s.now, rate, needed))
 	}
 	if _, listed := m.levels[account.Name]; listed && units > capacity {
 		b.level -= capacity
@@ -69,6 +71,9 @@
 		return nil
 	}
 	b.level -= units
+	if b.level < 0 {
+		b.savingsGoal = units
+	}
 	m.recordUse(s.now, account.Name, units)
 	return nil
 }
--- a/internal/admission/twquota/bucket.go
+++ b/internal/admission/twquota/bucket.go
@@ -19,8 +19,10 @@
 // bucket is a token bucket that holds units and may go into debt. Its times come from the monotonic clock, so it does
 // not refill while the VM is suspended.
 type bucket struct {
-	level      float64
-	refilledAt time.Time
+	// savingsGoal are the units that are saved up beyond the capacity after a debt, for a call that is larger than it.
+	savingsGoal float64
+	level       float64
+	refilledAt  time.Time
 	// capacity is the one to which the level was last limited.
 	capacity float64
 	// smoothedReports is the rate in units per second that other daemons report, smoothed over reportSmoothing, as of
@@ -45,7 +47,7 @@
 		b.level += elapsed * rate
 		b.refilledAt = now
 	}
-	b.level = min(b.level, capacity)
+	b.level = min(b.level, max(capacity, b.savingsGoal))
 }
 
 // recordReport charges units that another daemon reported.
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -188,6 +188,9 @@
 	m.recordUse(s.now, account, -units)
 	if b, ok := m.localBuckets[account]; ok && m.localLevelsAt.Equal(m.levelsAt) {
 		b.level += units
+		if b.level >= 0 {
+			b.savingsGoal = 0
+		}
 	}
 }
 
