--- a/internal/delivery/twrelay/body.go
+++ b/internal/delivery/twrelay/body.go
@@ -9,7 +9,7 @@
 )
 
 // readBufferBytes is the size of one read of a stream; an event has a few hundred bytes.
-const readBufferBytes = 4 << 10
+const readBufferBytes = 2 << 10
 
 // readBufferPool shares the read buffers between streams.
 var readBufferPool = sync.Pool{New: func() any { return new([readBufferBytes]byte) }}
