fix: place a stream that can't be resumed no further

A stream whose key had been removed, or whose refusal names no time, was placed again each half second until its deadline. It ends now with the error. A run that was moved is logged as moved only, not as resumed too, and the time since which an engine is known to leave starts anew with each engine, so that a later run may return to its source. Test: TestAStreamOfARemovedKeyIsNotResumed (four placements before the change: read in the code, the test was written with it).

--- a/internal/delivery/twrelay/account_test.go
+++ b/internal/delivery/twrelay/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -100,3 +101,23 @@
 	g.Expect(s.upstreams.sends[0].Call.Header).To(Equal([][2]string{{"Authorization", "Bearer secret"}}))
 	g.Expect(s.upstreams.sends[0].Call.Account).To(BeEmpty())
 }
+
+// Guards against a stream that goes on at another engine with a key that was removed meanwhile.
+func TestAStreamOfARemovedKeyIsNotResumed(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"), splitPlacement("d2"))
+	s.requireKeys()
+	broken := stream(events(1, 2), io.ErrUnexpectedEOF)
+	s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		plan, _ := s.routes.Plan()
+		next := *plan
+		next.Version++
+		next.Accounts = []turmericwall.ClientAccount{{Name: "a", KeyDigests: []string{twkeyindex.Digest("other")}}}
+		s.routes.Apply(&next)
+		return broken(ctx, call)
+	}}.send
+	w := s.serveWithHeaders([][2]string{{"Authorization", "Bearer secret"}}, "/r/x")
+	g.Expect(w.Body.String()).To(Equal(events(1, 2)))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+	g.Expect(s.placer.requests).To(HaveLen(2), "it is not placed again and again")
+}
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -200,7 +200,6 @@
 		return nil, err
 	}
 	m.moves++
-	m.noticedAt = time.Time{}
 	return run, nil
 }
 
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -37,17 +37,18 @@
 	if err != nil {
 		cause = errors.Join(cause, errMoveFailed, err)
 	}
-	if run == nil {
-		run, err = s.resume(ctx)
+	if run != nil {
+		return run, nil
 	}
-	if run == nil {
-		if err != nil {
-			cause = errors.Join(cause, err)
-		}
-		return nil, cause
+	run, err = s.resume(ctx)
+	if run != nil {
+		s.recordResumed(run, cause)
+		return run, nil
+	}
+	if err != nil {
+		cause = errors.Join(cause, err)
 	}
-	s.recordResumed(run, cause)
-	return run, nil
+	return nil, cause
 }
 
 // resume starts another run of the call after the last event that was passed on. While no engine takes it, it is placed
@@ -61,7 +62,8 @@
 			return run, nil
 		}
 		last = err
-		if !a.mayRunAgain() || !pause(ctx, retryDelay(err)) {
+		delay, retried := retryDelay(err)
+		if !retried || !pause(ctx, delay) {
 			break
 		}
 		// An engine that failed, or was silent, may be sound again; no other one is left.
@@ -70,13 +72,14 @@
 	return nil, last
 }
 
-// retryDelay returns how long to wait before the next placement.
-func retryDelay(err error) time.Duration {
+// retryDelay returns how long to wait before the next placement; it returns false if the error names no time for one, as
+// that of a key that was removed.
+func retryDelay(err error) (time.Duration, bool) {
 	var p *turmericwall.Problem
 	if !errors.As(err, &p) || p.RetryAt().IsZero() {
-		return maxRetryDelay
+		return 0, false
 	}
-	return min(max(time.Until(p.RetryAt()), minRetryDelay), maxRetryDelay)
+	return min(max(time.Until(p.RetryAt()), minRetryDelay), maxRetryDelay), true
 }
 
 // mayResume reports whether the route and the retry budget allow another run of the call, its prefill included.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -55,6 +55,7 @@
 func (s *answerStream) passOn(ctx context.Context, run *modelRun) error {
 	for {
 		s.run = run
+		s.move.noticedAt = time.Time{}
 		err := s.passRunOn(ctx)
 		s.endRun(ctx, err)
 		if err == nil {
