feat: log which engines ended under a run, with the request's fingerprint and the parts of its prompt

What was missing: the line of a call's outcome names neither the request over its tries nor the parts of its prompt, nor whether its engine ended or only broke one answer off. No decision depends on it yet.

--- a/events.go
+++ b/events.go
@@ -27,6 +27,7 @@
 	EventRunMoved           EventID = 3009
 	EventCallSent           EventID = 3010
 	EventStreamResumed      EventID = 3011
+	EventRunBroken          EventID = 3012
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -88,6 +89,7 @@
 	EventRunMoved:           "Run moved",
 	EventCallSent:           "Call sent",
 	EventStreamResumed:      "Stream resumed",
+	EventRunBroken:          "Run broken off",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
--- /dev/null
+++ b/internal/delivery/twrelay/ends.go
@@ -0,0 +1,55 @@
+package twrelay
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
+)
+
+// fingerprint returns the fingerprint of the attempt's request, which is the same for all tries of its caller.
+func (a *attempt) fingerprint() twfingerprint.Fingerprint {
+	if a.requestFingerprint == "" {
+		a.requestFingerprint = twfingerprint.Of(a.call)
+	}
+	return a.requestFingerprint
+}
+
+// checkEnd checks whether the upstream of a run that was broken off has ended, and records the end.
+func (r *Relay) checkEnd(ctx context.Context, a *attempt, run *modelRun, cause error) {
+	if !r.mayHaveEnded(ctx, run.engine, cause) {
+		return
+	}
+	ended := r.config.HasEnded(ctx, run.engine)
+	if ended {
+		a.engineEnds++
+	}
+	sinceBegin := int64(-1)
+	if !run.firstEventAt.IsZero() {
+		sinceBegin = time.Since(run.firstEventAt).Milliseconds()
+	}
+	r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", a.call.ID).Str("upstream", run.engine.ID).
+		Int("started", run.engine.StartedMillis).Int("ended", boolToInt64(ended)).Int("events", int64(run.events)).
+		Int("sinceFirstMillis", sinceBegin).Str("fingerprint", string(a.fingerprint())).
+		Str("parts", strings.Join(a.call.PromptParts, ",")).Err(cause).Send()
+}
+
+// mayHaveEnded reports whether the error of a run may come from the end of its upstream. An upstream that is leaving ends
+// as it announced, and one that is silent or answers has not ended.
+func (r *Relay) mayHaveEnded(ctx context.Context, upstream turmericwall.Upstream, cause error) bool {
+	var toCaller *callerError
+	var sent *turmericwall.SendError
+	switch {
+	case r.config.HasEnded == nil, cause == nil, ctx.Err() != nil:
+		return false
+	case errors.As(cause, &toCaller), errors.Is(cause, errOtherVersion), errors.Is(cause, errSilent),
+		errors.Is(cause, errEngineFailed), isTimeout(cause):
+		return false
+	case errors.As(cause, &sent) && (sent.PathLost || !sent.Sent || sent.NotRun):
+		return false
+	}
+	return r.config.View.AcceptsCalls(upstream.Key()) && !r.pathLost(upstream)
+}
--- a/internal/delivery/twrelay/failures.go
+++ b/internal/delivery/twrelay/failures.go
@@ -14,6 +14,7 @@
 	p, update := run.placement, &run.update
 	var sent *turmericwall.SendError
 	if !errors.As(err, &sent) || !sent.IsSafeToResend() {
+		r.checkEnd(ctx, a, run, err)
 		if ctx.Err() == nil {
 			update.FailedEngine = r.failedEngine(p.Decode, err)
 		}
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -206,6 +207,10 @@
 	if outcome.EndedBy != "" {
 		entry = entry.Str("endedBy", outcome.EndedBy)
 	}
+	if a.engineEnds > 0 {
+		entry = entry.Int("engineEnds", int64(a.engineEnds)).Str("fingerprint", string(a.fingerprint())).
+			Str("parts", strings.Join(a.call.PromptParts, ","))
+	}
 	if a.retryDenied {
 		entry = entry.Int("retryDenied", 1)
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
 	"github.com/turmericwall/turmericwall/internal/membership/twupstreams"
@@ -57,6 +58,8 @@
 	// PathLost reports whether this daemon has no network path to the upstream, so that failures there say nothing about
 	// it; it may be nil.
 	PathLost func(upstream turmericwall.UpstreamKey) bool
+	// HasEnded reports whether an upstream that broke an answer off has ended; it may be nil.
+	HasEnded func(ctx context.Context, upstream turmericwall.Upstream) bool
 	// Streams has the software versions that began streams.
 	Streams turmericwall.StreamVersions
 	// Daemons returns the number of live daemons, which share the retry budget.
@@ -110,6 +113,10 @@
 	// another incarnation may have sent that event, so that the stream can go on nowhere else.
 	version        turmericwall.SoftwareVersion
 	versionUnknown bool
+	// requestFingerprint is empty until it is needed; see fingerprint.
+	requestFingerprint twfingerprint.Fingerprint
+	// engineEnds counts the engines that ended while they ran the call.
+	engineEnds int
 	// avoid are the engines that failed the call.
 	avoid []string
 	// lastEventID is the id of the last event that was passed on; 0 before the first.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -261,6 +261,7 @@
 	}
 	var toCaller *callerError
 	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
+		s.relay.checkEnd(ctx, s.attempt, run, err)
 		if !errors.Is(err, errOtherVersion) {
 			run.update.FailedEngine = s.relay.failedEngine(run.engine, err)
 		}
--- a/routes.go
+++ b/routes.go
@@ -155,6 +155,9 @@
 	Header [][2]string
 	Body   []byte
 	Work   ModelWork
+	// PromptParts are the names of the prompt's parts in their order, without the last one, which is Work.Subject. Calls
+	// share parts.
+	PromptParts []string
 	// Account is the client account whose key the call carries; empty if it carries none.
 	Account string
 	// LastEvent is the number of the event after which a resumed stream continues; 0 for the start.
