fix: check the end of an engine by a query that a peer may send

A connection alone says nothing where something between accepts it, and a daemon that lost its own path took the engine for ended. The check queries the engine's report (a plain upstream's health check) through the transport that makes detours, and repeats one that breaks off: it may have been sent on a connection that broke with the answers.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -1,5 +1,5 @@
 // Package twendcheck tells an upstream that has ended from one that broke a single answer off: an upstream that has ended
-// accepts no connection.
+// answers no query, neither to this daemon nor to a peer.
 package twendcheck
 
 import (
@@ -13,7 +13,7 @@
 
 const (
 	// checkTimeout bounds one check, as the caller of the broken answer waits for it.
-	checkTimeout = 300 * time.Millisecond
+	checkTimeout = 400 * time.Millisecond
 	// resultValidity is how long the result of a check holds for the other answers of the upstream: they break at the same
 	// time, and an upstream that ended takes longer to start again.
 	resultValidity = time.Second
@@ -21,11 +21,9 @@
 
 // Config configures a Checker.
 type Config struct {
-	// Connect opens a connection to the upstream. The error is a SendError.
-	Connect func(ctx context.Context, to turmericwall.Upstream) error
-	// IsCutOff reports whether this daemon has no network path to the service, so that a failed connection says nothing
-	// about the upstream.
-	IsCutOff func(service string) bool
+	// Query asks the incarnation for something cheap, through a peer if this daemon has no network path to it. The error is
+	// a SendError.
+	Query func(ctx context.Context, to turmericwall.Upstream) error
 }
 
 // Checker checks whether upstreams have ended. It is safe for concurrent use.
@@ -80,13 +78,25 @@
 	return found, true
 }
 
-// run makes the check. It doesn't end with the call that started it, as other calls wait for it too.
+// run makes the check. It doesn't end with the call that started it, as other calls wait for it too. A query that breaks off
+// is repeated once, since it may have been sent on a connection that broke with the answers.
 func (c *Checker) run(started *check, upstream turmericwall.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	err := c.config.Connect(ctx, upstream)
+	err := c.config.Query(ctx, upstream)
+	if isBrokenOff(err) && ctx.Err() == nil {
+		err = c.config.Query(ctx, upstream)
+	}
 	var sent *turmericwall.SendError
-	refused := errors.As(err, &sent) && sent.ConnectFailed
-	started.ended = refused && !c.config.IsCutOff(upstream.Service)
+	refused := errors.As(err, &sent) && ((sent.ConnectFailed && !sent.PathLost) || sent.IncarnationReplaced)
+	started.ended = ctx.Err() == nil && (refused || isBrokenOff(err))
 	close(started.done)
 }
+
+// isBrokenOff reports whether a query was sent and its connection closed without an answer.
+func isBrokenOff(err error) bool {
+	var sent *turmericwall.SendError
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &sent) && sent.Sent && sent.Status == 0 && !sent.PathLost &&
+		!(errors.As(err, &timeout) && timeout.Timeout())
+}
