fix: hold a request to three engines that end under it, over all tries and daemons

What callers saw: one request under which three engines had ended was sent to engines N times more, and sound streams ended with each of them. Cause: nothing about a request outlived one call with one id. The engine was ejected, the call was blameless, and the caller's next try, at any daemon, started from zero. Class: a query of death, which retries carry on.

Change: an engine that answers nobody after a broken run has ended under the request's fingerprint (twevidence, a pure ledger whose copies merge in any order). The daemon reports that to the leader before the call goes on or its caller gets an answer; placements carry the fingerprint, and the leader places a request under which engines ended one call at a time, and not at all after the third. Daemons refuse it at once with 503 and the time, once they know.

Ruled out: more sends than maxAttempts within one call (3010 shows two at most).

--- a/decisions.go
+++ b/decisions.go
@@ -115,6 +115,8 @@
 	Permanent bool
 	// VersionGone is set if no engine of the software version that the call requires is listed.
 	VersionGone bool
+	// Quarantined is set if the call's input ends engines.
+	Quarantined bool
 }
 
 // Sweep requests that the attempt be cancelled at the engine unless its owner still needs it. The caller of Step
--- a/events.go
+++ b/events.go
@@ -28,6 +28,7 @@
 	EventCallSent           EventID = 3010
 	EventStreamResumed      EventID = 3011
 	EventRunBroken          EventID = 3012
+	EventQuarantineChanged  EventID = 3013
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -90,6 +91,7 @@
 	EventCallSent:           "Call sent",
 	EventStreamResumed:      "Stream resumed",
 	EventRunBroken:          "Run broken off",
+	EventQuarantineChanged:  "Quarantine changed",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -26,6 +27,7 @@
 	ended := r.config.HasEnded(ctx, run.engine)
 	if ended {
 		a.engineEnds++
+		r.recordEnd(ctx, a, run)
 	}
 	sinceBegin := int64(-1)
 	if !run.firstEventAt.IsZero() {
@@ -37,6 +39,42 @@
 		Str("parts", strings.Join(a.call.PromptParts, ",")).Err(cause).Send()
 }
 
+// recordEnd records the end of the engine that ran the call. It returns once the daemon that judges the next placement knows
+// of it, as the call goes on, or its caller comes again, at once.
+func (r *Relay) recordEnd(ctx context.Context, a *attempt, run *modelRun) {
+	if r.config.Quarantine == nil {
+		return
+	}
+	r.config.Quarantine.RecordEnd(run.engine, a.input())
+	r.config.FlushEvidence(ctx)
+}
+
+// recordAnswer records that the call was answered completely.
+func (r *Relay) recordAnswer(a *attempt) {
+	if r.config.Quarantine != nil {
+		r.config.Quarantine.RecordAnswer(a.input())
+	}
+}
+
+// input returns what the call brings to engines.
+func (a *attempt) input() turmericwall.Input {
+	return turmericwall.Input{Service: a.service.Name, Request: string(a.fingerprint())}
+}
+
+// checkQuarantine returns the refusal of a call whose input is quarantined.
+func (r *Relay) checkQuarantine(a *attempt) error {
+	if r.config.Quarantine == nil {
+		return nil
+	}
+	judgement := r.config.Quarantine.Judge(a.input())
+	if judgement.Verdict != turmericwall.VerdictQuarantined {
+		return nil
+	}
+	return turmericwall.NewQuarantineProblem(
+		fmt.Sprintf("%d engines ended under this request", judgement.Ends),
+		time.Now().Add(time.Duration(judgement.RemainingMillis)*time.Millisecond))
+}
+
 // mayHaveEnded reports whether the error of a run may come from the end of its upstream. An upstream that is leaving ends
 // as it announced, and one that is silent or answers has not ended.
 func (r *Relay) mayHaveEnded(ctx context.Context, upstream turmericwall.Upstream, cause error) bool {
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 	"github.com/turmericwall/turmericwall/internal/placement/twstreamrecords"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
 	"github.com/turmericwall/turmericwall/internal/routing/twroutes"
 )
 
@@ -238,6 +239,7 @@
 	// lastEvent and resumes are those of the calls.
 	lastEvent int64
 	resumes   string
+	endings
 }
 
 // logBuffer collects log lines of several goroutines.
@@ -319,9 +321,16 @@
 		Retries:       s.retries,
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
 		Recorder:      tweventlog.New(tweventlog.Config{Output: s.log}), Daemons: func() int { return 1 }, Daemon: "me",
-		Streams: s.streams,
-		Observe: func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
-		StopsAt: func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
+		Streams:  s.streams,
+		HasEnded: func(context.Context, turmericwall.Upstream) bool { return s.ended.Load() },
+		Quarantine: twquarantine.New(twquarantine.Config{
+			Self:   func() turmericwall.Member { return turmericwall.Member{} },
+			Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true }, OnChange: func() {},
+			Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Now: time.Now,
+		}),
+		FlushEvidence: func(context.Context) { s.flushes.Add(1) },
+		Observe:       func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
+		StopsAt:       func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
 	})
 	return s
 }
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -24,6 +24,9 @@
 // another one where that is safe.
 func (r *Relay) serveModelCall(ctx context.Context, a *attempt) error {
 	defer r.releasePrepared(a)
+	if err := r.checkQuarantine(a); err != nil {
+		return err
+	}
 	run, err := r.startRun(ctx, a)
 	if err != nil {
 		return a.problemOfRuns(err)
@@ -83,7 +86,7 @@
 		CallerDeadline: a.call.Deadline, Avoid: slices.Concat(a.avoid, closed),
 		EventGapMillis: a.route.EventGapMillis, Account: a.call.Account, Units: a.quotaUnits,
 		Priority: a.route.Priority, Version: a.version,
-		TakesUp: a.takesUp(), Stream: a.call.Resumes,
+		TakesUp: a.takesUp(), Stream: a.call.Resumes, Fingerprint: string(a.fingerprint()),
 	}
 	if a.runs > 0 {
 		// The call was charged with its first run, and its caller waits for the next event like for a first one.
@@ -152,6 +155,12 @@
 // fails, done reports whether the call must not be placed again.
 func (r *Relay) sendRun(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
 	a.upstreamID = run.engine.ID
+	if err := r.checkQuarantine(a); err != nil {
+		// The run may have been prepared long before, while another run of the request ended its engine.
+		a.prepared = run
+		r.releasePrepared(a)
+		return true, err
+	}
 	a.runs++
 	run.stallTimer = r.startStallTimer(run.placement, a.service.Name)
 	r.recordSent(a, run.engine)
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -58,6 +58,10 @@
 	// PathLost reports whether this daemon has no network path to the upstream, so that failures there say nothing about
 	// it; it may be nil.
 	PathLost func(upstream turmericwall.UpstreamKey) bool
+	// Quarantine judges the input of model calls, and FlushEvidence waits until what was recorded there has reached the
+	// daemon that judges their next placement. They may be nil.
+	Quarantine    turmericwall.CallQuarantine
+	FlushEvidence func(ctx context.Context)
 	// HasEnded reports whether an upstream that broke an answer off has ended; it may be nil.
 	HasEnded func(ctx context.Context, upstream turmericwall.Upstream) bool
 	// Streams has the software versions that began streams.
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -71,10 +71,11 @@
 }
 
 // retryDelay returns how long to wait before the next placement; it returns false if the error names no time for one, as
-// that of a key that was removed, or if no engine of the stream's version is left.
+// that of a key that was removed, if no engine of the stream's version is left, or if the call's input is quarantined.
 func retryDelay(err error) (time.Duration, bool) {
 	var p *turmericwall.Problem
-	if !errors.As(err, &p) || p.RetryAt().IsZero() || errors.Is(err, turmericwall.ErrVersionGone) {
+	if !errors.As(err, &p) || p.RetryAt().IsZero() || errors.Is(err, turmericwall.ErrVersionGone) ||
+		errors.Is(err, turmericwall.ErrQuarantined) {
 		return 0, false
 	}
 	return twretries.Delay(time.Now(), p.RetryAt()), true
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -55,6 +55,7 @@
 		err := s.passRunOn(ctx)
 		s.endRun(ctx, err)
 		if err == nil {
+			s.relay.recordAnswer(s.attempt)
 			break
 		}
 		next, continueErr := s.continueElsewhere(ctx, err)
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -92,6 +92,10 @@
 	// another daemon.
 	Leaving      func() []turmericwall.UpstreamKey
 	ApplyLeaving func([]turmericwall.UpstreamKey)
+	// EvidenceVersion is the version of this daemon's evidence on engines that ended. WantEvidence is called with that of the
+	// leader. Both may be nil.
+	EvidenceVersion func() int64
+	WantEvidence    func(leader turmericwall.Member, version int64)
 	// OnPeerLost is called for an incarnation that is no longer live.
 	OnPeerLost func(incarnation string)
 }
@@ -161,6 +165,9 @@
 	signal(c.sendNow)
 }
 
+// AnnounceChange sends heartbeats soon, because they announce something that daemons wait for.
+func (c *Cluster) AnnounceChange() { signal(c.sendNow) }
+
 // signal sends to ch unless a signal is already pending.
 func signal(ch chan struct{}) {
 	select {
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -59,6 +59,9 @@
 	if c.config.ApplyLeaving != nil {
 		c.config.ApplyLeaving(heartbeat.Leaving)
 	}
+	if c.config.WantEvidence != nil {
+		c.config.WantEvidence(heartbeat.Leader, heartbeat.EvidenceVersion)
+	}
 	if heartbeat.Successor == c.config.Self && c.config.OnNominated != nil {
 		c.config.OnNominated()
 	}
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -53,6 +53,9 @@
 	if c.config.Leaving != nil {
 		heartbeat.Leaving = c.config.Leaving()
 	}
+	if c.config.EvidenceVersion != nil {
+		heartbeat.EvidenceVersion = c.config.EvidenceVersion()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -93,7 +93,8 @@
 	if reply.Refused {
 		return turmericwall.Placement{}, turmericwall.NewRefusalProblem(turmericwall.Refusal{
 			Attempt: request.ID, Reason: reply.Reason, Permanent: reply.Never, VersionGone: reply.VersionGone,
-			RetryAt: now.Add(time.Duration(reply.RetryMillis) * time.Millisecond),
+			Quarantined: reply.Quarantined,
+			RetryAt:     now.Add(time.Duration(reply.RetryMillis) * time.Millisecond),
 		})
 	}
 	return turmericwall.Placement{
@@ -129,6 +130,15 @@
 	return c.call(ctx, address, pathStreams, records, nil)
 }
 
+// ExchangeEvidence sends evidence on engines that ended to a daemon and returns that daemon's. Its time limit is that of
+// ctx.
+func (c *Client) ExchangeEvidence(
+	ctx context.Context, address string, evidence turmericwall.Evidence,
+) (turmericwall.Evidence, error) {
+	var reply turmericwall.Evidence
+	return reply, c.call(ctx, address, pathEvidence, evidence, &reply)
+}
+
 // Admit requests sends to an upstream that states a rate from the rate coordinator. Its time limit is that of ctx.
 func (c *Client) Admit(
 	ctx context.Context, address string, request turmericwall.AdmitRequest,
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -17,6 +17,7 @@
 	pathCharge    = "/peer/charge"
 	pathExchange  = "/peer/exchange"
 	pathStreams   = "/peer/streams"
+	pathEvidence  = "/peer/evidence"
 )
 
 // wirePlaceRequest is a request for a placement as it is sent. Deadlines are sent as the time that is left, since the
@@ -40,6 +41,8 @@
 	Version turmericwall.SoftwareVersion `json:"version,omitempty"`
 	TakesUp bool                         `json:"takesUp,omitempty"`
 	Stream  string                       `json:"stream,omitempty"`
+
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
 
 // wirePlacedCall is a call under way as it is sent to a new leader.
@@ -62,6 +65,7 @@
 	OverLimit     bool                  `json:"overLimit,omitempty"`
 	RetryMillis   int64                 `json:"retryMillis,omitempty"`
 	VersionGone   bool                  `json:"versionGone,omitempty"`
+	Quarantined   bool                  `json:"quarantined,omitempty"`
 	// Version is the version that was required. A leader of an earlier build leaves it out, and doesn't keep to it.
 	Version turmericwall.SoftwareVersion `json:"version,omitempty"`
 }
@@ -82,6 +86,7 @@
 		Version:      request.Version,
 		TakesUp:      request.TakesUp,
 		Stream:       request.Stream,
+		Fingerprint:  request.Fingerprint,
 	}
 }
 
@@ -101,6 +106,7 @@
 		Version:        request.Version,
 		TakesUp:        request.TakesUp,
 		Stream:         request.Stream,
+		Fingerprint:    request.Fingerprint,
 	}
 }
 
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -28,8 +28,10 @@
 	Finish          func(turmericwall.PlacementUpdate)
 	AdoptPlacedCall func(turmericwall.PlacedCall)
 	RecordStreams   func([]turmericwall.StreamRecord)
-	Admit           func(turmericwall.AdmitRequest) turmericwall.AdmitReply
-	Charge          func(turmericwall.ChargeRequest) turmericwall.ChargeReply
+	// ExchangeEvidence adds a peer's evidence and returns this daemon's.
+	ExchangeEvidence func(turmericwall.Evidence) turmericwall.Evidence
+	Admit            func(turmericwall.AdmitRequest) turmericwall.AdmitReply
+	Charge           func(turmericwall.ChargeRequest) turmericwall.ChargeReply
 	// Exchange sends a request to an upstream for a peer; see turmericwall.EgressClient.
 	Exchange func(
 		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
@@ -61,6 +63,7 @@
 	s.mux.HandleFunc("POST "+pathFinish, s.finish)
 	s.mux.HandleFunc("POST "+pathRuns, s.runs)
 	s.mux.HandleFunc("POST "+pathStreams, s.streams)
+	s.mux.HandleFunc("POST "+pathEvidence, s.evidence)
 	s.mux.HandleFunc("POST "+pathAdmit, s.admit)
 	s.mux.HandleFunc("POST "+pathCharge, s.charge)
 	s.mux.HandleFunc("POST "+pathExchange, s.exchange)
@@ -179,6 +182,7 @@
 			OverLimit: p.Kind() == turmericwall.KindOverLimit, Reason: p.Detail(),
 			RetryMillis: max(p.RetryAt().Sub(now).Milliseconds(), 0),
 			VersionGone: errors.Is(err, turmericwall.ErrVersionGone),
+			Quarantined: errors.Is(err, turmericwall.ErrQuarantined),
 		})
 		return
 	}
@@ -223,6 +227,13 @@
 	writeJSON(w, struct{}{})
 }
 
+func (s *Server) evidence(w http.ResponseWriter, request *http.Request) {
+	var evidence turmericwall.Evidence
+	if readJSON(w, request, &evidence) {
+		writeJSON(w, s.config.ExchangeEvidence(evidence))
+	}
+}
+
 func (s *Server) admit(w http.ResponseWriter, request *http.Request) {
 	var admitRequest turmericwall.AdmitRequest
 	if readJSON(w, request, &admitRequest) {
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/placement/twallocator"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twturns"
 )
 
 // Config holds the inputs of a coordinator.
@@ -28,6 +29,8 @@
 	Service func(service string) (turmericwall.ServicePlan, bool)
 	// Quotas is charged for each call that is placed here.
 	Quotas turmericwall.QuotaMeter
+	// Quarantine judges the input of calls; it may be nil.
+	Quarantine turmericwall.CallQuarantine
 	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
 	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
 }
@@ -43,6 +46,8 @@
 	// place calls.
 	wasLeader  bool
 	decideFrom time.Time
+	// turns let calls with suspected input run one at a time.
+	turns *twturns.Turns
 }
 
 // serviceState is one service's allocator and the calls that wait for a decision.
@@ -74,7 +79,9 @@
 
 // New returns a coordinator without allocators. A service's allocator is created with its first call.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, services: make(map[string]*serviceState), charges: make(map[string]charge)}
+	return &Coordinator{
+		config: config, services: make(map[string]*serviceState), charges: make(map[string]charge), turns: twturns.New(),
+	}
 }
 
 // Place charges the call to its account's quota and blocks until the call is placed or refused, or ctx ends. The error
@@ -84,6 +91,20 @@
 	if err != nil {
 		return turmericwall.Placement{}, err
 	}
+	if err := c.takeTurn(request); err != nil {
+		return turmericwall.Placement{}, err
+	}
+	placement, err := c.placeCharged(ctx, request)
+	if err != nil {
+		c.turns.End(request.ID)
+	}
+	return placement, err
+}
+
+// placeCharged is Place for a call that may run.
+func (c *Coordinator) placeCharged(
+	ctx context.Context, request turmericwall.PlaceRequest,
+) (turmericwall.Placement, error) {
 	if err := c.charge(request); err != nil {
 		return turmericwall.Placement{}, err
 	}
@@ -148,6 +169,9 @@
 // ApplyUpdate applies a report on a placed call and makes the decisions that it allows.
 func (c *Coordinator) ApplyUpdate(update turmericwall.PlacementUpdate) {
 	c.refund(update)
+	if !update.Running {
+		c.turns.End(update.ID)
+	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,6 +183,7 @@
 
 // ReleaseOwner releases the calls of a daemon that has terminated.
 func (c *Coordinator) ReleaseOwner(owner string) {
+	c.turns.EndOwner(owner)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.services {
@@ -199,6 +224,7 @@
 
 // Sweep releases calls that must have ended but whose end was not reported, and expires old charges.
 func (c *Coordinator) Sweep(now time.Time) {
+	c.turns.Expire(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.services {
--- /dev/null
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -0,0 +1,197 @@
+// Package twevidencereports exchanges evidence on engines that ended with other daemons: what changes goes to the leader at
+// once, and what the leader knows is fetched when its heartbeats name a newer version.
+package twevidencereports
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
+)
+
+const (
+	// checkInterval is the time between two checks whether another daemon leads now, or an exchange has to be repeated.
+	checkInterval = 250 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// reportTimeout bounds how long a call waits for the report on the engine that ended under it.
+	reportTimeout = 200 * time.Millisecond
+	// maxReceivers bounds the daemons that get the evidence while there is no leader.
+	maxReceivers = 8
+)
+
+// Config holds the dependencies of Reports.
+type Config struct {
+	Quarantine *twquarantine.Quarantine
+	// Leader returns the live leader; self is set when it is this daemon, ok when there is one.
+	Leader func() (leader turmericwall.Member, self, ok bool)
+	// Relay returns the daemon that forwards the leader's heartbeats; its name is empty if there is none.
+	Relay func() turmericwall.Member
+	// KnownPeers returns the addresses of daemons that get the evidence while there is no leader.
+	KnownPeers func() []string
+	Peers      turmericwall.EvidenceClient
+	// Announce is called while this daemon leads and its evidence has changed.
+	Announce func()
+	// Count counts an event for the metrics.
+	Count func(name string, n int64)
+}
+
+// Reports exchanges the evidence. Its methods are safe for concurrent use.
+type Reports struct {
+	config Config
+	wake   chan struct{}
+	mu     sync.Mutex
+	// wanted is the version of the leader's evidence that heartbeats name.
+	leader turmericwall.Member
+	wanted int64
+	// sent is the number of changes that the daemon receiver knows, the leader or "" for the known peers. done is closed
+	// and replaced with each round of exchanges.
+	receiver string
+	sent     int64
+	done     chan struct{}
+}
+
+// New returns reports that have sent nothing. Exchanges are made only while Run runs.
+func New(config Config) *Reports {
+	return &Reports{config: config, wake: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// Want records the version of the evidence that the leader's heartbeat names; what is missing is fetched.
+func (r *Reports) Want(leader turmericwall.Member, version int64) {
+	r.mu.Lock()
+	r.leader, r.wanted = leader, version
+	r.mu.Unlock()
+	if !r.config.Quarantine.Includes(leader, version) {
+		r.Notify()
+	}
+}
+
+// Notify has changes sent at once.
+func (r *Reports) Notify() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Flush has the changes so far sent and waits for that, for reportTimeout at most.
+func (r *Reports) Flush(ctx context.Context) {
+	_, changes := r.config.Quarantine.Export()
+	timeout := time.NewTimer(reportTimeout)
+	defer timeout.Stop()
+	for {
+		r.mu.Lock()
+		sent, done := r.sent, r.done
+		r.mu.Unlock()
+		if sent >= changes {
+			return
+		}
+		r.Notify()
+		select {
+		case <-done:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Run exchanges evidence until ctx ends, and returns its error.
+func (r *Reports) Run(ctx context.Context) error {
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wake:
+		case <-tick.C:
+		}
+		r.Exchange(ctx)
+	}
+}
+
+// Exchange makes one round of exchanges, if one is needed.
+func (r *Reports) Exchange(ctx context.Context) {
+	leader, self, live := r.config.Leader()
+	evidence, changes := r.config.Quarantine.Export()
+	switch {
+	case self:
+		if r.isUnsent(leader.Incarnation, changes) {
+			r.config.Announce()
+		}
+		r.recordSent(leader.Incarnation, changes)
+	case live:
+		r.exchangeWithLeader(ctx, leader, evidence, changes)
+	case r.isUnsent("", changes):
+		r.exchangeWithPeers(ctx, evidence)
+		r.recordSent("", changes)
+	}
+}
+
+// exchangeWithLeader sends the leader what it may not know, or else fetches what this daemon lacks, from its relay if it has
+// one.
+func (r *Reports) exchangeWithLeader(
+	ctx context.Context, leader turmericwall.Member, evidence turmericwall.Evidence, changes int64,
+) {
+	if r.isUnsent(leader.Incarnation, changes) {
+		if r.exchange(ctx, leader.Address, evidence) == nil {
+			r.recordSent(leader.Incarnation, changes)
+		}
+		return
+	}
+	r.mu.Lock()
+	wanted := r.wanted
+	known := r.leader == leader
+	r.mu.Unlock()
+	if !known || r.config.Quarantine.Includes(leader, wanted) {
+		return
+	}
+	from := r.config.Relay()
+	if from.Name == "" {
+		from = leader
+	}
+	_ = r.exchange(ctx, from.Address, turmericwall.Evidence{Holder: evidence.Holder})
+}
+
+// exchangeWithPeers sends the evidence to the known peers, all at the same time.
+func (r *Reports) exchangeWithPeers(ctx context.Context, evidence turmericwall.Evidence) {
+	var exchanges sync.WaitGroup
+	peers := r.config.KnownPeers()
+	for _, address := range peers[:min(len(peers), maxReceivers)] {
+		exchanges.Go(func() { _ = r.exchange(ctx, address, evidence) })
+	}
+	exchanges.Wait()
+}
+
+func (r *Reports) exchange(ctx context.Context, address string, evidence turmericwall.Evidence) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := r.config.Peers.ExchangeEvidence(ctx, address, evidence)
+	if err != nil {
+		r.config.Count("evidence_exchanges_failed", 1)
+		return err
+	}
+	r.config.Count("evidence_exchanges", 1)
+	r.config.Quarantine.Merge(reply)
+	return nil
+}
+
+// isUnsent reports whether the receiver may not know all changes.
+func (r *Reports) isUnsent(receiver string, changes int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return changes > 0 && (r.receiver != receiver || r.sent < changes)
+}
+
+// recordSent records how many changes the receiver knows.
+func (r *Reports) recordSent(receiver string, changes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.receiver, r.sent = receiver, changes
+	close(r.done)
+	r.done = make(chan struct{})
+}
--- a/peering.go
+++ b/peering.go
@@ -41,6 +41,8 @@
 	Rates []UpstreamRate `json:"rates,omitempty"`
 	// Leaving are the upstreams that announced in an answer that they leave.
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
+	// EvidenceVersion is the version of the leader's evidence on engines that ended; 0 while it has none.
+	EvidenceVersion int64 `json:"evidenceVersion,omitempty"`
 	// Rank is the receiver's position among Daemons, from 0; no two daemons have the same.
 	Rank int `json:"rank,omitempty"`
 	// Sequence numbers the leader's rounds of heartbeats.
--- a/placements.go
+++ b/placements.go
@@ -39,6 +39,8 @@
 	// found. Stream is the id of the call that brought the stream's first event; empty if it is unknown too.
 	TakesUp bool
 	Stream  string
+	// Fingerprint is that of the caller's request, the same for all its tries.
+	Fingerprint string
 }
 
 // CallID returns the ID of the call, without the number of the placement attempt.
--- a/problem.go
+++ b/problem.go
@@ -29,6 +29,7 @@
 	KindInvalidDocument  Kind = "invalidDocument"
 	KindInvalidSettings  Kind = "invalidSettings"
 	KindConflict         Kind = "conflict"
+	KindQuarantined      Kind = "quarantined"
 )
 
 // Outcome states whether a failed request may have had an effect.
@@ -60,6 +61,9 @@
 
 // NewRefusalProblem returns the problem of an attempt that a leader refused.
 func NewRefusalProblem(r Refusal) *Problem {
+	if r.Quarantined {
+		return NewQuarantineProblem(r.Reason, r.RetryAt)
+	}
 	if r.Permanent {
 		return NewProblem(KindTooLarge, r.Reason, "shorten the prompt or ask for fewer tokens")
 	}
@@ -70,6 +74,12 @@
 	return p
 }
 
+// NewQuarantineProblem returns the problem of a call whose input ends engines.
+func NewQuarantineProblem(detail string, retryAt time.Time) *Problem {
+	return NewProblem(KindQuarantined, detail, "ask the operator, and do not send the request again before the time given").
+		WithRetryAt(retryAt).WithCause(ErrQuarantined)
+}
+
 // WithOutcome returns a copy with the outcome.
 func (p *Problem) WithOutcome(outcome Outcome) *Problem {
 	c := *p
