fix: hold requests of the older interface to three engines that end under them

An engine that broke a decode off and doesn't answer a query on a new connection has ended under the request; after the third end the request is refused at once with its time, and a deferrable one ends as failed, with the reason. The engine stand-in gets the fault crashOn. Each daemon of the older interface goes by the ends that it noticed itself; sharing them needs a message of the peers' protocol and is left open.

--- a/internal/delivery/twdelivery/delivery.go
+++ b/internal/delivery/twdelivery/delivery.go
@@ -38,6 +38,8 @@
 	Clock       clockwork.Clock
 	Recorder    turmericwall.Recorder
 	Registry    metrics.Registry
+	// Quarantine has the ends of engines that this daemon noticed.
+	Quarantine turmericwall.CallQuarantine
 }
 
 // New returns a delivery without active requests.
--- a/internal/delivery/twdelivery/run.go
+++ b/internal/delivery/twdelivery/run.go
@@ -52,8 +52,12 @@
 	defer r.countPrefillTokens()
 	r.delivery.retryBudget.Earn(r.delivery.config.Clock.Now(), r.request.Service)
 	for {
+		if err := r.checkQuarantine(); err != nil {
+			return r.usage(), err
+		}
 		err := r.runAttempt(ctx)
 		if err == nil {
+			r.delivery.config.Quarantine.RecordAnswer(r.input())
 			return r.usage(), nil
 		}
 		if err = r.errorUnlessRetried(ctx, err); err != nil {
@@ -140,6 +144,7 @@
 		return grant.Prefill, err
 	}
 	if err := r.decode(ctx, call, grant); err != nil {
+		r.recordEnd(ctx, grant.Decode, err)
 		return grant.Decode, err
 	}
 	return turmericwall.VM{}, nil
--- a/internal/edge/twproblem/writer.go
+++ b/internal/edge/twproblem/writer.go
@@ -53,6 +53,7 @@
 	turmericwall.KindStoreUnavailable: http.StatusServiceUnavailable,
 	turmericwall.KindOutcomeUnknown:   http.StatusGatewayTimeout,
 	turmericwall.KindNotReady:         http.StatusServiceUnavailable,
+	turmericwall.KindQuarantined:      http.StatusServiceUnavailable,
 }
 
 // FromError returns the problem that the error wraps, or else one whose outcome is unknown.
--- a/internal/ledger/twledger/work.go
+++ b/internal/ledger/twledger/work.go
@@ -237,7 +237,8 @@
 func isTerminal(err error) bool {
 	var engine *turmericwall.EngineError
 	refused := errors.As(err, &engine) && engine.Reason() == turmericwall.EngineRefused
-	return refused || turmericwall.IsKind(err, turmericwall.KindTooLarge)
+	return refused || turmericwall.IsKind(err, turmericwall.KindTooLarge) ||
+		turmericwall.IsKind(err, turmericwall.KindQuarantined)
 }
 
 // collector implements turmericwall.Sink; it collects the complete text of an answer.
--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -33,6 +33,7 @@
 	"github.com/turmericwall/turmericwall/internal/platform/twobject"
 	"github.com/turmericwall/turmericwall/internal/platform/twtable"
 	"github.com/turmericwall/turmericwall/internal/platform/twvmlist"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
 )
 
 // transportSecurity is the TLS configuration of the daemon's listeners and of its calls to peers. The callers'
@@ -117,7 +118,16 @@
 	})
 	d.delivery = twdelivery.New(twdelivery.Config{
 		Incarnation: incarnation, Placer: d.router, Engines: engines, Canceller: d.canceller,
-		Clock: d.clock, Recorder: d.recorder, Registry: d.registry,
+		Clock: d.clock, Recorder: d.recorder, Registry: d.registry, Quarantine: d.newQuarantine(incarnation),
+	})
+}
+
+// newQuarantine returns the quarantine of this daemon's requests, which knows the ends of engines that this daemon noticed.
+func (d *Daemon) newQuarantine(incarnation string) *twquarantine.Quarantine {
+	self := turmericwall.Member{Incarnation: incarnation}
+	return twquarantine.New(twquarantine.Config{
+		Self: func() turmericwall.Member { return self }, OnChange: func() {}, Recorder: d.recorder, Now: d.clock.Now,
+		Leader: func() (turmericwall.Member, bool, bool) { return self, true, true },
 	})
 }
 
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -75,11 +75,7 @@
 	if q.empty.Load() {
 		return
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.ledger.Expire(q.config.Now()) {
-		q.settle("retention")
-	}
+	q.change("retention", func(time.Time) {})
 }
 
 // Export returns the evidence as other daemons get it, and the number of changes that it includes of those that the leader
@@ -156,11 +152,14 @@
 // change applies a change, and calls OnChange if other daemons need to know.
 func (q *Quarantine) change(cause string, apply func(now time.Time)) {
 	q.mu.Lock()
-	before := q.ledger.Version()
-	apply(q.config.Now())
+	now, before := q.config.Now(), q.ledger.Version()
+	expired := q.ledger.Expire(now)
+	apply(now)
 	changed := q.ledger.Version() != before
 	if changed {
 		q.unsent++
+	}
+	if changed || expired {
 		q.settle(cause)
 	}
 	q.mu.Unlock()
--- a/turmericwallstand/e2e/answers_test.go
+++ b/turmericwallstand/e2e/answers_test.go
@@ -72,6 +72,28 @@
 		}
 	})
 
+	// Guards against one request that ends engine after engine: within one call, and over the tries of its caller.
+	It("of a request that ends engines are given up after the third", func(ctx SpecContext) {
+		s := newSite(twexample.Arriola(), size{prefill: 1, decode: 5, daemons: 1})
+		for _, p := range s.decode {
+			postControl(p.address, "faults", twenginestand.Faults{CrashOn: "fatal"})
+		}
+		for range 4 {
+			r := s.stream(ctx, s.daemons[0], "a fatal question", 20)
+			Expect(r.complete).To(BeFalse())
+		}
+		var ended []string
+		for _, p := range s.decode {
+			if response, err := http.Get("http://" + p.address + "/load"); err != nil {
+				ended = append(ended, p.name)
+			} else {
+				_ = response.Body.Close()
+			}
+		}
+		Expect(ended).To(HaveLen(3))
+		expectComplete(s.stream(ctx, s.daemons[0], prompt, 20), 20)
+	})
+
 	// All open connections of the engines become unresponsive for good while new ones work, as when a device in the
 	// network loses its connection table. The stream makes no progress, is aborted, and is resumed over a new
 	// connection.
--- a/turmericwallstand/internal/twenginestand/completion.go
+++ b/turmericwallstand/internal/twenginestand/completion.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -115,6 +116,11 @@
 func (e *Engine) generate(ctx context.Context, c echo.Context, attempt string, call completionRequest) error {
 	w := newChunkWriter(c, e.currentFaults(), attempt, call.Model)
 	text := newTextGenerator(call.Prompt)
+	if on := e.currentFaults().CrashOn; on != "" && strings.Contains(call.Prompt, on) {
+		// The server's end is that of the process.
+		_ = e.server.Close()
+		abort()
+	}
 	next := time.Now()
 	for i := 1; i <= call.MaxTokens; i++ {
 		next = next.Add(e.stepDuration())
--- a/turmericwallstand/internal/twenginestand/engine.go
+++ b/turmericwallstand/internal/twenginestand/engine.go
@@ -96,6 +96,8 @@
 	AllowStartAfterCancel bool `json:"forgetCancels"`
 	// BreakAfterTokens breaks the connection of each stream after this number of tokens; 0 breaks none.
 	BreakAfterTokens int `json:"breakAfterTokens"`
+	// CrashOn ends the engine's process as it begins to answer a prompt that contains this text; empty ends none.
+	CrashOn string `json:"crashOn"`
 	// DuplicateChunks sends each chunk twice, SwapChunks swaps the chunks of each pair, and ForeignChunks adds
 	// chunks of another attempt.
 	DuplicateChunks bool `json:"doubleChunks"`
