fix: quarantine a part of prompts that ends engine after engine

Cause: the router knew no parts of prompts but the last one, so that nothing could notice that ends share one.

Change: an end is held against the parts of all runs that had just begun on the engine, and each run that writes for a second, or completes, clears its parts at all daemons. The third end without any progress quarantines a part, the fifth one that was seen sound within ten seconds before an end; from the end before that on, calls with it run one at a time. Parts that were always together are told apart by a trial. The leader judges placements by the parts that the daemon lists, each daemon before placement and again before the send to the decode engine. State that is fetched from a peer names its evidence, so that a daemon which starts learns it before it serves.

Ruled out: engines that end by themselves (the same test beside crashes without a cause; no part is suspected where nothing is guilty), and calls carried on by retries (a part ends engines under ids that come once).

--- a/internal/delivery/twdelivery/ends.go
+++ b/internal/delivery/twdelivery/ends.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -28,8 +27,7 @@
 	if judgement.Verdict != turmericwall.VerdictQuarantined {
 		return nil
 	}
-	return turmericwall.NewQuarantineProblem(
-		fmt.Sprintf("%d engines ended under this request", judgement.Ends),
+	return turmericwall.NewQuarantineProblem(judgement.String(),
 		r.delivery.config.Clock.Now().Add(time.Duration(judgement.RemainingMillis)*time.Millisecond)).
 		WithOutcome(r.outcome())
 }
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strings"
 	"time"
 
@@ -45,10 +44,32 @@
 	if r.config.Quarantine == nil {
 		return
 	}
-	r.config.Quarantine.RecordEnd(run.engine, a.input())
+	input := a.input()
+	if run.hasProgressed() {
+		r.config.Quarantine.RecordProgress(input)
+		input.Parts = nil
+	}
+	r.config.Quarantine.RecordEnd(run.engine, input)
 	r.config.FlushEvidence(ctx)
 }
 
+// progressSpan is how long after its first event a run has shown that its engine doesn't crash on the parts of its prompt:
+// several times as long as an engine takes for that.
+const progressSpan = time.Second
+
+// hasProgressed reports whether the engine has written for progressSpan.
+func (m *modelRun) hasProgressed() bool {
+	return !m.firstEventAt.IsZero() && time.Since(m.firstEventAt) >= progressSpan
+}
+
+// recordProgress records once for each run that it has progressed.
+func (r *Relay) recordProgress(a *attempt, run *modelRun) {
+	if r.config.Quarantine != nil && !run.progressRecorded && run.hasProgressed() {
+		run.progressRecorded = true
+		r.config.Quarantine.RecordProgress(a.input())
+	}
+}
+
 // recordAnswer records that the call was answered completely.
 func (r *Relay) recordAnswer(a *attempt) {
 	if r.config.Quarantine != nil {
@@ -58,7 +79,17 @@
 
 // input returns what the call brings to engines.
 func (a *attempt) input() turmericwall.Input {
-	return turmericwall.Input{Service: a.service.Name, Request: string(a.fingerprint())}
+	return turmericwall.Input{
+		Service: a.service.Name, Request: string(a.fingerprint()), Parts: a.call.PromptParts,
+	}
+}
+
+// listedParts returns the parts of the call's prompt that the daemon which places it needs to know.
+func (r *Relay) listedParts(a *attempt) []string {
+	if r.config.Quarantine == nil {
+		return nil
+	}
+	return r.config.Quarantine.Listed(a.input())
 }
 
 // checkQuarantine returns the refusal of a call whose input is quarantined.
@@ -70,8 +101,7 @@
 	if judgement.Verdict != turmericwall.VerdictQuarantined {
 		return nil
 	}
-	return turmericwall.NewQuarantineProblem(
-		fmt.Sprintf("%d engines ended under this request", judgement.Ends),
+	return turmericwall.NewQuarantineProblem(judgement.String(),
 		time.Now().Add(time.Duration(judgement.RemainingMillis)*time.Millisecond))
 }
 
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -211,6 +211,7 @@
 	s.run.events += count
 	a.lastEventID = max(a.lastEventID, events.LastID())
 	s.reportSpeed(now)
+	s.relay.recordProgress(a, s.run)
 	return s.events.Write(events)
 }
 
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -42,7 +42,8 @@
 	TakesUp bool                         `json:"takesUp,omitempty"`
 	Stream  string                       `json:"stream,omitempty"`
 
-	Fingerprint string `json:"fingerprint,omitempty"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
 }
 
 // wirePlacedCall is a call under way as it is sent to a new leader.
@@ -87,6 +88,7 @@
 		TakesUp:      request.TakesUp,
 		Stream:       request.Stream,
 		Fingerprint:  request.Fingerprint,
+		Parts:        request.Parts,
 	}
 }
 
@@ -107,6 +109,7 @@
 		TakesUp:        request.TakesUp,
 		Stream:         request.Stream,
 		Fingerprint:    request.Fingerprint,
+		Parts:          request.Parts,
 	}
 }
 
--- a/internal/placement/twcoordinator/turn.go
+++ b/internal/placement/twcoordinator/turn.go
@@ -1,7 +1,6 @@
 package twcoordinator
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -18,11 +17,12 @@
 		return nil
 	}
 	now := time.Now()
-	judgement := c.config.Quarantine.Judge(turmericwall.Input{Service: request.Service, Request: request.Fingerprint})
+	judgement := c.config.Quarantine.Judge(turmericwall.Input{
+		Service: request.Service, Request: request.Fingerprint, Parts: request.Parts,
+	})
 	switch judgement.Verdict {
 	case turmericwall.VerdictQuarantined:
-		return turmericwall.NewQuarantineProblem(
-			fmt.Sprintf("%d engines ended under this request", judgement.Ends),
+		return turmericwall.NewQuarantineProblem(judgement.String(),
 			now.Add(time.Duration(judgement.RemainingMillis)*time.Millisecond))
 	case turmericwall.VerdictSuspect:
 		if !c.turns.Take(now, judgement.Keys, request.CallID(), request.ID, request.Owner) {
--- a/internal/placement/twcoordinator/turn_test.go
+++ b/internal/placement/twcoordinator/turn_test.go
@@ -16,6 +16,8 @@
 type fixedJudgement struct{ turmericwall.Judgement }
 
 func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement   { return j.Judgement }
+func (*fixedJudgement) Listed(turmericwall.Input) []string                  { return nil }
+func (*fixedJudgement) RecordProgress(turmericwall.Input)                   {}
 func (*fixedJudgement) RecordEnd(turmericwall.Upstream, turmericwall.Input) {}
 func (*fixedJudgement) RecordAnswer(turmericwall.Input)                     {}
 
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -13,6 +13,12 @@
 const (
 	// maxEndsPerRequest is how many engines may end under one request, over all tries of its caller.
 	maxEndsPerRequest = 3
+	// minEnds is the number of ends from which a part of prompts is their cause, if no engine wrote on it since, and
+	// minEndsIfSound that for a part on which an engine lately did: such a part is in most ends that have another cause.
+	minEnds        = 3
+	minEndsIfSound = 5
+	// soundSpan is how long before an end an engine's writing on a part speaks for the part.
+	soundSpan = 10 * time.Second
 	// retention is how long an end is kept after it, and after the last call that was refused for it.
 	retention = 10 * time.Minute
 	// announcedExtension is by how much the retention of an end grows before other daemons are told.
@@ -25,42 +31,17 @@
 	maxNames = 32
 )
 
-// The kinds of input.
-const (
-	KindRequest = "request"
-)
-
-// Belief is what the ends say of one input.
-type Belief struct {
-	Service string `json:"service"`
-	Kind    string `json:"kind"`
-	// Key is the fingerprint of a request.
-	Key  string `json:"key"`
-	Ends int    `json:"ends"`
-	// Verdict is suspect or quarantined.
-	Verdict turmericwall.Verdict `json:"-"`
-}
-
 // Ledger holds the ends of engines, oldest first. It is not safe for concurrent use.
 type Ledger struct {
 	ends []*end
+	// listed has what is in an end and not cleared there.
+	listed map[name]bool
 	// version is the number of changes that other daemons need to know.
 	version int64
 }
 
-// end is the end of one incarnation.
-type end struct {
-	service string
-	engine  turmericwall.UpstreamKey
-	at      time.Time
-	// keptUntil is when the end is discarded, announcedUntil the time for that which other daemons know.
-	keptUntil, announcedUntil time.Time
-	// requests has the requests that the engine ran, and whether each was answered since.
-	requests map[string]bool
-}
-
 // New returns a ledger without ends.
-func New() *Ledger { return &Ledger{} }
+func New() *Ledger { return &Ledger{listed: make(map[name]bool)} }
 
 // Version returns the number of changes so far that other daemons need to know.
 func (l *Ledger) Version() int64 { return l.version }
@@ -71,78 +52,182 @@
 // RecordEnd records that an engine ended at now while it ran the input.
 func (l *Ledger) RecordEnd(now time.Time, engine turmericwall.UpstreamKey, input turmericwall.Input) {
 	e := l.find(input.Service, engine, now)
-	if l.add(e, input.Request) {
-		l.version++
+	for _, n := range namesOf(input) {
+		l.add(e, n)
 	}
 }
 
-// RecordAnswer records that an engine completed the answer to the input.
+// RecordAnswer records that an engine completed the answer to the input, which clears its request.
 func (l *Ledger) RecordAnswer(input turmericwall.Input) {
+	n := requestName(input)
 	for _, e := range l.ends {
-		if cleared, ran := e.requests[input.Request]; e.service == input.Service && ran && !cleared {
-			e.requests[input.Request] = true
-			l.version++
+		if _, ran := e.names[n]; ran {
+			l.mark(e, n, cleared)
 		}
 	}
 }
 
-// Judge returns the verdict on an input, and keeps the ends that decide it for longer.
-func (l *Ledger) Judge(now time.Time, input turmericwall.Input) turmericwall.Judgement {
-	ends := l.endsUnder(input)
-	if len(ends) == 0 {
-		return turmericwall.Judgement{}
+// RecordProgress records that at the time an engine had written on a part of a service's prompts for a while. This clears
+// the part of earlier ends, and speaks for it in those that follow soon.
+func (l *Ledger) RecordProgress(at time.Time, service, part string) {
+	n := name{service: service, kind: KindPart, text: part}
+	for _, e := range l.ends {
+		if _, ran := e.names[n]; !ran {
+			continue
+		}
+		switch {
+		case at.After(e.at):
+			l.mark(e, n, cleared)
+		case e.at.Sub(at) <= soundSpan:
+			l.mark(e, n, sound)
+		}
 	}
-	judgement := turmericwall.Judgement{
-		Verdict: verdictOf(len(ends), maxEndsPerRequest), Keys: []string{input.Request}, Ends: len(ends),
+}
+
+// Parts calls visit for each part that is in an end and not cleared there.
+func (l *Ledger) Parts(visit func(service, part string)) {
+	for n := range maps.Clone(l.listed) {
+		if n.kind == KindPart {
+			visit(n.service, n.text)
+		}
 	}
-	if judgement.Verdict == turmericwall.VerdictQuarantined {
-		l.extend(now, ends)
-		judgement.RemainingMillis = retention.Milliseconds()
+}
+
+// Listed returns those of the input's parts on which the verdict may depend.
+func (l *Ledger) Listed(input turmericwall.Input) []string {
+	var parts []string
+	for _, part := range input.Parts {
+		if l.listed[name{service: input.Service, kind: KindPart, text: part}] {
+			parts = append(parts, part)
+		}
 	}
-	return judgement
+	return parts
 }
 
-// Beliefs returns the input that is quarantined, and what is suspected after several ends.
-func (l *Ledger) Beliefs() []Belief {
-	var beliefs []Belief
-	seen := make(map[turmericwall.Input]bool)
-	for _, e := range l.ends {
-		for request := range e.requests {
-			input := turmericwall.Input{Service: e.service, Request: request}
-			if ends := len(l.endsUnder(input)); ends >= minLoggedEnds && !seen[input] {
-				seen[input] = true
-				beliefs = append(beliefs, Belief{
-					Service: e.service, Kind: KindRequest, Key: request, Ends: ends,
-					Verdict: verdictOf(ends, maxEndsPerRequest),
-				})
+// Judge returns the verdict on an input, and keeps the ends that decide it for longer.
+func (l *Ledger) Judge(now time.Time, input turmericwall.Input) turmericwall.Judgement {
+	var suspected turmericwall.Judgement
+	for _, n := range namesOf(input) {
+		if !l.listed[n] {
+			continue
+		}
+		ends := l.endsUnder(n)
+		verdict := l.verdictOn(n, ends)
+		var rivals []name
+		if verdict == turmericwall.VerdictQuarantined {
+			rivals = l.rivals(n, ends, input)
+		}
+		if len(rivals) > 0 {
+			verdict = turmericwall.VerdictSuspect
+		}
+		switch verdict {
+		case turmericwall.VerdictQuarantined:
+			l.extend(now, ends)
+			return turmericwall.Judgement{
+				Verdict: verdict, Keys: []string{n.String()}, Ends: len(ends), RemainingMillis: retention.Milliseconds(),
+			}
+		case turmericwall.VerdictSuspect:
+			suspected.Verdict, suspected.Ends = verdict, max(suspected.Ends, len(ends))
+			// A rival that runs on the same engine would leave open which of the two ended it.
+			for _, key := range append(rivals, n) {
+				suspected.Keys = append(suspected.Keys, key.String())
 			}
 		}
 	}
-	return beliefs
+	slices.Sort(suspected.Keys)
+	suspected.Keys = slices.Compact(suspected.Keys)
+	return suspected
 }
 
-// minLoggedEnds is the number of ends from which a suspicion is logged: each end has many requests.
-const minLoggedEnds = 2
-
-// verdictOf returns the verdict on what is quarantined from a number of ends on.
-func verdictOf(ends, most int) turmericwall.Verdict {
-	if ends >= most {
+// verdictOn returns the verdict on a name by the ends under it alone.
+//
+// For a part, an end weighs a third of what it takes against it, or a fifth, and any progress since outweighs all of them.
+func (l *Ledger) verdictOn(n name, ends []*end) turmericwall.Verdict {
+	need, suspectFrom := l.endsNeeded(n), 1
+	if n.kind == KindPart {
+		suspectFrom = need - 1
+	}
+	switch {
+	case len(ends) >= need:
 		return turmericwall.VerdictQuarantined
+	case len(ends) >= suspectFrom:
+		return turmericwall.VerdictSuspect
 	}
-	return turmericwall.VerdictSuspect
+	return turmericwall.VerdictClear
 }
 
-// endsUnder returns the ends under a request since it was last answered.
-func (l *Ledger) endsUnder(input turmericwall.Input) []*end {
+// endsNeeded returns the number of ends from which a name is quarantined.
+func (l *Ledger) endsNeeded(n name) int {
+	switch {
+	case n.kind == KindRequest:
+		return maxEndsPerRequest
+	case l.isSound(n):
+		return minEndsIfSound
+	}
+	return minEnds
+}
+
+// rivals returns what may be the cause of all ends under a part as well, and isn't in the input. Then the input runs as a
+// suspect: either it clears the part, or the end of its engine rules all these rivals out.
+func (l *Ledger) rivals(n name, ends []*end, input turmericwall.Input) []name {
+	if n.kind != KindPart {
+		return nil
+	}
+	own := namesOf(input)
+	var rivals []name
+	for rival := range ends[0].names {
+		inAll := !slices.ContainsFunc(ends, func(e *end) bool { return !e.blames(rival) })
+		if inAll && !slices.Contains(own, rival) &&
+			l.verdictOn(rival, l.endsUnder(rival)) == turmericwall.VerdictQuarantined {
+			rivals = append(rivals, rival)
+		}
+	}
+	return rivals
+}
+
+// isSound reports whether an engine wrote on a part shortly before an end under it, or since one.
+func (l *Ledger) isSound(n name) bool {
+	return slices.ContainsFunc(l.ends, func(e *end) bool { return e.names[n] != blamed && e.has(n) })
+}
+
+// endsUnder returns the ends under a name since it was last cleared.
+func (l *Ledger) endsUnder(n name) []*end {
 	var ends []*end
 	for _, e := range l.ends {
-		if cleared, ran := e.requests[input.Request]; e.service == input.Service && ran && !cleared {
+		if e.blames(n) {
 			ends = append(ends, e)
 		}
 	}
 	return ends
 }
 
+// Beliefs returns the input that is quarantined, and what is suspected after several ends.
+func (l *Ledger) Beliefs() []Belief {
+	var beliefs []Belief
+	for n := range l.listed {
+		ends := l.endsUnder(n)
+		verdict := l.verdictOn(n, ends)
+		if verdict != turmericwall.VerdictClear && len(ends) >= minLoggedEnds {
+			beliefs = append(beliefs, Belief{Service: n.service, Kind: n.kind, Key: n.text, Ends: len(ends), Verdict: verdict})
+		}
+	}
+	slices.SortFunc(beliefs, compareBeliefs)
+	return beliefs
+}
+
+// minLoggedEnds is the number of ends from which a suspicion is logged: each end has many requests.
+const minLoggedEnds = 2
+
+// Lift clears a request or a part of a service of all ends, as an operator asks. It reports whether there were any.
+func (l *Ledger) Lift(service, kind, text string) bool {
+	n := name{service: service, kind: kind, text: text}
+	ends := l.endsUnder(n)
+	for _, e := range ends {
+		l.mark(e, n, cleared)
+	}
+	return len(ends) > 0
+}
+
 // extend keeps the ends for the retention from now on.
 func (l *Ledger) extend(now time.Time, ends []*end) {
 	for _, e := range ends {
@@ -158,61 +243,45 @@
 func (l *Ledger) Expire(now time.Time) bool {
 	before := len(l.ends)
 	l.ends = slices.DeleteFunc(l.ends, func(e *end) bool { return now.After(e.keptUntil) })
-	return len(l.ends) != before
+	if len(l.ends) == before {
+		return false
+	}
+	l.index()
+	return true
 }
 
-// Export returns the ends as other daemons get them.
-func (l *Ledger) Export(now time.Time) []turmericwall.EngineEnd {
-	list := make([]turmericwall.EngineEnd, 0, len(l.ends))
-	for _, e := range l.ends {
-		list = append(list, turmericwall.EngineEnd{
-			Service: e.service, Engine: e.engine, AgeMillis: now.Sub(e.at).Milliseconds(),
-			RemainingMillis: e.keptUntil.Sub(now).Milliseconds(),
-			Requests:        slices.Sorted(maps.Keys(e.requests)), ClearedRequests: clearedOf(e.requests),
-		})
+// add adds a name to an end, unless it has too many.
+func (l *Ledger) add(e *end, n name) {
+	if e.has(n) || e.count(n.kind) >= maxNames {
+		return
 	}
-	return list
+	e.names[n] = blamed
+	l.listed[n] = true
+	l.version++
 }
 
-// clearedOf returns the names that are cleared.
-func clearedOf(names map[string]bool) []string {
-	var list []string
-	for name, cleared := range names {
-		if cleared {
-			list = append(list, name)
-		}
+// mark marks a name in an end, unless it is marked with as much already.
+func (l *Ledger) mark(e *end, n name, as mark) {
+	if e.names[n] >= as {
+		return
+	}
+	e.names[n] = as
+	l.version++
+	if as == cleared {
+		l.index()
 	}
-	slices.Sort(list)
-	return list
 }
 
-// Merge adds the ends that another daemon knows. It reports whether any of it is new.
-func (l *Ledger) Merge(now time.Time, ends []turmericwall.EngineEnd) (changed bool) {
-	for _, received := range ends {
-		keptUntil := now.Add(min(time.Duration(received.RemainingMillis)*time.Millisecond, retention))
-		if !keptUntil.After(now) {
-			continue
-		}
-		before := l.version
-		e := l.find(received.Service, received.Engine, now.Add(-time.Duration(received.AgeMillis)*time.Millisecond))
-		for _, request := range received.Requests {
-			if l.add(e, request) {
-				l.version++
-			}
-		}
-		for _, request := range received.ClearedRequests {
-			if cleared, ran := e.requests[request]; ran && !cleared {
-				e.requests[request] = true
-				l.version++
+// index collects what is in an end and not cleared there.
+func (l *Ledger) index() {
+	clear(l.listed)
+	for _, e := range l.ends {
+		for n := range e.names {
+			if e.blames(n) {
+				l.listed[n] = true
 			}
 		}
-		if keptUntil.After(e.keptUntil) {
-			e.keptUntil = keptUntil
-			e.announcedUntil = keptUntil
-		}
-		changed = changed || l.version != before
 	}
-	return changed
 }
 
 // find returns the end of the incarnation at about the time, and adds it if it isn't known.
@@ -222,38 +291,27 @@
 			return e
 		}
 	}
-	e := &end{
-		service: service, engine: engine, at: at, keptUntil: at.Add(retention), announcedUntil: at.Add(retention),
-		requests: make(map[string]bool),
-	}
+	e := newEnd(service, engine, at)
 	l.ends = append(l.ends, e)
 	slices.SortStableFunc(l.ends, func(x, y *end) int { return x.at.Compare(y.at) })
 	l.evict()
 	return e
 }
 
-// add adds a request to an end, and reports whether it is new.
-func (l *Ledger) add(e *end, request string) bool {
-	if _, ran := e.requests[request]; ran || request == "" || len(e.requests) >= maxNames {
-		return false
-	}
-	e.requests[request] = false
-	return true
-}
-
 // evict discards the oldest end that quarantines nothing, if there are too many.
 func (l *Ledger) evict() {
 	if len(l.ends) <= maxEnds {
 		return
 	}
-	at := slices.IndexFunc(l.ends, func(e *end) bool { return !l.quarantines(e) })
-	l.ends = slices.Delete(l.ends, max(at, 0), max(at, 0)+1)
+	at := max(slices.IndexFunc(l.ends, func(e *end) bool { return !l.quarantines(e) }), 0)
+	l.ends = slices.Delete(l.ends, at, at+1)
+	l.index()
 }
 
-// quarantines reports whether a request of the end is quarantined.
+// quarantines reports whether a name of the end is quarantined.
 func (l *Ledger) quarantines(e *end) bool {
-	for request := range e.requests {
-		if len(l.endsUnder(turmericwall.Input{Service: e.service, Request: request})) >= maxEndsPerRequest {
+	for n := range e.names {
+		if e.blames(n) && l.verdictOn(n, l.endsUnder(n)) == turmericwall.VerdictQuarantined {
 			return true
 		}
 	}
--- a/internal/quarantine/twevidencereports/reports.go
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Fetch fetches the evidence of the daemon at the address, unless that version of it is included already.
+func (r *Reports) Fetch(ctx context.Context, address, holder string, version int64) {
+	if version == 0 || r.config.Quarantine.Includes(turmericwall.Member{Incarnation: holder}, version) {
+		return
+	}
+	_ = r.exchange(ctx, address, turmericwall.Evidence{})
+}
+
 // Notify has changes sent at once.
 func (r *Reports) Notify() {
 	select {
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -7,10 +7,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/quarantine/twevidence"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twprogress"
 )
 
+// maxIncluded bounds the daemons whose versions are remembered; evidence of the others may be fetched once more.
+const maxIncluded = 64
+
 // Config configures a Quarantine.
 type Config struct {
 	// Self is this daemon, and Leader returns the live leader.
@@ -29,11 +35,12 @@
 	empty  atomic.Bool
 	mu     sync.Mutex
 	ledger *twevidence.Ledger
+	// progress has what this daemon saw engines write on.
+	progress *twprogress.Progress
 	// unsent counts the changes that the leader may not know: all but those that came from it.
 	unsent int64
-	// leader and leaderVersion are the leader, and the version of its evidence, that the ledger includes.
-	leader        string
-	leaderVersion int64
+	// included has the versions of the evidence of other daemons that the ledger includes, by their incarnations.
+	included *simplelru.LRU[string, int64]
 	// beliefs are those that were logged.
 	beliefs map[beliefKey]twevidence.Belief
 }
@@ -43,7 +50,8 @@
 
 // New returns a quarantine without evidence.
 func New(config Config) *Quarantine {
-	q := &Quarantine{config: config, ledger: twevidence.New()}
+	included, _ := simplelru.NewLRU[string, int64](maxIncluded, nil)
+	q := &Quarantine{config: config, ledger: twevidence.New(), progress: twprogress.New(), included: included}
 	q.empty.Store(true)
 	return q
 }
@@ -59,17 +67,56 @@
 
 // RecordEnd records that an engine ended while it ran the input.
 func (q *Quarantine) RecordEnd(engine turmericwall.Upstream, input turmericwall.Input) {
-	q.change("end of "+engine.ID, func(now time.Time) { q.ledger.RecordEnd(now, engine.Key(), input) })
+	q.change("end of "+engine.ID, func(now time.Time) {
+		q.ledger.RecordEnd(now, engine.Key(), input)
+		q.applyProgress()
+	})
+}
+
+// Listed returns those of the input's parts on which the verdict may depend.
+func (q *Quarantine) Listed(input turmericwall.Input) []string {
+	if q.empty.Load() {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Listed(input)
+}
+
+// RecordProgress records that an engine has written on the input's parts for a while.
+func (q *Quarantine) RecordProgress(input turmericwall.Input) {
+	if len(input.Parts) == 0 {
+		return
+	}
+	q.progress.Record(q.config.Now(), input)
+	if q.empty.Load() {
+		return
+	}
+	q.change("progress", func(now time.Time) {
+		for _, part := range q.ledger.Listed(input) {
+			q.ledger.RecordProgress(now, input.Service, part)
+		}
+	})
 }
 
 // RecordAnswer records that an engine completed the answer to the input.
 func (q *Quarantine) RecordAnswer(input turmericwall.Input) {
+	q.RecordProgress(input)
 	if q.empty.Load() {
 		return
 	}
 	q.change("answer", func(time.Time) { q.ledger.RecordAnswer(input) })
 }
 
+// applyProgress tells the ledger what this daemon saw of the parts that are in ends; the lock is held.
+func (q *Quarantine) applyProgress() {
+	q.ledger.Parts(func(service, part string) {
+		if at, ok := q.progress.Last(service, part); ok {
+			q.ledger.RecordProgress(at, service, part)
+		}
+	})
+}
+
 // Expire discards the evidence whose retention is over.
 func (q *Quarantine) Expire() {
 	if q.empty.Load() {
@@ -81,12 +128,17 @@
 // Export returns the evidence as other daemons get it, and the number of changes that it includes of those that the leader
 // may not know.
 func (q *Quarantine) Export() (evidence turmericwall.Evidence, changes int64) {
+	leader, self, live := q.config.Leader()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return turmericwall.Evidence{
-		Holder: q.config.Self(), Version: q.ledger.Version(), Leader: q.leader, LeaderVersion: q.leaderVersion,
-		Ends: q.ledger.Export(q.config.Now()),
-	}, q.unsent
+	evidence = turmericwall.Evidence{
+		Holder: q.config.Self(), Version: q.ledger.Version(), Ends: q.ledger.Export(q.config.Now()),
+	}
+	if live && !self {
+		evidence.Leader = leader.Incarnation
+		evidence.LeaderVersion, _ = q.included.Peek(leader.Incarnation)
+	}
+	return evidence, q.unsent
 }
 
 // Merge adds the evidence of another daemon.
@@ -94,28 +146,37 @@
 	leader, self, live := q.config.Leader()
 	fromLeader := live && !self && evidence.Holder.Incarnation == leader.Incarnation
 	q.mu.Lock()
-	before := q.ledger.Version()
-	q.ledger.Merge(q.config.Now(), evidence.Ends)
-	changed := q.ledger.Version() != before
-	if changed && !fromLeader {
+	changed := q.ledger.Merge(q.config.Now(), evidence.Ends)
+	merged := q.ledger.Version()
+	q.applyProgress()
+	own := q.ledger.Version() != merged
+	if own || (changed && !fromLeader) {
 		q.unsent++
 	}
-	if fromLeader {
-		evidence.Leader, evidence.LeaderVersion = leader.Incarnation, evidence.Version
-	}
-	if live && !self && evidence.Leader == leader.Incarnation &&
-		(q.leader != evidence.Leader || evidence.LeaderVersion > q.leaderVersion) {
-		q.leader, q.leaderVersion = evidence.Leader, evidence.LeaderVersion
-	}
-	if changed {
+	q.include(evidence.Holder.Incarnation, evidence.Version)
+	q.include(evidence.Leader, evidence.LeaderVersion)
+	if changed || own {
 		q.settle("evidence of " + evidence.Holder.Name)
 	}
 	q.mu.Unlock()
-	if changed && !fromLeader {
+	if own || (changed && !fromLeader) {
 		q.config.OnChange()
 	}
 }
 
+// Lift clears a request or a part of a service, as an operator asks. It reports whether it was in any end.
+func (q *Quarantine) Lift(service, kind, key string) (lifted bool) {
+	q.change("operator", func(time.Time) { lifted = q.ledger.Lift(service, kind, key) })
+	return lifted
+}
+
+// Beliefs returns the input that is quarantined, and what is suspected after several ends.
+func (q *Quarantine) Beliefs() []twevidence.Belief {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Beliefs()
+}
+
 // Version returns the number of changes so far that other daemons need to know.
 func (q *Quarantine) Version() int64 {
 	if q.empty.Load() {
@@ -126,14 +187,22 @@
 	return q.ledger.Version()
 }
 
-// Includes reports whether the evidence includes that version of the leader's.
-func (q *Quarantine) Includes(leader turmericwall.Member, version int64) bool {
+// Includes reports whether the evidence includes that version of another daemon's.
+func (q *Quarantine) Includes(holder turmericwall.Member, version int64) bool {
 	if version == 0 {
 		return true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.leader == leader.Incarnation && q.leaderVersion >= version
+	included, _ := q.included.Peek(holder.Incarnation)
+	return included >= version
+}
+
+// include records that the ledger includes a version of another daemon's evidence; the lock is held.
+func (q *Quarantine) include(holder string, version int64) {
+	if included, _ := q.included.Peek(holder); holder != "" && version > included {
+		q.included.Add(holder, version)
+	}
 }
 
 // Quarantined returns the number of inputs that are quarantined.
--- a/peering.go
+++ b/peering.go
@@ -164,6 +164,10 @@
 	Versions VersionHistory `json:"versions,omitzero"`
 	// Egress are the addresses of some daemons that have paths to upstreams, as far as the answering daemon knows.
 	Egress []string `json:"egress,omitempty"`
+	// EvidenceHolder is the incarnation of the answering daemon, and EvidenceVersion the version of its evidence on engines
+	// that ended, if it has any.
+	EvidenceHolder  string `json:"evidenceHolder,omitempty"`
+	EvidenceVersion int64  `json:"evidenceVersion,omitempty"`
 }
 
 // PlacedCall is a placed call that a daemon reports to a new leader, which did not place it itself.
--- a/placements.go
+++ b/placements.go
@@ -41,6 +41,8 @@
 	Stream  string
 	// Fingerprint is that of the caller's request, the same for all its tries.
 	Fingerprint string
+	// Parts are those of the prompt's parts under which engines ended.
+	Parts []string
 }
 
 // CallID returns the ID of the call, without the number of the placement attempt.
--- a/quarantine.go
+++ b/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 )
 
 // EngineEnd is the end of one incarnation of an engine, with what it ran. Daemons exchange it as JSON.
@@ -17,6 +19,11 @@
 	Requests []string `json:"requests,omitempty"`
 	// ClearedRequests are those of Requests that were answered since.
 	ClearedRequests []string `json:"clearedRequests,omitempty"`
+	// Parts are the parts of the prompts that the engine may just have begun to answer.
+	Parts []string `json:"parts,omitempty"`
+	// ClearedParts are those of Parts on which an engine wrote since, and SoundParts those on which one did shortly before.
+	ClearedParts []string `json:"clearedParts,omitempty"`
+	SoundParts   []string `json:"soundParts,omitempty"`
 }
 
 // Evidence is what a daemon knows of engines that ended.
@@ -41,6 +48,8 @@
 	Service string
 	// Request is the fingerprint of the request, the same for all tries of its caller.
 	Request string
+	// Parts are the names of the parts of its prompt, without the last one.
+	Parts []string
 }
 
 // Verdict states whether a call may be sent to engines.
@@ -72,12 +81,21 @@
 	RemainingMillis int64
 }
 
+// String states what is suspected or quarantined, and why.
+func (j Judgement) String() string {
+	return fmt.Sprintf("%d engines ended under %s", j.Ends, strings.Join(j.Keys, ", "))
+}
+
 // CallQuarantine keeps input from engines that it would end. It is safe for concurrent use.
 type CallQuarantine interface {
 	// Judge returns the verdict on a call's input.
 	Judge(input Input) Judgement
-	// RecordEnd records that an engine ended while it ran the input.
+	// Listed returns those of the input's parts on which the verdict may depend.
+	Listed(input Input) []string
+	// RecordEnd records that an engine ended while it ran the input. The input has no parts if they can't be the cause.
 	RecordEnd(engine Upstream, input Input)
+	// RecordProgress records that an engine has written on the input's parts for a while.
+	RecordProgress(input Input)
 	// RecordAnswer records that an engine completed the answer to the input.
 	RecordAnswer(input Input)
 }
