--- a/internal/operations/twexplain/explain.go
+++ b/internal/operations/twexplain/explain.go
@@ -9,6 +9,8 @@
 	"io"
 	"sort"
 	"strings"
+
+	"github.com/turmericwall/turmericwall"
 )
 
 // maxLineBytes bounds one line of a log, in bytes.
@@ -101,6 +103,20 @@
 	return id == request || strings.HasPrefix(id, request+"/")
 }
 
+// quarantines reports whether the line says why a refusal of the request names its key as quarantined.
+func quarantines(l line, all []line) bool {
+	key, _ := l.fields["key"].(string)
+	if !l.is(turmericwall.EventQuarantineChanged) || key == "" {
+		return false
+	}
+	for _, other := range all {
+		if text, _ := other.fields["error"].(string); other.ofRequest && strings.Contains(text, " "+key+";") {
+			return true
+		}
+	}
+	return false
+}
+
 // selectLines returns the request's lines and, of the same daemons, those without a request id up to contextSeconds
 // before and after them, sorted by time.
 func selectLines(all []line) []line {
@@ -119,7 +135,7 @@
 	var selected []line
 	for _, l := range all {
 		_, hasRequest := l.fields["request"]
-		if l.ofRequest || l.ofTry || (!hasRequest && daemons[l.daemon] &&
+		if l.ofRequest || l.ofTry || quarantines(l, all) || (!hasRequest && daemons[l.daemon] &&
 			l.time >= shiftTime(first, -contextSeconds) && l.time <= shiftTime(last, contextSeconds)) {
 			selected = append(selected, l)
 		}
--- a/internal/operations/twexplain/explain_test.go
+++ b/internal/operations/twexplain/explain_test.go
@@ -83,3 +83,18 @@
 	g.Expect(out.String()).To(ContainSubstring("+ 2026-01-01T00:00:03Z b Request answered request=id2 resumes=id1"))
 	g.Expect(out.String()).To(ContainSubstring(`= no outcome; the last step was "events"`), "the try's outcome is not the call's")
 }
+
+// Guards against a refusal whose cause was found long before, so that nothing near it in the log tells why.
+func TestRefusalNamesWhyItsInputIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	line := func(key string) string {
+		return `{"daemon":"b","event":3013,"kind":"part","key":"` + key + `","to":"quarantined","time":"2026-04-01T00:00:01.000Z","message":"Quarantine changed"}` + "\n"
+	}
+	e, err := twexplain.Read(strings.NewReader(line("bad")+line("other")+
+		`{"daemon":"a","event":2002,"request":"id1","error":"quarantined: 3 engines ended under part bad; ask the operator","time":"2026-04-01T00:09:00.000Z","message":"Request refused"}`), "id1")
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	g.Expect(e.Write(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("key=bad"))
+	g.Expect(out.String()).NotTo(ContainSubstring("key=other"))
+}
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -205,13 +205,13 @@
 	}
 }
 
-// Quarantined returns the number of inputs that are quarantined.
-func (q *Quarantine) Quarantined() int64 {
+// Count returns the number of inputs with a verdict, as far as they are logged.
+func (q *Quarantine) Count(verdict turmericwall.Verdict) int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var n int64
 	for _, b := range q.beliefs {
-		if b.Verdict == turmericwall.VerdictQuarantined {
+		if b.Verdict == verdict {
 			n++
 		}
 	}
