fix: report no engine as failed because this daemon's share of its connections is in use

The failed reservation was reported as the engine's failure, and the leader ejected the engine for all daemons; a plain upstream got no calls from that daemon. The error now states that the share is used (ShareUsed): the call goes elsewhere, and nothing is held against the engine. Failing before: TestEngineWhoseConnectionsAreInUseIsNotReportedAsFailed.

--- a/internal/delivery/twrelay/failing_test.go
+++ b/internal/delivery/twrelay/failing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -88,13 +89,24 @@
 
 // Guards against engines that are ejected for all daemons because one daemon has no network path to them.
 func TestEngineWithoutPathIsNotReportedAsFailed(t *testing.T) {
+	expectNotReportedAsFailed(t, turmericwall.SendError{PathLost: true, Err: errConnectionReset})
+}
+
+// Guards against an engine that gets no calls from any daemon because one of them, to which all new connections go, uses its
+// share of the engine's connections.
+func TestEngineWhoseConnectionsAreInUseIsNotReportedAsFailed(t *testing.T) {
+	expectNotReportedAsFailed(t, turmericwall.SendError{ShareUsed: true, Err: errors.New("in use")})
+}
+
+func expectNotReportedAsFailed(t *testing.T, failure turmericwall.SendError) {
+	t.Helper()
 	g := NewWithT(t)
 	s := newFixture(turmericwall.CallIdempotent)
 	s.placer.placements = []turmericwall.Placement{
 		{Decode: engine("d1", turmericwall.RoleDecode)}, {Decode: engine("d2", turmericwall.RoleDecode)},
 	}
 	s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
-		return nil, &turmericwall.SendError{PathLost: true, Err: errConnectionReset}
+		return nil, &failure
 	}
 	s.placer.refusal = turmericwall.NewProblem(turmericwall.KindOverloaded, "full", "come back")
 	_, _ = s.serve(context.Background(), "/m/x")
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -243,7 +243,7 @@
 	switch {
 	case got.err == nil:
 		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, got.answer.Status < http.StatusInternalServerError)
-	case errors.Is(ctx.Err(), context.Canceled), errors.As(got.err, &sent) && sent.PathLost:
+	case errors.Is(ctx.Err(), context.Canceled), errors.As(got.err, &sent) && (sent.PathLost || sent.ShareUsed):
 		r.config.Picker.ReleasePick(got.upstream)
 	case errors.As(got.err, &sent) && sent.NotRun && !sent.IncarnationReplaced:
 		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, false)
--- a/upstreams.go
+++ b/upstreams.go
@@ -218,6 +218,8 @@
 	ConnectFailed bool
 	// PathLost is set if the cause is this daemon's network path and not the upstream.
 	PathLost bool
+	// ShareUsed is set if this daemon's share of the upstream's connections is in use.
+	ShareUsed bool
 	Err      error
 }
 
