feat: keep the evidence on engines that ended beside the leader's lease

A daemon that is cut from all others, but not from the store, learnt of a deadly part by three ends of its own, and after the end of all daemons everybody did.

--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -13,10 +13,12 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
+// Table is the table with the lease's row.
+const Table = "leader"
+
 const (
-	// table and key identify the lease's row in the store.
-	table = "leader"
-	key   = "lease"
+	// key is the key of the lease's row.
+	key = "lease"
 	// pollInterval is the time between two reads of the row while no leader is live.
 	pollInterval = 400 * time.Millisecond
 	// tickInterval is the time between two checks of what is due.
@@ -46,6 +48,8 @@
 	IsReady func() bool
 	// OnElected is called without a lock when this daemon becomes the leader; it may be nil.
 	OnElected func()
+	// OnOtherRow is called with each other row that is read with the lease; it may be nil.
+	OnOtherRow func(row turmericwall.FeedRow)
 }
 
 // Election runs one daemon's part in the election. Its methods are safe for concurrent use.
@@ -191,22 +195,25 @@
 	if !ok {
 		return
 	}
-	_, _, _, err := e.config.Store.CompareAndSwap(ctx, table, key, write.IfVersion, write.Value)
+	_, _, _, err := e.config.Store.CompareAndSwap(ctx, Table, key, write.IfVersion, write.Value)
 	e.config.Recorder.Record(turmericwall.EventLeaderChanged).
 		Str("leader", "").Int("version", write.IfVersion).Err(err).Send()
 }
 
 // readRow reads the row and reports whether the store answered.
 func (e *Election) readRow(ctx context.Context) bool {
-	snapshot, err := e.config.Store.Rows(ctx, table)
+	snapshot, err := e.config.Store.Rows(ctx, Table)
 	if err != nil {
 		e.config.Recorder.Record(turmericwall.EventLeaseUnreadable).Err(err).Send()
 		return false
 	}
 	row := turmericwall.FeedRow{}
 	for _, r := range snapshot.Rows {
-		if r.Key == key {
+		switch {
+		case r.Key == key:
 			row = r
+		case e.config.OnOtherRow != nil:
+			e.config.OnOtherRow(r)
 		}
 	}
 	e.mu.Lock()
@@ -229,7 +236,7 @@
 	if !due {
 		return
 	}
-	version, current, ok, err := e.config.Store.CompareAndSwap(ctx, table, key, write.IfVersion, write.Value)
+	version, current, ok, err := e.config.Store.CompareAndSwap(ctx, Table, key, write.IfVersion, write.Value)
 	if err != nil {
 		e.config.Recorder.Record(turmericwall.EventLeaseUnreadable).Int("version", write.IfVersion).Err(err).Send()
 		return
