fix: count an engine's end once, however late it is learnt of, and none in a cut of the daemon itself

An end now has an identity (incarnation, and a number that rises only if the input was sent after the end before). An upstream has ended only if another one of its service answers this daemon directly. Tests: the model merges with delays of up to five seconds; "nobody answers this daemon".

--- a/internal/delivery/twdelivery/ends.go
+++ b/internal/delivery/twdelivery/ends.go
@@ -33,7 +33,7 @@
 }
 
 // recordEnd records the end of the decode engine if it broke the answer off and doesn't answer a query either.
-func (r *run) recordEnd(ctx context.Context, engine turmericwall.VM, err error) {
+func (r *run) recordEnd(ctx context.Context, engine turmericwall.VM, sentAt time.Time, err error) {
 	var failed *turmericwall.EngineError
 	if ctx.Err() != nil || !errors.As(err, &failed) || failed.Reason() != turmericwall.EngineUnreachable {
 		return
@@ -43,5 +43,5 @@
 	if _, err := r.delivery.config.Engines.Engine(engine.Address).Report(ctx, true); err == nil || ctx.Err() != nil {
 		return
 	}
-	r.delivery.config.Quarantine.RecordEnd(turmericwall.Upstream{ID: engine.Name}, r.input())
+	r.delivery.config.Quarantine.RecordEnd(turmericwall.Upstream{ID: engine.Name}, sentAt, r.input())
 }
--- a/internal/delivery/twdelivery/run.go
+++ b/internal/delivery/twdelivery/run.go
@@ -143,8 +143,9 @@
 	if err := r.prefill(ctx, call, grant); err != nil {
 		return grant.Prefill, err
 	}
+	sentAt := r.delivery.config.Clock.Now()
 	if err := r.decode(ctx, call, grant); err != nil {
-		r.recordEnd(ctx, grant.Decode, err)
+		r.recordEnd(ctx, grant.Decode, sentAt, err)
 		return grant.Decode, err
 	}
 	return turmericwall.VM{}, nil
--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -24,6 +24,10 @@
 	// Query asks the incarnation for something cheap, through a peer if this daemon has no network path to it. The error is
 	// a SendError.
 	Query func(ctx context.Context, to turmericwall.Upstream) error
+	// Others returns some other upstreams of the service, those first that were heard from last. One of them must answer too,
+	// on a direct path: otherwise this daemon is cut off, which it may not know yet.
+	Others      func(upstream turmericwall.Upstream) []turmericwall.Upstream
+	QueryDirect func(ctx context.Context, to turmericwall.Upstream) error
 }
 
 // Checker checks whether upstreams have ended. It is safe for concurrent use.
@@ -89,10 +93,20 @@
 	}
 	var sent *turmericwall.SendError
 	refused := errors.As(err, &sent) && ((sent.ConnectFailed && !sent.PathLost) || sent.IncarnationReplaced)
-	started.ended = ctx.Err() == nil && (refused || isBrokenOff(err))
+	started.ended = ctx.Err() == nil && (refused || isBrokenOff(err)) && c.reachesOthers(ctx, upstream)
 	close(started.done)
 }
 
+// reachesOthers reports whether another upstream of the service answers.
+func (c *Checker) reachesOthers(ctx context.Context, upstream turmericwall.Upstream) bool {
+	for _, other := range c.config.Others(upstream) {
+		if c.config.QueryDirect(ctx, other) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // isBrokenOff reports whether a query was sent and its connection closed without an answer.
 func isBrokenOff(err error) bool {
 	var sent *turmericwall.SendError
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -18,26 +18,36 @@
 		e.Err = errors.New("failed")
 		return &e
 	}
+	reached := []error{failed(turmericwall.SendError{ConnectFailed: true}), nil}
 	brokenOff := failed(turmericwall.SendError{Sent: true})
 	for name, test := range map[string]struct {
 		errs []error
 		want bool
+		// others are the errors of the other upstreams.
+		others []error
 	}{
-		"answers":                              {[]error{nil}, false},
-		"refuses":                              {[]error{failed(turmericwall.SendError{ConnectFailed: true})}, true},
-		"another incarnation answers":          {[]error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, true},
-		"answers with a failure":               {[]error{failed(turmericwall.SendError{Sent: true, Status: 500})}, false},
-		"no free connection":                   {[]error{failed(turmericwall.SendError{})}, false},
-		"this daemon has no path":              {[]error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, false},
-		"answers on a new connection":          {[]error{brokenOff, nil}, false},
-		"closes each connection":               {[]error{brokenOff, brokenOff}, true},
-		"refuses, after a connection was open": {[]error{brokenOff, failed(turmericwall.SendError{ConnectFailed: true})}, true},
+		"answers":                              {[]error{nil}, false, reached},
+		"refuses":                              {[]error{failed(turmericwall.SendError{ConnectFailed: true})}, true, reached},
+		"another incarnation answers":          {[]error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, true, reached},
+		"answers with a failure":               {[]error{failed(turmericwall.SendError{Sent: true, Status: 500})}, false, reached},
+		"no free connection":                   {[]error{failed(turmericwall.SendError{})}, false, reached},
+		"this daemon has no path":              {[]error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, false, reached},
+		"answers on a new connection":          {[]error{brokenOff, nil}, false, reached},
+		"closes each connection":               {[]error{brokenOff, brokenOff}, true, reached},
+		"nobody answers this daemon":           {[]error{brokenOff, brokenOff}, false, []error{brokenOff, brokenOff}},
+		"refuses, after a connection was open": {[]error{brokenOff, failed(turmericwall.SendError{ConnectFailed: true})}, true, reached},
 	} {
 		t.Run(name, func(t *testing.T) {
 			queries := 0
 			checker := twendcheck.New(twendcheck.Config{Query: func(context.Context, turmericwall.Upstream) error {
 				queries++
 				return test.errs[queries-1]
+			}, Others: func(turmericwall.Upstream) []turmericwall.Upstream {
+				return make([]turmericwall.Upstream, len(test.others))
+			}, QueryDirect: func(context.Context, turmericwall.Upstream) error {
+				err := test.others[0]
+				test.others = test.others[1:]
+				return err
 			}})
 			got := checker.HasEnded(context.Background(), turmericwall.Upstream{ID: "u"})
 			NewWithT(t).Expect(got).To(Equal(test.want))
@@ -54,6 +64,8 @@
 			queries.Add(1)
 			return &turmericwall.SendError{ConnectFailed: true, Err: errors.New("refused")}
 		},
+		Others:      func(turmericwall.Upstream) []turmericwall.Upstream { return make([]turmericwall.Upstream, 1) },
+		QueryDirect: func(context.Context, turmericwall.Upstream) error { return nil },
 	})
 	var answers sync.WaitGroup
 	var ended atomic.Int64
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -49,7 +49,7 @@
 		r.config.Quarantine.RecordProgress(input)
 		input.Parts = nil
 	}
-	r.config.Quarantine.RecordEnd(run.engine, input)
+	r.config.Quarantine.RecordEnd(run.engine, run.sentAt, input)
 	r.config.FlushEvidence(ctx)
 }
 
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -163,6 +163,7 @@
 		return true, err
 	}
 	a.runs++
+	run.sentAt = time.Now()
 	run.stallTimer = r.startStallTimer(run.placement, a.service.Name)
 	r.recordSent(a, run.engine)
 	run.answer, err = r.awaitHead(ctx, a, run)
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -22,6 +22,8 @@
 	// stallTimer fires when the engine sends no first event; nil for a run that was moved.
 	stallTimer *time.Timer
 	placedAt   time.Time
+	// sentAt is when the run was sent to its engine.
+	sentAt time.Time
 	// firstEventAt is zero before the first event; events counts those that were passed on.
 	firstEventAt time.Time
 	events       int
--- a/internal/placement/twcoordinator/turn_test.go
+++ b/internal/placement/twcoordinator/turn_test.go
@@ -15,11 +15,11 @@
 // fixedJudgement judges all input alike.
 type fixedJudgement struct{ turmericwall.Judgement }
 
-func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement   { return j.Judgement }
-func (*fixedJudgement) Listed(turmericwall.Input) []string                  { return nil }
-func (*fixedJudgement) RecordProgress(turmericwall.Input)                   {}
-func (*fixedJudgement) RecordEnd(turmericwall.Upstream, turmericwall.Input) {}
-func (*fixedJudgement) RecordAnswer(turmericwall.Input)                     {}
+func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement              { return j.Judgement }
+func (*fixedJudgement) Listed(turmericwall.Input) []string                             { return nil }
+func (*fixedJudgement) RecordProgress(turmericwall.Input)                              {}
+func (*fixedJudgement) RecordEnd(turmericwall.Upstream, time.Time, turmericwall.Input) {}
+func (*fixedJudgement) RecordAnswer(turmericwall.Input)                                {}
 
 // Guards against the next try of a request that ended engines: another daemon, which was told nothing, has it placed.
 func TestLeaderPlacesSuspectsOneAtATimeAndNoQuarantinedInput(t *testing.T) {
--- a/internal/quarantine/twevidence/end.go
+++ b/internal/quarantine/twevidence/end.go
@@ -63,20 +63,27 @@
 	cleared
 )
 
-// end is the end of one incarnation.
-type end struct {
+// endID identifies the end of an incarnation; see turmericwall.EngineEnd.
+type endID struct {
 	service string
 	engine  turmericwall.UpstreamKey
-	at      time.Time
+	number  int
+}
+
+// end is the end of one incarnation.
+type end struct {
+	endID
+	// at is when this daemon learnt of it, less the age that was stated: never before the end itself.
+	at time.Time
 	// keptUntil is when the end is discarded, announcedUntil the time for that which other daemons know.
 	keptUntil, announcedUntil time.Time
 	// names are what the engine ran.
 	names map[name]mark
 }
 
-func newEnd(service string, engine turmericwall.UpstreamKey, at time.Time) *end {
+func newEnd(id endID, at time.Time) *end {
 	return &end{
-		service: service, engine: engine, at: at, keptUntil: at.Add(retention), announcedUntil: at.Add(retention),
+		endID: id, at: at, keptUntil: at.Add(retention), announcedUntil: at.Add(retention),
 		names: make(map[name]mark),
 	}
 }
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -23,9 +23,6 @@
 	retention = 10 * time.Minute
 	// announcedExtension is by how much the retention of an end grows before other daemons are told.
 	announcedExtension = retention / 2
-	// sameEndSpan is the time within which reports on an incarnation are about the same end. Its entry may not state yet that
-	// it started again, which takes longer.
-	sameEndSpan = time.Second
 	// maxEnds and maxNames bound the memory: the ends, and the names of each kind in one of them.
 	maxEnds  = 64
 	maxNames = 32
@@ -49,9 +46,14 @@
 // IsEmpty reports whether no end is known.
 func (l *Ledger) IsEmpty() bool { return len(l.ends) == 0 }
 
-// RecordEnd records that an engine ended at now while it ran the input.
-func (l *Ledger) RecordEnd(now time.Time, engine turmericwall.UpstreamKey, input turmericwall.Input) {
-	e := l.find(input.Service, engine, now)
+// RecordEnd records that at now an engine has ended while it ran the input, which was sent at the time. An input that was sent
+// after an end of the incarnation shows that it had started again.
+func (l *Ledger) RecordEnd(now time.Time, engine turmericwall.UpstreamKey, sentAt time.Time, input turmericwall.Input) {
+	id := endID{service: input.Service, engine: engine}
+	for known := l.find(id); known != nil && sentAt.After(known.at); known = l.find(id) {
+		id.number++
+	}
+	e := l.findOrAdd(id, now)
 	for _, n := range namesOf(input) {
 		l.add(e, n)
 	}
@@ -284,14 +286,22 @@
 	}
 }
 
-// find returns the end of the incarnation at about the time, and adds it if it isn't known.
-func (l *Ledger) find(service string, engine turmericwall.UpstreamKey, at time.Time) *end {
+// find returns an end; nil if it isn't known.
+func (l *Ledger) find(id endID) *end {
 	for _, e := range l.ends {
-		if e.service == service && e.engine == engine && e.at.Sub(at).Abs() < sameEndSpan {
+		if e.endID == id {
 			return e
 		}
 	}
-	e := newEnd(service, engine, at)
+	return nil
+}
+
+// findOrAdd returns an end, which is added with the time if it isn't known.
+func (l *Ledger) findOrAdd(id endID, at time.Time) *end {
+	if e := l.find(id); e != nil {
+		return e
+	}
+	e := newEnd(id, at)
 	l.ends = append(l.ends, e)
 	slices.SortStableFunc(l.ends, func(x, y *end) int { return x.at.Compare(y.at) })
 	l.evict()
--- a/internal/quarantine/twevidence/ledger_test.go
+++ b/internal/quarantine/twevidence/ledger_test.go
@@ -26,13 +26,13 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictClear))
-	l.RecordEnd(start, engine(0), request("r"))
-	l.RecordEnd(start.Add(100*time.Millisecond), engine(0), request("r"))
-	g.Expect(l.Judge(start, request("r"))).To(HaveField("Ends", 1), "two reports on one end")
+	l.RecordEnd(start, engine(0), start, request("r"))
+	l.RecordEnd(start.Add(5*time.Second), engine(0), start.Add(-time.Second), request("r"))
+	g.Expect(l.Judge(start, request("r"))).To(HaveField("Ends", 1), "a daemon that was suspended notices the same end later")
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictSuspect))
-	l.RecordEnd(start.Add(2*time.Second), engine(0), request("r"))
+	l.RecordEnd(start.Add(2*time.Second), engine(0), start.Add(time.Second), request("r"))
 	g.Expect(l.Judge(start, request("r"))).To(HaveField("Ends", 2), "the engine started again, which its entry doesn't state yet")
-	l.RecordEnd(start.Add(3*time.Second), engine(1), request("r"))
+	l.RecordEnd(start.Add(3*time.Second), engine(1), start, request("r"))
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictQuarantined))
 	g.Expect(l.Judge(start, request("other")).Verdict).To(Equal(turmericwall.VerdictClear))
 	g.Expect(l.Judge(start, turmericwall.Input{Service: "t", Request: "r"}).Verdict).To(Equal(turmericwall.VerdictClear))
@@ -43,7 +43,7 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start.Add(time.Duration(n)*time.Second), engine(n), request("r"))
+		l.RecordEnd(start.Add(time.Duration(n)*time.Second), engine(n), start, request("r"))
 	}
 	l.RecordAnswer(request("r"))
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictClear))
@@ -53,7 +53,7 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start, engine(n), request("r"))
+		l.RecordEnd(start, engine(n), start, request("r"))
 	}
 	for minutes := 0; minutes <= 60; minutes += 9 {
 		now := start.Add(time.Duration(minutes) * time.Minute)
@@ -69,10 +69,10 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start, engine(n), request("r"))
+		l.RecordEnd(start, engine(n), start, request("r"))
 	}
 	for n := range 10_000 {
-		l.RecordEnd(start.Add(time.Duration(n)*time.Millisecond), engine(10+n/100), request(fmt.Sprint("sound", n)))
+		l.RecordEnd(start.Add(time.Duration(n)*time.Millisecond), engine(10+n/100), start, request(fmt.Sprint("sound", n)))
 	}
 	ends := l.Export(start)
 	g.Expect(len(ends)).To(BeNumerically("<=", 64))
@@ -89,28 +89,20 @@
 		now := start
 		names := []string{"a", "b", "c"}
 		daemon, name := rapid.IntRange(0, 2), rapid.SampledFrom(names)
-		// An engine ends once; its daemons report that within half a second.
-		endedAt := make(map[int]time.Time)
-		ending := func() turmericwall.UpstreamKey {
-			n := rapid.IntRange(0, 5).Draw(t, "engine")
-			for !endedAt[n].IsZero() && now.Sub(endedAt[n]) > 500*time.Millisecond {
-				n += 6
-			}
-			if endedAt[n].IsZero() {
-				endedAt[n] = now
-			}
-			return engine(n)
+		// What daemons send may arrive seconds later, as one of them may be suspended.
+		late := func() time.Time {
+			return now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "delay")) * time.Millisecond)
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "millis")) * time.Millisecond)
 			l := ledgers[daemon.Draw(t, "daemon")]
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
-				l.RecordEnd(now, ending(), request(name.Draw(t, "request")))
+				l.RecordEnd(now, engine(rapid.IntRange(0, 5).Draw(t, "engine")), start, request(name.Draw(t, "request")))
 			case 2:
 				l.RecordAnswer(request(name.Draw(t, "request")))
 			default:
-				l.Merge(now, ledgers[daemon.Draw(t, "from")].Export(now))
+				l.Merge(late(), ledgers[daemon.Draw(t, "from")].Export(now))
 			}
 		}
 		for range 2 {
--- a/internal/quarantine/twevidence/merge.go
+++ b/internal/quarantine/twevidence/merge.go
@@ -11,7 +11,7 @@
 	list := make([]turmericwall.EngineEnd, 0, len(l.ends))
 	for _, e := range l.ends {
 		list = append(list, turmericwall.EngineEnd{
-			Service: e.service, Engine: e.engine, AgeMillis: now.Sub(e.at).Milliseconds(),
+			Service: e.service, Engine: e.engine, Number: e.number, AgeMillis: now.Sub(e.at).Milliseconds(),
 			RemainingMillis: e.keptUntil.Sub(now).Milliseconds(),
 			Requests:        e.texts(KindRequest), ClearedRequests: e.texts(KindRequest, cleared),
 			Parts: e.texts(KindPart), ClearedParts: e.texts(KindPart, cleared), SoundParts: e.texts(KindPart, sound),
@@ -28,7 +28,8 @@
 		if !keptUntil.After(now) {
 			continue
 		}
-		e := l.find(received.Service, received.Engine, now.Add(-time.Duration(received.AgeMillis)*time.Millisecond))
+		id := endID{service: received.Service, engine: received.Engine, number: received.Number}
+		e := l.findOrAdd(id, now.Add(-time.Duration(received.AgeMillis)*time.Millisecond))
 		l.mergeNames(e, KindRequest, blamed, received.Requests)
 		l.mergeNames(e, KindRequest, cleared, received.ClearedRequests)
 		l.mergeNames(e, KindPart, blamed, received.Parts)
--- a/internal/quarantine/twevidence/part_test.go
+++ b/internal/quarantine/twevidence/part_test.go
@@ -51,7 +51,7 @@
 func (w *world) end(inputs ...turmericwall.Input) {
 	w.engines++
 	for _, input := range inputs {
-		w.RecordEnd(w.now, engine(w.engines), input)
+		w.RecordEnd(w.now, engine(w.engines), w.now, input)
 	}
 	for part, at := range w.progressAt {
 		w.RecordProgress(at, "s", part)
--- a/internal/quarantine/twevidencereports/reports_test.go
+++ b/internal/quarantine/twevidencereports/reports_test.go
@@ -105,7 +105,7 @@
 
 func (d *daemon) recordEnds(first, count int) {
 	for n := range count {
-		d.quarantine.RecordEnd(turmericwall.Upstream{ID: fmt.Sprint("e", first+n)}, input)
+		d.quarantine.RecordEnd(turmericwall.Upstream{ID: fmt.Sprint("e", first+n)}, time.Now(), input)
 	}
 }
 
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -65,10 +65,10 @@
 	return judgement
 }
 
-// RecordEnd records that an engine ended while it ran the input.
-func (q *Quarantine) RecordEnd(engine turmericwall.Upstream, input turmericwall.Input) {
+// RecordEnd records that an engine ended while it ran the input, which was sent at the time.
+func (q *Quarantine) RecordEnd(engine turmericwall.Upstream, sentAt time.Time, input turmericwall.Input) {
 	q.change("end of "+engine.ID, func(now time.Time) {
-		q.ledger.RecordEnd(now, engine.Key(), input)
+		q.ledger.RecordEnd(now, engine.Key(), sentAt, input)
 		q.applyProgress()
 	})
 }
--- a/quarantine.go
+++ b/quarantine.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // EngineEnd is the end of one incarnation of an engine, with what it ran. Daemons exchange it as JSON.
 type EngineEnd struct {
 	Service string      `json:"service"`
 	Engine  UpstreamKey `json:"engine"`
+	// Number counts the ends of the incarnation, from 0: an engine may start again before its entry says so.
+	Number int `json:"number,omitempty"`
 	// AgeMillis is the time since the end.
 	AgeMillis int64 `json:"ageMillis"`
 	// RemainingMillis is how much longer the end is kept.
@@ -92,8 +95,9 @@
 	Judge(input Input) Judgement
 	// Listed returns those of the input's parts on which the verdict may depend.
 	Listed(input Input) []string
-	// RecordEnd records that an engine ended while it ran the input. The input has no parts if they can't be the cause.
-	RecordEnd(engine Upstream, input Input)
+	// RecordEnd records that an engine ended while it ran the input, which was sent at the time. The input has no parts if they
+	// can't be the cause.
+	RecordEnd(engine Upstream, sentAt time.Time, input Input)
 	// RecordProgress records that an engine has written on the input's parts for a while.
 	RecordProgress(input Input)
 	// RecordAnswer records that an engine completed the answer to the input.
