--- a/internal/quarantine/twevidencereports/reports_test.go
+++ b/internal/quarantine/twevidencereports/reports_test.go
@@ -169,3 +169,25 @@
 	f.round()
 	g.Expect(f.daemons[1].verdict()).To(Equal(turmericwall.VerdictQuarantined))
 }
+
+// Guards against messages that grow faster than the number of daemons, and against a daemon that learns late.
+func TestOneEndCostsEachDaemonOneExchange(t *testing.T) {
+	for _, size := range []int{6, 82, 986} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(size)
+			f.leader = "d2"
+			f.daemons[size-1].recordEnds(0, 1)
+			f.round()
+			f.round()
+			f.round()
+			g.Expect(f.exchanges).To(Equal(size - 1))
+			f.daemons[size-1].recordEnds(1, 2)
+			f.round()
+			f.round()
+			for _, d := range f.daemons {
+				g.Expect(d.verdict()).To(Equal(turmericwall.VerdictQuarantined), d.self.Name)
+			}
+		})
+	}
+}
