--- a/internal/membership/twpeerhttp/fuzz_test.go
+++ b/internal/membership/twpeerhttp/fuzz_test.go
@@ -17,6 +17,8 @@
 	"github.com/turmericwall/turmericwall/internal/membership/twrates"
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
+	"github.com/turmericwall/turmericwall/internal/placement/twstreamrecords"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
 )
 
 // Guards against a message from a peer that crashes the daemon, or that makes a proof newer than now.
@@ -33,6 +35,8 @@
 	f.Add("/peer/state", []byte(`{"planVersion":-1,"joining":{"moment":-1}}`))
 	f.Add("/peer/exchange", []byte("{\"to\":{\"id\":\"u\"},\"headBytes\":3,\"remainingMillis\":-1}\nGET body"))
 	f.Add("/peer/exchange", []byte(`{"headBytes":9223372036854775807,"remainingMillis":9223372036854775807}`))
+	f.Add("/peer/evidence", []byte(`{"ends":[{"service":"s","engine":{"id":"e"},"number":-1,"ageMillis":-9223372036854775808,"remainingMillis":9223372036854775807,"parts":["p"],"clearedParts":["p","q"],"requests":["r"]}]}`))
+	f.Add("/peer/streams", []byte(`[{"stream":"s","remainingMillis":9223372036854775807}]`))
 	f.Fuzz(func(t *testing.T, path string, body []byte) {
 		proof := twproof.New(twproof.Config{Incarnation: "i", MaxAge: time.Second})
 		quotas := twquota.New(twquota.Config{
@@ -52,6 +56,11 @@
 			Rates: rates, Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true },
 			Daemons: func() int { return 1 }, UnresponsiveDaemons: func() int { return 0 }, Now: time.Now,
 		})
+		quarantine := twquarantine.New(twquarantine.Config{
+			Self:   func() turmericwall.Member { return turmericwall.Member{} },
+			Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true }, OnChange: func() {},
+			Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}), Now: time.Now,
+		})
 		server := twpeerhttp.NewServer(twpeerhttp.Config{
 			HandleHeartbeat: func(_ context.Context, h turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 				now := twboottime.Now()
@@ -94,7 +103,19 @@
 			) (*turmericwall.Answer, error) {
 				return nil, &turmericwall.EgressRefusal{Reason: turmericwall.EgressUnknownUpstream}
 			},
-			Finish: func(turmericwall.PlacementUpdate) {}, AdoptPlacedCall: func(turmericwall.PlacedCall) {},
+			ExchangeEvidence: func(evidence turmericwall.Evidence) turmericwall.Evidence {
+				quarantine.Merge(evidence)
+				quarantine.Judge(turmericwall.Input{Service: "s", Request: "r", Parts: []string{"p", "q"}})
+				merged, _ := quarantine.Export()
+				for _, end := range merged.Ends {
+					if len(merged.Ends) > 64 || end.AgeMillis < 0 || end.RemainingMillis > 600_000 {
+						t.Fatalf("%d ends, one is %+v", len(merged.Ends), end)
+					}
+				}
+				return merged
+			},
+			RecordStreams: twstreamrecords.New(twstreamrecords.Config{}).RecordAll,
+			Finish:        func(turmericwall.PlacementUpdate) {}, AdoptPlacedCall: func(turmericwall.PlacedCall) {},
 		})
 		request := httptest.NewRequest(http.MethodPost, "/peer/heartbeat", bytes.NewReader(body))
 		request.URL.Path = path
--- a/internal/quarantine/twevidence/merge.go
+++ b/internal/quarantine/twevidence/merge.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		id := endID{service: received.Service, engine: received.Engine, number: received.Number}
-		e := l.findOrAdd(id, now.Add(-time.Duration(received.AgeMillis)*time.Millisecond))
+		e := l.findOrAdd(id, now.Add(-time.Duration(max(received.AgeMillis, 0))*time.Millisecond))
 		l.mergeNames(e, KindRequest, blamed, received.Requests)
 		l.mergeNames(e, KindRequest, cleared, received.ClearedRequests)
 		l.mergeNames(e, KindPart, blamed, received.Parts)
