fix: judge a call's input again after it has waited for its placement

A call may wait up to three seconds for a placement, in which its part is quarantined at all daemons; its prompt was read nevertheless. The judgement on one name has a function of its own.

--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -37,13 +37,16 @@
 	return run, false, nil
 }
 
-// prepare admits the sends of a placed run, reserves memory at the decode engine and has the prompt read.
+// prepare checks what may have changed while the call waited for its placement, admits the sends, reserves memory at the decode engine and has the prompt read.
 func (r *Relay) prepare(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
 	p := run.placement
 	a.upstreamID = p.Decode.ID
 	if err := r.config.Authenticator.CheckCredential(a.credential); err != nil {
 		return true, err
 	}
+	if err := r.checkQuarantine(a); err != nil {
+		return true, err
+	}
 	if limitedID, err := r.admitPlacement(ctx, p); err != nil {
 		a.avoid = append(a.avoid, limitedID)
 		a.recordThrottled(err)
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -113,27 +113,13 @@
 		if !l.listed[n] {
 			continue
 		}
-		ends := l.endsUnder(n)
-		verdict := l.verdictOn(n, ends)
-		var rivals []name
-		if verdict == turmericwall.VerdictQuarantined {
-			rivals = l.rivals(n, ends, input)
-		}
-		if len(rivals) > 0 {
-			verdict = turmericwall.VerdictSuspect
-		}
-		switch verdict {
+		judged := l.judgeName(now, n, input)
+		switch judged.Verdict {
 		case turmericwall.VerdictQuarantined:
-			l.extend(now, ends)
-			return turmericwall.Judgement{
-				Verdict: verdict, Keys: []string{n.String()}, Ends: len(ends), RemainingMillis: retention.Milliseconds(),
-			}
+			return judged
 		case turmericwall.VerdictSuspect:
-			suspected.Verdict, suspected.Ends = verdict, max(suspected.Ends, len(ends))
-			// A rival that runs on the same engine would leave open which of the two ended it.
-			for _, key := range append(rivals, n) {
-				suspected.Keys = append(suspected.Keys, key.String())
-			}
+			suspected.Verdict, suspected.Ends = judged.Verdict, max(suspected.Ends, judged.Ends)
+			suspected.Keys = append(suspected.Keys, judged.Keys...)
 		}
 	}
 	slices.Sort(suspected.Keys)
@@ -141,6 +127,26 @@
 	return suspected
 }
 
+// judgeName returns the verdict on one name of an input. The keys of a suspect include its rivals: one that runs on the same
+// engine would leave open which of the two ended it.
+func (l *Ledger) judgeName(now time.Time, n name, input turmericwall.Input) turmericwall.Judgement {
+	ends := l.endsUnder(n)
+	judged := turmericwall.Judgement{Verdict: l.verdictOn(n, ends), Keys: []string{n.String()}, Ends: len(ends)}
+	if judged.Verdict != turmericwall.VerdictQuarantined {
+		return judged
+	}
+	if rivals := l.rivals(n, ends, input); len(rivals) > 0 {
+		judged.Verdict = turmericwall.VerdictSuspect
+		for _, rival := range rivals {
+			judged.Keys = append(judged.Keys, rival.String())
+		}
+		return judged
+	}
+	l.extend(now, ends)
+	judged.RemainingMillis = retention.Milliseconds()
+	return judged
+}
+
 // verdictOn returns the verdict on a name by the ends under it alone.
 //
 // For a part, an end weighs a third of what it takes against it, or a fifth, and any progress since outweighs all of them.
