--- a/internal/placement/twcoordinator/turn_test.go
+++ b/internal/placement/twcoordinator/turn_test.go
@@ -15,7 +15,8 @@
 // fixedJudgement judges all input alike.
 type fixedJudgement struct{ turmericwall.Judgement }
 
-func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement              { return j.Judgement }
+func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement { return j.Judgement }
+
 func (*fixedJudgement) Listed(turmericwall.Input) []string                             { return nil }
 func (*fixedJudgement) RecordProgress(turmericwall.Input)                              {}
 func (*fixedJudgement) RecordEnd(turmericwall.Upstream, time.Time, turmericwall.Input) {}
