--- a/upstreams.go
+++ b/upstreams.go
@@ -220,7 +220,7 @@
 	PathLost bool
 	// ShareUsed is set if this daemon's share of the upstream's connections is in use.
 	ShareUsed bool
-	Err      error
+	Err       error
 }
 
 // Error returns the text of the cause.
