--- a/internal/quarantine/twevidencereports/reports_test.go
+++ b/internal/quarantine/twevidencereports/reports_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 // fleet is a number of daemons that exchange evidence in memory.
 type fleet struct {
+	mu      sync.Mutex
 	daemons []*daemon
 	// leader is the address of the leader; empty if there is none.
 	leader string
@@ -77,6 +79,8 @@
 func (d *daemon) ExchangeEvidence(
 	_ context.Context, address string, evidence turmericwall.Evidence,
 ) (turmericwall.Evidence, error) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
 	d.fleet.exchanges++
 	if d.fleet.cut[address] || d.fleet.cut[d.self.Address] {
 		return turmericwall.Evidence{}, errors.New("no answer")
