feat: log each run that was broken off, also where nobody checked its upstream's end

The hypotheses on requests that end server after server differ in whether an end was judged wrongly, or never judged: a plain call, a prompt that is read, a moved run, a run whose caller left, an engine whose entry changed. None of these left a line. No decision changes.

--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -21,10 +21,8 @@
 
 // checkEnd checks whether the upstream of a run that was broken off has ended, and records the end.
 func (r *Relay) checkEnd(ctx context.Context, a *attempt, run *modelRun, cause error) {
-	if !r.mayHaveEnded(ctx, run.engine, cause) {
-		return
-	}
-	ended := r.config.HasEnded(ctx, run.engine)
+	judged := r.mayHaveEnded(ctx, run.engine, cause)
+	ended := judged && r.config.HasEnded(ctx, run.engine)
 	if ended {
 		a.engineEnds++
 		r.recordEnd(ctx, a, run)
@@ -33,10 +31,23 @@
 	if !run.firstEventAt.IsZero() {
 		sinceBegin = time.Since(run.firstEventAt).Milliseconds()
 	}
-	r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", a.call.ID).Str("upstream", run.engine.ID).
-		Int("started", run.engine.StartedMillis).Int("ended", boolToInt64(ended)).Int("events", int64(run.events)).
-		Int("sinceFirstMillis", sinceBegin).Str("fingerprint", string(a.fingerprint())).
-		Str("parts", strings.Join(a.call.PromptParts, ",")).Err(cause).Send()
+	r.logBroken(a, run.engine, judged, cause).Int("ended", boolToInt64(ended)).Int("events", int64(run.events)).
+		Int("sinceFirstMillis", sinceBegin).Send()
+}
+
+// logBroken begins the line about a send that was broken off. judged is set if it was checked whether its upstream has ended.
+func (r *Relay) logBroken(
+	a *attempt, upstream turmericwall.Upstream, judged bool, cause error,
+) turmericwall.LogEntry {
+	return r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", a.call.ID).Str("upstream", upstream.ID).
+		Int("started", upstream.StartedMillis).Int("judged", boolToInt64(judged)).
+		Str("fingerprint", string(a.fingerprint())).Str("parts", strings.Join(a.call.PromptParts, ",")).Err(cause)
+}
+
+// mayHaveRun reports whether the error of a send leaves open whether its upstream ran the call.
+func mayHaveRun(err error) bool {
+	var sent *turmericwall.SendError
+	return err != nil && (!errors.As(err, &sent) || !sent.IsSafeToResend())
 }
 
 // recordEnd records the end of the engine that ran the call. It returns once the daemon that judges the next placement knows
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -262,6 +262,9 @@
 		run.update.AnswerMillis = time.Since(run.firstEventAt).Milliseconds()
 	}
 	var toCaller *callerError
+	if err != nil && ctx.Err() != nil {
+		s.relay.logBroken(s.attempt, run.engine, false, err).Send()
+	}
 	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
 		s.relay.checkEnd(ctx, s.attempt, run, err)
 		if !errors.Is(err, errOtherVersion) {
