--- a/internal/delivery/twdelivery/ends.go
+++ b/internal/delivery/twdelivery/ends.go
@@ -43,5 +43,7 @@
 	if _, err := r.delivery.config.Engines.Engine(engine.Address).Report(ctx, true); err == nil || ctx.Err() != nil {
 		return
 	}
-	r.delivery.config.Quarantine.RecordEnd(turmericwall.Upstream{ID: engine.Name}, sentAt, r.input())
+	r.delivery.config.Quarantine.RecordEnd(
+		turmericwall.UpstreamKey{ID: engine.Name}, sentAt, r.input(), turmericwall.EndProved,
+	)
 }
--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -1,5 +1,5 @@
-// Package twendcheck tells an upstream that has ended from one that broke a single answer off: an upstream that has ended
-// answers no query, neither to this daemon nor to a peer.
+// Package twendcheck tells an upstream that has ended from one that broke a single answer off, by a query that is sent after the
+// run had broken off. It knows incarnations by the starts that upstreams state in their reports.
 package twendcheck
 
 import (
@@ -12,20 +12,21 @@
 )
 
 const (
-	// checkTimeout bounds one check, as the caller of the broken answer waits for it.
-	checkTimeout = 400 * time.Millisecond
-	// resultValidity is how long the result of a check holds for the other answers of the upstream: they break at the same
-	// time, and an upstream that ended takes longer to start again.
-	resultValidity = time.Second
+	// queryTimeout bounds the query, and controlTimeout that of other upstreams, as the caller of the broken answer waits.
+	queryTimeout   = 400 * time.Millisecond
+	controlTimeout = 200 * time.Millisecond
+	// checkRetention is how long a check is remembered, and maxSightings the starts that are remembered of an upstream.
+	checkRetention = 30 * time.Second
+	maxSightings   = 4
 )
 
 // Config configures a Checker.
 type Config struct {
-	// Query asks the incarnation for something cheap, through a peer if this daemon has no network path to it. The error is
-	// a SendError.
-	Query func(ctx context.Context, to turmericwall.Upstream) error
-	// Others returns some other upstreams of the service, those first that sent something most recently. One of them must
-	// answer too, on a direct path: otherwise this daemon is cut off, which it may not know yet.
+	// Query asks an upstream for its report, through a peer if this daemon has no network path to it, and returns the start that
+	// the report states; 0 if it states none. The error is a SendError.
+	Query func(ctx context.Context, to turmericwall.Upstream) (startedMillis int64, err error)
+	// Others returns some other upstreams, those first that sent something most recently. One of them must answer too, on a
+	// direct path: otherwise this daemon is cut off, which it may not know yet.
 	Others      func(upstream turmericwall.Upstream) []turmericwall.Upstream
 	QueryDirect func(ctx context.Context, to turmericwall.Upstream) error
 }
@@ -34,73 +35,185 @@
 type Checker struct {
 	config Config
 	mu     sync.Mutex
-	checks map[turmericwall.UpstreamKey]*check
+	known  map[string]*knowledge
 }
 
-// check is one check; ended may be read once done is closed.
+// Run is a run that ended without a complete answer.
+type Run struct {
+	Upstream turmericwall.Upstream
+	// SentAt is when the run was sent, and BrokenAt when it ended.
+	SentAt, BrokenAt time.Time
+}
+
+// Finding is what was found out about the upstream of a run.
+type Finding struct {
+	// Incarnation is the one that ran the run, as far as that is known.
+	Incarnation turmericwall.UpstreamKey
+	Result      turmericwall.EndResult
+	// Answered is set if the upstream answered, whichever incarnation it is.
+	Answered bool
+}
+
+// knowledge is what is known of one upstream.
+type knowledge struct {
+	last      *check
+	sightings []sighting
+}
+
+// sighting is the start that an upstream stated while its entry stated another one, or the same.
+type sighting struct {
+	entryMillis, startedMillis int64
+	since                      time.Time
+}
+
+// check is one query. What it found may be read once done is closed.
 type check struct {
-	done      chan struct{}
-	ended     bool
-	expiresAt time.Time
+	beganAt time.Time
+	done    chan struct{}
+	// isRunning is set until then, under the checker's lock.
+	isRunning bool
+	// answered is set if the upstream itself answered, and startedMillis the start that it stated. gone is set if it has ended.
+	answered, gone bool
+	startedMillis  int64
 }
 
 // New returns a checker.
 func New(config Config) *Checker {
-	return &Checker{config: config, checks: make(map[turmericwall.UpstreamKey]*check)}
+	return &Checker{config: config, known: make(map[string]*knowledge)}
 }
 
-// HasEnded reports whether the upstream's process has ended, as far as this daemon can tell. Answers that break at the same
-// time share one check.
-func (c *Checker) HasEnded(ctx context.Context, upstream turmericwall.Upstream) bool {
-	found, started := c.find(upstream.Key())
-	if started {
-		c.run(found, upstream)
+// Check returns whether the incarnation that ran the run has ended. Runs that break at the same time share a query, if it began
+// after all of them.
+func (c *Checker) Check(ctx context.Context, run Run) Finding {
+	found := Finding{Incarnation: c.incarnationOf(run)}
+	for {
+		joined := c.join(run)
+		select {
+		case <-joined.done:
+		case <-ctx.Done():
+			return found
+		}
+		found.Result, found.Answered = joined.resultFor(found.Incarnation.StartedMillis), joined.answered
+		isLater := !joined.beganAt.Before(run.BrokenAt)
+		if isLater || (found.Result == turmericwall.EndProved && joined.beganAt.After(run.SentAt)) {
+			return found
+		}
+		found.Result, found.Answered = turmericwall.EndUnknown, false
 	}
-	select {
-	case <-found.done:
-		return found.ended
-	case <-ctx.Done():
-		return false
+}
+
+// incarnationOf returns the incarnation that ran the run: the newest that was seen before the run was sent, as long as its entry
+// didn't change since, else that of the entry.
+func (c *Checker) incarnationOf(run Run) turmericwall.UpstreamKey {
+	key := run.Upstream.Key()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.known[key.ID]; known != nil {
+		for _, seen := range known.sightings {
+			if seen.entryMillis == run.Upstream.StartedMillis && !seen.since.After(run.SentAt) {
+				key.StartedMillis = seen.startedMillis
+			}
+		}
 	}
+	return key
 }
 
-// find returns the check of the upstream, and whether it was added now.
-func (c *Checker) find(key turmericwall.UpstreamKey) (found *check, added bool) {
+// join returns the check under way, one that began after the run had broken off, or a new one.
+func (c *Checker) join(run Run) *check {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for other, old := range c.checks {
-		if now.After(old.expiresAt) {
-			delete(c.checks, other)
-		}
+	c.discardOld(now)
+	known := c.known[run.Upstream.ID]
+	if known == nil {
+		known = &knowledge{}
+		c.known[run.Upstream.ID] = known
 	}
-	if found, ok := c.checks[key]; ok {
-		return found, false
+	if known.last != nil && (known.last.isRunning || !known.last.beganAt.Before(run.BrokenAt)) {
+		return known.last
+	}
+	started := &check{beganAt: now, done: make(chan struct{}), isRunning: true}
+	known.last = started
+	go c.run(started, run.Upstream)
+	return started
+}
+
+// discardOld discards what was found long ago; the lock is held.
+func (c *Checker) discardOld(now time.Time) {
+	for id, known := range c.known {
+		if !known.last.isRunning && now.Sub(known.last.beganAt) > checkRetention {
+			delete(c.known, id)
+		}
 	}
-	found = &check{done: make(chan struct{}), expiresAt: now.Add(resultValidity)}
-	c.checks[key] = found
-	return found, true
 }
 
 // run makes the check. It doesn't end with the call that started it, as other calls wait for it too. A query that breaks off
 // is repeated once, since it may have been sent on a connection that broke with the answers.
 func (c *Checker) run(started *check, upstream turmericwall.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	err := c.config.Query(ctx, upstream)
+	startedMillis, err := c.config.Query(ctx, upstream)
 	if isBrokenOff(err) && ctx.Err() == nil {
-		err = c.config.Query(ctx, upstream)
+		startedMillis, err = c.config.Query(ctx, upstream)
 	}
 	var sent *turmericwall.SendError
-	refused := errors.As(err, &sent) && ((sent.ConnectFailed && !sent.PathLost) || sent.IncarnationReplaced)
-	started.ended = ctx.Err() == nil && (refused || isBrokenOff(err)) && c.reachesOthers(ctx, upstream)
-	close(started.done)
+	isSendError := errors.As(err, &sent)
+	switch {
+	case err == nil:
+		started.answered, started.startedMillis = true, startedMillis
+	case isSendError && sent.IncarnationReplaced:
+		started.gone = true
+	case isSendError && sent.Status != 0:
+		started.answered = true
+	case isSendError && ((sent.ConnectFailed && !sent.PathLost) || isBrokenOff(err)) && ctx.Err() == nil:
+		started.gone = c.reachesOthers(upstream)
+	}
+	c.finish(started, upstream)
+}
+
+// finish records what the check found, and the start that the upstream stated.
+func (c *Checker) finish(finished *check, upstream turmericwall.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	finished.isRunning = false
+	close(finished.done)
+	known := c.known[upstream.ID]
+	if known == nil || finished.startedMillis == 0 {
+		return
+	}
+	n := len(known.sightings)
+	if n > 0 && known.sightings[n-1].startedMillis == finished.startedMillis &&
+		known.sightings[n-1].entryMillis == upstream.StartedMillis {
+		return
+	}
+	known.sightings = append(known.sightings, sighting{
+		entryMillis: upstream.StartedMillis, startedMillis: finished.startedMillis, since: time.Now(),
+	})
+	known.sightings = known.sightings[max(len(known.sightings)-maxSightings, 0):]
+}
+
+// resultFor returns what the check says of the incarnation with the start.
+func (c *check) resultFor(startedMillis int64) turmericwall.EndResult {
+	switch {
+	case c.gone, c.answered && c.startedMillis != 0 && startedMillis != 0 && c.startedMillis != startedMillis:
+		return turmericwall.EndProved
+	case c.answered && (c.startedMillis != 0 || startedMillis == 0):
+		return turmericwall.EndRefuted
+	}
+	return turmericwall.EndUnknown
 }
 
-// reachesOthers reports whether another upstream of the service answers.
-func (c *Checker) reachesOthers(ctx context.Context, upstream turmericwall.Upstream) bool {
-	for _, other := range c.config.Others(upstream) {
-		if c.config.QueryDirect(ctx, other) == nil {
+// reachesOthers reports whether another upstream answers.
+func (c *Checker) reachesOthers(upstream turmericwall.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	others := c.config.Others(upstream)
+	answers := make(chan error, len(others))
+	for _, other := range others {
+		go func() { answers <- c.config.QueryDirect(ctx, other) }()
+	}
+	for range others {
+		if <-answers == nil {
 			return true
 		}
 	}
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -13,72 +14,129 @@
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 )
 
-func TestOnlyUpstreamsThatAnswerNobodyHaveEnded(t *testing.T) {
-	failed := func(e turmericwall.SendError) error {
-		e.Err = errors.New("failed")
-		return &e
-	}
-	reached := []error{failed(turmericwall.SendError{ConnectFailed: true}), nil}
-	brokenOff := failed(turmericwall.SendError{Sent: true})
+// upstream is listed with a start of 1.
+var upstream = turmericwall.Upstream{ID: "u", StartedMillis: 1}
+
+// queryFunc answers a query with the start that the upstream states.
+type queryFunc func(ctx context.Context) (int64, error)
+
+// newChecker returns a checker whose queries are answered by the function, and those of other upstreams with the error.
+func newChecker(query queryFunc, control error) *twendcheck.Checker {
+	return twendcheck.New(twendcheck.Config{
+		Query:       func(ctx context.Context, _ turmericwall.Upstream) (int64, error) { return query(ctx) },
+		Others:      func(turmericwall.Upstream) []turmericwall.Upstream { return make([]turmericwall.Upstream, 2) },
+		QueryDirect: func(context.Context, turmericwall.Upstream) error { return control },
+	})
+}
+
+// broken returns a run that broke off now.
+func broken() twendcheck.Run {
+	return twendcheck.Run{Upstream: upstream, SentAt: time.Now().Add(-time.Second), BrokenAt: time.Now()}
+}
+
+func failed(e turmericwall.SendError) error {
+	e.Err = errors.New("failed")
+	return &e
+}
+
+func TestCheckTellsEndedFromAliveAndUnknown(t *testing.T) {
+	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true}), failed(turmericwall.SendError{Sent: true})
 	for name, test := range map[string]struct {
-		errs []error
-		want bool
-		// others are the errors of the other upstreams.
-		others []error
+		started int64
+		errs    []error
+		control error
+		want    turmericwall.EndResult
 	}{
-		"answers":                              {[]error{nil}, false, reached},
-		"refuses":                              {[]error{failed(turmericwall.SendError{ConnectFailed: true})}, true, reached},
-		"another incarnation answers":          {[]error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, true, reached},
-		"answers with a failure":               {[]error{failed(turmericwall.SendError{Sent: true, Status: 500})}, false, reached},
-		"no free connection":                   {[]error{failed(turmericwall.SendError{})}, false, reached},
-		"this daemon has no path":              {[]error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, false, reached},
-		"answers on a new connection":          {[]error{brokenOff, nil}, false, reached},
-		"closes each connection":               {[]error{brokenOff, brokenOff}, true, reached},
-		"nobody answers this daemon":           {[]error{brokenOff, brokenOff}, false, []error{brokenOff, brokenOff}},
-		"refuses, after a connection was open": {[]error{brokenOff, failed(turmericwall.SendError{ConnectFailed: true})}, true, reached},
+		"answers":                              {1, []error{nil}, nil, turmericwall.EndRefuted},
+		"states another start":                 {2, []error{nil}, nil, turmericwall.EndProved},
+		"states no start":                      {0, []error{nil}, nil, turmericwall.EndUnknown},
+		"answers with a failure":               {0, []error{failed(turmericwall.SendError{Sent: true, Status: 500})}, nil, turmericwall.EndUnknown},
+		"refuses":                              {0, []error{refused}, nil, turmericwall.EndProved},
+		"another upstream answers":             {0, []error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, nil, turmericwall.EndProved},
+		"no free connection":                   {0, []error{failed(turmericwall.SendError{})}, nil, turmericwall.EndUnknown},
+		"this daemon has no path":              {0, []error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, nil, turmericwall.EndUnknown},
+		"answers on a new connection":          {1, []error{brokenOff, nil}, nil, turmericwall.EndRefuted},
+		"closes each connection":               {0, []error{brokenOff, brokenOff}, nil, turmericwall.EndProved},
+		"nobody answers this daemon":           {0, []error{brokenOff, brokenOff}, brokenOff, turmericwall.EndUnknown},
+		"refuses, after a connection was open": {0, []error{brokenOff, refused}, nil, turmericwall.EndProved},
 	} {
 		t.Run(name, func(t *testing.T) {
 			queries := 0
-			checker := twendcheck.New(twendcheck.Config{Query: func(context.Context, turmericwall.Upstream) error {
+			checker := newChecker(func(context.Context) (int64, error) {
 				queries++
-				return test.errs[queries-1]
-			}, Others: func(turmericwall.Upstream) []turmericwall.Upstream {
-				return make([]turmericwall.Upstream, len(test.others))
-			}, QueryDirect: func(context.Context, turmericwall.Upstream) error {
-				err := test.others[0]
-				test.others = test.others[1:]
-				return err
-			}})
-			got := checker.HasEnded(context.Background(), turmericwall.Upstream{ID: "u"})
-			NewWithT(t).Expect(got).To(Equal(test.want))
+				return test.started, test.errs[queries-1]
+			}, test.control)
+			NewWithT(t).Expect(checker.Check(context.Background(), broken()).Result).To(Equal(test.want))
 		})
 	}
 }
 
 // Guards against a query for each of the answers that break with their upstream.
-func TestAnswersThatBreakTogetherShareACheck(t *testing.T) {
+func TestRunsThatBreakTogetherShareACheck(t *testing.T) {
 	g := NewWithT(t)
 	var queries atomic.Int64
-	checker := twendcheck.New(twendcheck.Config{
-		Query: func(context.Context, turmericwall.Upstream) error {
-			queries.Add(1)
-			return &turmericwall.SendError{ConnectFailed: true, Err: errors.New("refused")}
-		},
-		Others:      func(turmericwall.Upstream) []turmericwall.Upstream { return make([]turmericwall.Upstream, 1) },
-		QueryDirect: func(context.Context, turmericwall.Upstream) error { return nil },
-	})
+	checker := newChecker(func(context.Context) (int64, error) {
+		queries.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		return 0, failed(turmericwall.SendError{ConnectFailed: true})
+	}, nil)
 	var answers sync.WaitGroup
 	var ended atomic.Int64
 	for range 20 {
 		answers.Go(func() {
-			if checker.HasEnded(context.Background(), turmericwall.Upstream{ID: "u", StartedMillis: 1}) {
+			if checker.Check(context.Background(), broken()).Result == turmericwall.EndProved {
 				ended.Add(1)
 			}
 		})
 	}
 	answers.Wait()
 	g.Expect(ended.Load()).To(BeEquivalentTo(20))
-	g.Expect(queries.Load()).To(BeEquivalentTo(1))
-	checker.HasEnded(context.Background(), turmericwall.Upstream{ID: "u", StartedMillis: 2})
-	g.Expect(queries.Load()).To(BeEquivalentTo(2), "the next incarnation is checked by itself")
+	g.Expect(queries.Load()).To(BeNumerically("<=", 2))
+}
+
+// Guards against an engine that broke one answer off, and then ended under another run while the first result still held.
+func TestResultOfAnEarlierQuerySaysNothingAboutALaterRun(t *testing.T) {
+	g := NewWithT(t)
+	var crashed atomic.Bool
+	checker := newChecker(func(context.Context) (int64, error) {
+		if crashed.Load() {
+			return 0, failed(turmericwall.SendError{ConnectFailed: true})
+		}
+		return 1, nil
+	}, nil)
+	g.Expect(checker.Check(context.Background(), broken()).Result).To(Equal(turmericwall.EndRefuted))
+	crashed.Store(true)
+	g.Expect(checker.Check(context.Background(), broken()).Result).To(Equal(turmericwall.EndProved))
+}
+
+// Guards against an upstream whose entry lags after it has started again: a run that it breaks off isn't its end, and a further
+// start is.
+func TestRunBelongsToTheIncarnationSeenBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	started := int64(2)
+	checker := newChecker(func(context.Context) (int64, error) { return started, nil }, nil)
+	g.Expect(checker.Check(context.Background(), broken())).To(Equal(twendcheck.Finding{
+		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 1}, Result: turmericwall.EndProved, Answered: true,
+	}))
+	later := func() twendcheck.Run {
+		return twendcheck.Run{Upstream: upstream, SentAt: time.Now(), BrokenAt: time.Now()}
+	}
+	g.Expect(checker.Check(context.Background(), later()).Result).To(Equal(turmericwall.EndRefuted))
+	started = 3
+	g.Expect(checker.Check(context.Background(), later())).To(Equal(twendcheck.Finding{
+		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 2}, Result: turmericwall.EndProved, Answered: true,
+	}))
+}
+
+// Guards against a check that ends with the call that asked for it, or that takes a silent upstream for a living one.
+func TestSilentUpstreamIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	checker := newChecker(func(ctx context.Context) (int64, error) {
+		<-ctx.Done()
+		return 0, failed(turmericwall.SendError{Sent: true})
+	}, nil)
+	g.Expect(checker.Check(context.Background(), broken()).Result).To(Equal(turmericwall.EndUnknown))
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	g.Expect(checker.Check(left, broken()).Result).To(Equal(turmericwall.EndUnknown))
 }
--- a/internal/delivery/twfingerprint/fingerprint.go
+++ b/internal/delivery/twfingerprint/fingerprint.go
@@ -32,6 +32,20 @@
 		writeText(sum, part)
 	}
 	_, _ = sum.Write(call.Body)
+	return encode(sum)
+}
+
+// OfStream returns the fingerprint of the stream that the call with the id began, for a call that begins it or takes it up. What the
+// call asks for may differ between these.
+func OfStream(call turmericwall.RoutedCall, id string) Fingerprint {
+	sum := sha256.New()
+	for _, text := range []string{"stream", call.Account, call.Host, call.Target, id} {
+		writeText(sum, text)
+	}
+	return encode(sum)
+}
+
+func encode(sum hash.Hash) Fingerprint {
 	return Fingerprint(base64.RawURLEncoding.EncodeToString(sum.Sum(nil)[:sumBytes]))
 }
 
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 )
 
@@ -19,50 +20,107 @@
 	return a.requestFingerprint
 }
 
-// checkEnd checks whether the upstream of a run that was broken off has ended, and records the end.
-func (r *Relay) checkEnd(ctx context.Context, a *attempt, run *modelRun, cause error) {
-	judged := r.mayHaveEnded(ctx, run.engine, cause)
-	ended := judged && r.config.HasEnded(ctx, run.engine)
-	if ended {
-		a.engineEnds++
-		r.recordEnd(ctx, a, run)
-	}
-	sinceBegin := int64(-1)
+// brokenRun is a run that ended without a complete answer.
+type brokenRun struct {
+	callID   string
+	upstream turmericwall.Upstream
+	input    turmericwall.Input
+	// sentAt is when the run was sent, and brokenAt when it ended.
+	sentAt, brokenAt time.Time
+	// events is the number of events that were passed on, and sinceFirstMillis the time since the first one; -1 before it.
+	events           int
+	sinceFirstMillis int64
+	cause            error
+}
+
+// brokenModelRun returns a run of a model call that was broken off now.
+func (a *attempt) brokenModelRun(run *modelRun, cause error) brokenRun {
+	broken := a.brokenRun(run.engine, run.sentAt, cause)
+	broken.events = run.events
 	if !run.firstEventAt.IsZero() {
-		sinceBegin = time.Since(run.firstEventAt).Milliseconds()
+		broken.sinceFirstMillis = time.Since(run.firstEventAt).Milliseconds()
+	}
+	if run.hasProgressed() {
+		broken.input.Parts = nil
 	}
-	r.logBroken(a, run.engine, judged, cause).Int("ended", boolToInt64(ended)).Int("events", int64(run.events)).
-		Int("sinceFirstMillis", sinceBegin).Send()
+	return broken
 }
 
-// logBroken begins the line about a send that was broken off. judged is set if it was checked whether its upstream has ended.
-func (r *Relay) logBroken(
-	a *attempt, upstream turmericwall.Upstream, judged bool, cause error,
-) turmericwall.LogEntry {
-	return r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", a.call.ID).Str("upstream", upstream.ID).
-		Int("started", upstream.StartedMillis).Int("judged", boolToInt64(judged)).
-		Str("fingerprint", string(a.fingerprint())).Str("parts", strings.Join(a.call.PromptParts, ",")).Err(cause)
+// brokenRun returns a run of the call that was broken off now, before any event.
+func (a *attempt) brokenRun(upstream turmericwall.Upstream, sentAt time.Time, cause error) brokenRun {
+	return brokenRun{
+		callID: a.call.ID, upstream: upstream, input: a.input(), sentAt: sentAt, brokenAt: time.Now(), sinceFirstMillis: -1,
+		cause: cause,
+	}
 }
 
-// mayHaveRun reports whether the error of a send leaves open whether its upstream ran the call.
-func mayHaveRun(err error) bool {
-	var sent *turmericwall.SendError
-	return err != nil && (!errors.As(err, &sent) || !sent.IsSafeToResend())
+// settleBroken finds out whether the upstream of a broken run has ended, and records it. Then the call may go on, or its caller
+// be answered, who may come again at once. Where the caller has left, or the time is over, it doesn't wait, and reports pending.
+func (r *Relay) settleBroken(ctx context.Context, a *attempt, broken brokenRun) (pending bool) {
+	switch {
+	case r.config.Quarantine == nil || r.config.CheckEnd == nil, !mayHaveEnded(broken.cause):
+		r.logBroken(broken, "no")
+		return false
+	case errors.Is(broken.cause, errSilent):
+		// Another engine is about to take over. A query would have to wait for the silent one.
+		r.recordEnd(ctx, a, broken, twendcheck.Finding{Incarnation: broken.upstream.Key()})
+		return false
+	case hasLeft(ctx, broken.cause):
+		go func() {
+			background := context.WithoutCancel(ctx)
+			r.recordEnd(background, nil, broken, r.checkEnd(background, broken))
+		}()
+		return true
+	}
+	r.recordEnd(ctx, a, broken, r.checkEnd(ctx, broken))
+	return false
 }
 
-// recordEnd records the end of the engine that ran the call. It returns once the daemon that judges the next placement knows
-// of it, as the call goes on, or its caller comes again, at once.
-func (r *Relay) recordEnd(ctx context.Context, a *attempt, run *modelRun) {
-	if r.config.Quarantine == nil {
+// checkEnd checks whether the upstream of a broken run has ended.
+func (r *Relay) checkEnd(ctx context.Context, broken brokenRun) twendcheck.Finding {
+	return r.config.CheckEnd(ctx, twendcheck.Run{
+		Upstream: broken.upstream, SentAt: broken.sentAt, BrokenAt: broken.brokenAt,
+	})
+}
+
+// recordEnd records what was found of a broken run's upstream. It returns once the daemon that judges the next try knows of it.
+func (r *Relay) recordEnd(ctx context.Context, a *attempt, broken brokenRun, found twendcheck.Finding) {
+	r.logBroken(broken, found.Result.String())
+	if found.Result == turmericwall.EndRefuted {
 		return
 	}
-	input := a.input()
-	if run.hasProgressed() {
-		r.config.Quarantine.RecordProgress(input)
-		input.Parts = nil
+	if a != nil {
+		a.upstreamEnds.Add(1)
 	}
-	r.config.Quarantine.RecordEnd(run.engine, run.sentAt, input)
-	r.config.FlushEvidence(ctx)
+	r.config.Quarantine.RecordEnd(found.Incarnation, broken.sentAt, broken.input, found.Result)
+	r.config.FlushEvidence(context.WithoutCancel(ctx))
+}
+
+// logBroken writes the line about a broken run, and what was found of its upstream.
+func (r *Relay) logBroken(broken brokenRun, found string) {
+	r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", broken.callID).Str("upstream", broken.upstream.ID).
+		Int("started", broken.upstream.StartedMillis).Str("found", found).Int("events", int64(broken.events)).
+		Int("sinceFirstMillis", broken.sinceFirstMillis).Str("fingerprint", broken.input.Request).
+		Str("parts", strings.Join(broken.input.Parts, ",")).Err(broken.cause).Send()
+}
+
+// mayHaveEnded reports whether the error of a run may come from the end of its upstream, which may be noticed otherwise only
+// later: it isn't stated that the run didn't begin, and the upstream didn't answer it to the end.
+func mayHaveEnded(cause error) bool {
+	var sent *turmericwall.SendError
+	switch {
+	case cause == nil, errors.Is(cause, errOtherVersion), errors.Is(cause, errEngineFailed):
+		return false
+	case errors.As(cause, &sent) && sent.IsSafeToResend():
+		return false
+	}
+	return true
+}
+
+// hasLeft reports whether the run ended because its caller has left or its time is over.
+func hasLeft(ctx context.Context, cause error) bool {
+	var toCaller *callerError
+	return ctx.Err() != nil || errors.As(cause, &toCaller)
 }
 
 // progressSpan is how long after its first event a run has shown that its engine doesn't crash on the parts of its prompt:
@@ -90,11 +148,16 @@
 	}
 }
 
-// input returns what the call brings to engines.
+// input returns what the call brings to upstreams.
 func (a *attempt) input() turmericwall.Input {
-	return turmericwall.Input{
-		Service: a.service.Name, Request: string(a.fingerprint()), Parts: a.call.PromptParts,
+	input := turmericwall.Input{Service: a.service.Name, Request: string(a.fingerprint()), Alone: a.isSuspect.Load()}
+	if a.service.Engine != nil {
+		input.Parts = a.call.PromptParts
+	}
+	if a.route.Resumable {
+		input.Stream = string(twfingerprint.OfStream(a.call, a.streamID()))
 	}
+	return input
 }
 
 // listedParts returns the parts of the call's prompt that the daemon which places it needs to know.
@@ -105,32 +168,16 @@
 	return r.config.Quarantine.Listed(a.input())
 }
 
-// checkQuarantine returns the refusal of a call whose input is quarantined.
+// checkQuarantine returns the refusal of a call whose input is quarantined, and notes whether it is suspected.
 func (r *Relay) checkQuarantine(a *attempt) error {
 	if r.config.Quarantine == nil {
 		return nil
 	}
 	judgement := r.config.Quarantine.Judge(a.input())
+	a.isSuspect.Store(judgement.Verdict == turmericwall.VerdictSuspect)
 	if judgement.Verdict != turmericwall.VerdictQuarantined {
 		return nil
 	}
 	return turmericwall.NewQuarantineProblem(judgement.String(),
 		time.Now().Add(time.Duration(judgement.RemainingMillis)*time.Millisecond))
 }
-
-// mayHaveEnded reports whether the error of a run may come from the end of its upstream. An upstream that is leaving ends
-// as it announced, and one that is silent or answers has not ended.
-func (r *Relay) mayHaveEnded(ctx context.Context, upstream turmericwall.Upstream, cause error) bool {
-	var toCaller *callerError
-	var sent *turmericwall.SendError
-	switch {
-	case r.config.HasEnded == nil, cause == nil, ctx.Err() != nil:
-		return false
-	case errors.As(cause, &toCaller), errors.Is(cause, errOtherVersion), errors.Is(cause, errSilent),
-		errors.Is(cause, errEngineFailed), isTimeout(cause):
-		return false
-	case errors.As(cause, &sent) && (sent.PathLost || !sent.Sent || sent.NotRun):
-		return false
-	}
-	return r.config.View.AcceptsCalls(upstream.Key()) && !r.pathLost(upstream)
-}
--- a/internal/delivery/twrelay/ends_test.go
+++ b/internal/delivery/twrelay/ends_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -21,7 +22,7 @@
 	}, nil)
 	ended := stream(events(1, 1)+"id: 2\nda", io.ErrUnexpectedEOF)
 	s.upstreams.send = engineAnswers{"d1": ended, "d2": ended, "d3": ended, "d4": ended}.send
-	s.ended.Store(true)
+	s.setEnded(true)
 	for range 4 {
 		_, _ = s.serveWithin(context.Background(), "/r/x", resumeSpan)
 	}
@@ -37,45 +38,94 @@
 	g.Expect(w.Code).To(Equal(200))
 }
 
-// Guards against a request that is blamed for an answer that its engine broke off, or for the end of an engine that leaves.
-func TestOnlyEndsOfEnginesAreHeldAgainstARequest(t *testing.T) {
+// Guards against a request that is blamed for an answer that its engine broke off, and against ends that nobody counts because
+// they can't be judged at once.
+func TestBrokenRunsCountUntilTheirEnginesAreSeenAlive(t *testing.T) {
+	noChange := func(*fixture) {}
 	for name, test := range map[string]struct {
-		ended bool
-		err   error
-		prior func(s *fixture)
+		found  turmericwall.EndResult
+		err    error
+		prior  func(s *fixture)
+		counts bool
 	}{
-		"the engine serves on": {false, io.ErrUnexpectedEOF, func(*fixture) {}},
-		"the path was lost": {
-			true, &turmericwall.SendError{Sent: true, PathLost: true, Err: io.ErrUnexpectedEOF}, func(*fixture) {},
-		},
-		"the engine leaves": {true, io.ErrUnexpectedEOF, func(s *fixture) {
-			s.view.ApplyPeerChanges(s.view.Position()+1, []turmericwall.Upstream{leavingEngine("d1")}, nil)
-		}},
+		"the engine serves on":      {turmericwall.EndRefuted, io.ErrUnexpectedEOF, noChange, false},
+		"the engine has ended":      {turmericwall.EndProved, io.ErrUnexpectedEOF, noChange, true},
+		"nobody can tell":           {turmericwall.EndUnknown, io.ErrUnexpectedEOF, noChange, true},
+		"the path was lost":         {turmericwall.EndUnknown, &turmericwall.SendError{Sent: true, PathLost: true, Err: io.ErrUnexpectedEOF}, noChange, true},
+		"the engine leaves":         {turmericwall.EndProved, io.ErrUnexpectedEOF, listEngine(leavingEngine("d1")), true},
+		"the engine's entry is new": {turmericwall.EndProved, io.ErrUnexpectedEOF, listEngine(startedEngine("d1", 9)), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
-			s.ended.Store(test.ended)
+			s := newModelFixture(splitPlacement("d1"))
+			s.found.Store(int64(test.found))
 			s.upstreams.send = engineAnswers{
 				"d1": func(ctx context.Context, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
 					test.prior(s)
 					return stream("id: 1\nda", test.err)(ctx, call)
 				},
 			}.send
-			_, _ = s.serveWithin(context.Background(), "/r/x", resumeSpan)
-			g.Expect(s.flushes.Load()).To(BeZero())
+			_, _ = s.serveWithin(context.Background(), "/m/x", resumeSpan)
+			g.Expect(s.checks.Load()).To(BeEquivalentTo(1))
+			g.Expect(s.flushes.Load() > 0).To(Equal(test.counts))
 		})
 	}
 }
 
+// Guards against an engine whose end nobody asks about, because the caller left or its time was over as it ended.
+func TestEndIsCheckedAfterTheCallerHasLeft(t *testing.T) {
+	for name, span := range map[string]time.Duration{"the caller left": resumeSpan, "the deadline passed": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"))
+			s.setEnded(true)
+			s.upstreams.send = engineAnswers{
+				"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+					<-ctx.Done()
+					return nil, &turmericwall.SendError{Sent: true, Err: ctx.Err()}
+				},
+			}.send
+			ctx, leave := context.WithCancel(context.Background())
+			time.AfterFunc(20*time.Millisecond, func() {
+				if span == resumeSpan {
+					leave()
+				}
+			})
+			defer leave()
+			_, _ = s.serveWithin(ctx, "/m/x", span)
+			g.Eventually(s.flushes.Load).Should(BeEquivalentTo(1))
+			g.Expect(s.placer.last().Unsettled).To(BeTrue(), "the leader must count the run until its end is known")
+		})
+	}
+}
+
+// listEngine lists an engine anew.
+func listEngine(e turmericwall.Upstream) func(s *fixture) {
+	return func(s *fixture) { s.view.ApplyPeerChanges(s.view.Position()+1, []turmericwall.Upstream{e}, nil) }
+}
+
+func startedEngine(id string, startedMillis int64) turmericwall.Upstream {
+	e := engine(id, turmericwall.RoleDecode)
+	e.StartedMillis = startedMillis
+	return e
+}
+
 func leavingEngine(id string) turmericwall.Upstream {
 	e := engine(id, turmericwall.RoleDecode)
 	e.Leaving = true
 	return e
 }
 
-// endings are the fixture's engines that end, and its quarantine.
+// endings are what checks find of the fixture's upstreams, and how often its evidence was sent.
 type endings struct {
-	ended   atomic.Bool
-	flushes atomic.Int64
+	found           atomic.Int64
+	checks, flushes atomic.Int64
+}
+
+// setEnded sets whether the upstreams of broken runs have ended, or serve on.
+func (e *endings) setEnded(ended bool) {
+	e.found.Store(int64(turmericwall.EndRefuted))
+	if ended {
+		e.found.Store(int64(turmericwall.EndProved))
+	}
 }
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twrelay"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
@@ -182,6 +183,13 @@
 	p.updates = append(p.updates, update)
 }
 
+// last returns the last report.
+func (p *fakePlacer) last() turmericwall.PlacementUpdate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.updates[len(p.updates)-1]
+}
+
 // fakeThrottle simulates the rates of upstreams: those in closedUntil accept no call.
 type fakeThrottle struct {
 	mu          sync.Mutex
@@ -271,6 +279,7 @@
 		},
 		view: twupstreams.New(twupstreams.Config{}), slack: 50,
 	}
+	s.setEnded(false)
 	s.proof = twproof.New(twproof.Config{MaxAge: time.Minute, UnlistedKeyMaxAge: time.Minute})
 	s.proof.Confirm(twboottime.Now())
 	s.log = &logBuffer{}
@@ -321,8 +330,11 @@
 		Retries:       s.retries,
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
 		Recorder:      tweventlog.New(tweventlog.Config{Output: s.log}), Daemons: func() int { return 1 }, Daemon: "me",
-		Streams:  s.streams,
-		HasEnded: func(context.Context, turmericwall.Upstream) bool { return s.ended.Load() },
+		Streams: s.streams,
+		CheckEnd: func(_ context.Context, run twendcheck.Run) twendcheck.Finding {
+			s.checks.Add(1)
+			return twendcheck.Finding{Incarnation: run.Upstream.Key(), Result: turmericwall.EndResult(s.found.Load())}
+		},
 		Quarantine: twquarantine.New(twquarantine.Config{
 			Self:   func() turmericwall.Member { return turmericwall.Member{} },
 			Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true }, OnChange: func() {},
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -277,9 +277,6 @@
 		run.stop()
 		s.relay.returnUnsent(s.attempt, err)
 	}
-	if mayHaveRun(err) {
-		s.relay.logBroken(s.attempt, engine, false, err).Send()
-	}
 	return err
 }
 
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -207,8 +207,8 @@
 	if outcome.EndedBy != "" {
 		entry = entry.Str("endedBy", outcome.EndedBy)
 	}
-	if a.engineEnds > 0 {
-		entry = entry.Int("engineEnds", int64(a.engineEnds)).Str("fingerprint", string(a.fingerprint())).
+	if ends := a.upstreamEnds.Load(); ends > 0 {
+		entry = entry.Int("upstreamEnds", ends).Str("fingerprint", string(a.fingerprint())).
 			Str("parts", strings.Join(a.call.PromptParts, ","))
 	}
 	if a.retryDenied {
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -232,9 +232,6 @@
 		got.buffered, got.complete, got.err = bufferBody(got.answer)
 	}
 	got.duration = time.Since(began)
-	if mayHaveRun(got.err) {
-		r.logBroken(a, upstream, false, got.err).Send()
-	}
 	r.reportToPicker(ctx, got)
 	return got
 }
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -146,9 +146,6 @@
 	export, err := r.config.Upstreams.Prefill(ctx, p.Prefill, turmericwall.OutgoingCall{
 		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
 	})
-	if mayHaveRun(err) {
-		r.logBroken(a, p.Prefill, false, err).Send()
-	}
 	switch {
 	case err == nil || wasSent(err):
 		a.prefillSent = true
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -7,10 +7,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
@@ -62,8 +64,8 @@
 	// daemon that judges their next placement. They may be nil.
 	Quarantine    turmericwall.CallQuarantine
 	FlushEvidence func(ctx context.Context)
-	// HasEnded reports whether an upstream that broke an answer off has ended; it may be nil.
-	HasEnded func(ctx context.Context, upstream turmericwall.Upstream) bool
+	// CheckEnd checks whether the upstream of a broken run has ended; it may be nil.
+	CheckEnd func(ctx context.Context, run twendcheck.Run) twendcheck.Finding
 	// Streams has the software versions that began streams.
 	Streams turmericwall.StreamVersions
 	// Daemons returns the number of live daemons, which share the retry budget.
@@ -119,8 +121,10 @@
 	versionUnknown bool
 	// requestFingerprint is empty until it is needed; see fingerprint.
 	requestFingerprint twfingerprint.Fingerprint
-	// engineEnds counts the engines that ended while they ran the call.
-	engineEnds int
+	// upstreamEnds counts the upstreams that ended while they ran the call, or may have.
+	upstreamEnds atomic.Int64
+	// isSuspect is set if upstreams ended under the call's input, so that calls with it run one at a time.
+	isSuspect atomic.Bool
 	// avoid are the engines that failed the call.
 	avoid []string
 	// lastEventID is the id of the last event that was passed on; 0 before the first.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -262,11 +262,10 @@
 		run.update.AnswerMillis = time.Since(run.firstEventAt).Milliseconds()
 	}
 	var toCaller *callerError
-	if err != nil && ctx.Err() != nil {
-		s.relay.logBroken(s.attempt, run.engine, false, err).Send()
+	if err != nil && !s.move.isPending() {
+		run.update.Unsettled = s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err))
 	}
 	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
-		s.relay.checkEnd(ctx, s.attempt, run, err)
 		if !errors.Is(err, errOtherVersion) {
 			run.update.FailedEngine = s.relay.failedEngine(run.engine, err)
 		}
--- a/internal/membership/twupstreams/view.go
+++ b/internal/membership/twupstreams/view.go
@@ -335,6 +335,17 @@
 	return e.upstream, !e.upstream.Leaving, true
 }
 
+// Listed returns the registry's entry of an upstream, whichever incarnation it is; ok is false if there is none.
+func (v *View) Listed(id string) (upstream turmericwall.Upstream, ok bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e, ok := v.entries[id]
+	if !ok {
+		return turmericwall.Upstream{}, false
+	}
+	return e.upstream, true
+}
+
 // VersionOf returns the software version of an incarnation that a call was sent to: its own, unless another version is
 // listed under its id by now. Then it is unknown, and empty: either of them may have got the call.
 func (v *View) VersionOf(u turmericwall.Upstream) turmericwall.SoftwareVersion {
--- a/internal/placement/twcoordinator/turn_test.go
+++ b/internal/placement/twcoordinator/turn_test.go
@@ -17,10 +17,11 @@
 
 func (j *fixedJudgement) Judge(turmericwall.Input) turmericwall.Judgement { return j.Judgement }
 
-func (*fixedJudgement) Listed(turmericwall.Input) []string                             { return nil }
-func (*fixedJudgement) RecordProgress(turmericwall.Input)                              {}
-func (*fixedJudgement) RecordEnd(turmericwall.Upstream, time.Time, turmericwall.Input) {}
-func (*fixedJudgement) RecordAnswer(turmericwall.Input)                                {}
+func (*fixedJudgement) Listed(turmericwall.Input) []string { return nil }
+func (*fixedJudgement) RecordProgress(turmericwall.Input)  {}
+func (*fixedJudgement) RecordEnd(turmericwall.UpstreamKey, time.Time, turmericwall.Input, turmericwall.EndResult) {
+}
+func (*fixedJudgement) RecordAnswer(turmericwall.Input) {}
 
 // Guards against the next try of a request that ended engines: another daemon, which was told nothing, has it placed.
 func TestLeaderPlacesSuspectsOneAtATimeAndNoQuarantinedInput(t *testing.T) {
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -1,4 +1,4 @@
-// Package twevidence judges from the ends of engines which input causes them. It is a pure state machine without clock,
+// Package twevidence judges from the ends of upstreams which input causes them. It is a pure state machine without clock,
 // socket or goroutine: daemons that know the same ends judge alike, in whatever order they learnt of them.
 package twevidence
 
@@ -11,27 +11,31 @@
 )
 
 const (
-	// maxEndsPerRequest is how many engines may end under one request, over all tries of its caller.
-	maxEndsPerRequest = 3
+	// MaxEndsPerRequest is how many upstreams may end under one request, over all tries of its caller.
+	MaxEndsPerRequest = 3
 	// minEnds is the number of ends from which a part of prompts is their cause, if no engine wrote on it since, and
 	// minEndsIfSound that for a part on which an engine lately did: such a part is in most ends that have another cause.
 	minEnds        = 3
 	minEndsIfSound = 5
-	// soundSpan is how long before an end an engine's writing on a part speaks for the part.
-	soundSpan = 10 * time.Second
-	// retention is how long an end is kept after it, and after the last call that was refused for it.
-	retention = 10 * time.Minute
+	// SoundSpan is how long before an end a name's running well speaks for it.
+	SoundSpan = 10 * time.Second
+	// retention is how long an end is kept after it, and after the last call that was refused for it. settledRetention is
+	// that of an end under which nothing can be blamed any more: other daemons may still report it.
+	retention        = 10 * time.Minute
+	settledRetention = 30 * time.Second
 	// announcedExtension is by how much the retention of an end grows before other daemons are told.
 	announcedExtension = retention / 2
+	// openRetry is how long a request is refused while open ends are among those that count: they are about to be settled.
+	openRetry = time.Second
 	// maxEnds and maxNames bound the memory: the ends, and the names of each kind in one of them.
 	maxEnds  = 64
 	maxNames = 32
 )
 
-// Ledger holds the ends of engines, oldest first. It is not safe for concurrent use.
+// Ledger holds the ends of upstreams, oldest first. It is not safe for concurrent use.
 type Ledger struct {
 	ends []*end
-	// listed has what is in an end and not cleared there.
+	// listed has what may be the cause of an end.
 	listed map[name]bool
 	// version is the number of changes that other daemons need to know.
 	version int64
@@ -46,52 +50,118 @@
 // IsEmpty reports whether no end is known.
 func (l *Ledger) IsEmpty() bool { return len(l.ends) == 0 }
 
-// RecordEnd records that at now an engine has ended while it ran the input, which was sent at the time. An input that was sent
-// after an end of the incarnation shows that it had started again.
-func (l *Ledger) RecordEnd(now time.Time, engine turmericwall.UpstreamKey, sentAt time.Time, input turmericwall.Input) {
-	id := endID{service: input.Service, engine: engine}
+// RecordEnd records that at now an upstream was found to have ended, or may have, while it ran the input, which was sent at the
+// time. A run that was sent after a proved end of the incarnation shows that it had started again.
+func (l *Ledger) RecordEnd(
+	now time.Time, upstream turmericwall.UpstreamKey, sentAt time.Time, input turmericwall.Input, result turmericwall.EndResult,
+) {
+	if result == turmericwall.EndRefuted {
+		return
+	}
+	id := EndID{Service: input.Service, Upstream: upstream}
 	for known := l.find(id); known != nil && sentAt.After(known.at); known = l.find(id) {
-		id.number++
+		if !known.isProved() && !known.isSettledFor(input) {
+			break
+		}
+		id.Number++
 	}
 	e := l.findOrAdd(id, now)
 	for _, n := range namesOf(input) {
-		l.add(e, n)
+		l.mark(now, e, n, markOf(input, result))
+	}
+}
+
+// markOf returns the mark of an input in an end that is known as far as the result.
+func markOf(input turmericwall.Input, result turmericwall.EndResult) turmericwall.EndMark {
+	switch {
+	case result == turmericwall.EndUnknown:
+		return turmericwall.MarkOpen
+	case input.Alone:
+		return turmericwall.MarkAlone
 	}
+	return turmericwall.MarkBlamed
 }
 
-// RecordAnswer records that an engine completed the answer to the input, which clears its request.
-func (l *Ledger) RecordAnswer(input turmericwall.Input) {
-	n := requestName(input)
+// OpenEnd is an end of which it isn't known yet whether the incarnation has ended.
+type OpenEnd struct {
+	EndID
+	// OpenedAt is when this daemon last learnt of a run that had broken off: a query that began after it settles the end.
+	OpenedAt time.Time
+	// FirstAt is when it learnt of the first one.
+	FirstAt time.Time
+}
+
+// OpenEnds returns the open ends, oldest first.
+func (l *Ledger) OpenEnds() []OpenEnd {
+	var list []OpenEnd
 	for _, e := range l.ends {
-		if _, ran := e.names[n]; ran {
-			l.mark(e, n, cleared)
+		if e.isOpen() {
+			list = append(list, OpenEnd{EndID: e.EndID, OpenedAt: e.openedAt, FirstAt: e.at})
+		}
+	}
+	return list
+}
+
+// Settle settles the open names of an end, unless another run was recorded there after the query had begun.
+func (l *Ledger) Settle(now time.Time, id EndID, queriedAt time.Time, result turmericwall.EndResult) {
+	e := l.find(id)
+	if e == nil || (result == turmericwall.EndRefuted && !queriedAt.After(e.openedAt)) {
+		return
+	}
+	for n, mark := range maps.Clone(e.names) {
+		if settled, ok := settledMark(mark, result); ok {
+			l.mark(now, e, n, settled)
 		}
 	}
 }
 
-// RecordProgress records that at the time an engine had written on a part of a service's prompts for a while. This clears
-// the part of earlier ends, and speaks for it in those that follow soon.
+// settledMark returns the mark of an open name once the result is known; ok is false if nothing changes.
+func settledMark(mark turmericwall.EndMark, result turmericwall.EndResult) (settled turmericwall.EndMark, ok bool) {
+	switch {
+	case mark > turmericwall.MarkOpenSound, result == turmericwall.EndUnknown:
+		return mark, false
+	case result == turmericwall.EndRefuted:
+		return turmericwall.MarkRefuted, true
+	case mark == turmericwall.MarkOpenSound:
+		return turmericwall.MarkSound, true
+	}
+	return turmericwall.MarkBlamed, true
+}
+
+// RecordAnswer records that at the time an upstream had completed the answer to the input, which speaks for its request.
+func (l *Ledger) RecordAnswer(at time.Time, input turmericwall.Input) {
+	for _, n := range requestNames(input) {
+		l.recordWell(at, n)
+	}
+}
+
+// RecordProgress records that at the time an engine had written on a part of a service's prompts for a while.
 func (l *Ledger) RecordProgress(at time.Time, service, part string) {
-	n := name{service: service, kind: KindPart, text: part}
+	l.recordWell(at, name{service: service, kind: KindPart, text: part})
+}
+
+// recordWell records that a name had run well at the time. This clears it of earlier ends, and speaks for it in those that
+// follow soon.
+func (l *Ledger) recordWell(at time.Time, n name) {
 	for _, e := range l.ends {
-		if _, ran := e.names[n]; !ran {
-			continue
-		}
+		mark, ran := e.names[n]
 		switch {
-		case at.After(e.at):
-			l.mark(e, n, cleared)
-		case e.at.Sub(at) <= soundSpan:
-			l.mark(e, n, sound)
+		case !ran:
+		case !at.Before(e.at):
+			l.mark(at, e, n, turmericwall.MarkCleared)
+		case e.at.Sub(at) > SoundSpan:
+		case mark == turmericwall.MarkOpen:
+			l.mark(at, e, n, turmericwall.MarkOpenSound)
+		case mark == turmericwall.MarkBlamed:
+			l.mark(at, e, n, turmericwall.MarkSound)
 		}
 	}
 }
 
-// Parts calls visit for each part that is in an end and not cleared there.
-func (l *Ledger) Parts(visit func(service, part string)) {
+// Names calls visit for each request, stream and part that may be the cause of an end.
+func (l *Ledger) Names(visit func(service, kind, text string)) {
 	for n := range maps.Clone(l.listed) {
-		if n.kind == KindPart {
-			visit(n.service, n.text)
-		}
+		visit(n.service, n.kind, n.text)
 	}
 }
 
@@ -135,6 +205,10 @@
 	if judged.Verdict != turmericwall.VerdictQuarantined {
 		return judged
 	}
+	if proved := provedUnder(n, ends); l.verdictOn(n, proved) != turmericwall.VerdictQuarantined {
+		judged.RemainingMillis = openRetry.Milliseconds()
+		return judged
+	}
 	if rivals := l.rivals(n, ends, input); len(rivals) > 0 {
 		judged.Verdict = turmericwall.VerdictSuspect
 		for _, rival := range rivals {
@@ -148,31 +222,58 @@
 }
 
 // verdictOn returns the verdict on a name by the ends under it alone.
-//
-// For a part, an end weighs a third of what it takes against it, or a fifth, and any progress since outweighs all of them.
 func (l *Ledger) verdictOn(n name, ends []*end) turmericwall.Verdict {
-	need, suspectFrom := l.endsNeeded(n), 1
 	if n.kind == KindPart {
-		suspectFrom = need - 1
+		return l.verdictOnPart(n, ends)
+	}
+	sound := 0
+	for _, e := range ends {
+		if e.isSound(n) {
+			sound++
+		}
 	}
+	// A request that ran well shortly before was in the ends of others; only one more, under a run of it alone, is its own.
+	alone := len(ends) - sound
 	switch {
-	case len(ends) >= need:
+	case alone > 0 && len(ends) >= MaxEndsPerRequest:
 		return turmericwall.VerdictQuarantined
-	case len(ends) >= suspectFrom:
+	case alone > 0 || sound >= MaxEndsPerRequest:
 		return turmericwall.VerdictSuspect
 	}
 	return turmericwall.VerdictClear
 }
 
-// endsNeeded returns the number of ends from which a name is quarantined.
-func (l *Ledger) endsNeeded(n name) int {
+// verdictOnPart returns the verdict on a part. An end weighs a third of what it takes against it, or a fifth, and any progress
+// since outweighs all of them.
+func (l *Ledger) verdictOnPart(n name, ends []*end) turmericwall.Verdict {
+	need := minEnds
+	if l.isSound(n) {
+		need = minEndsIfSound
+	}
 	switch {
-	case n.kind == KindRequest:
-		return maxEndsPerRequest
-	case l.isSound(n):
-		return minEndsIfSound
+	case len(ends) >= need:
+		return turmericwall.VerdictQuarantined
+	case len(ends) >= need-1:
+		return turmericwall.VerdictSuspect
 	}
-	return minEnds
+	return turmericwall.VerdictClear
+}
+
+// provedUnder returns those of the ends that are proved.
+func provedUnder(n name, ends []*end) []*end {
+	return slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return !e.isProvedFor(n) })
+}
+
+// Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request had run well
+// shortly before the last of them.
+func (l *Ledger) Ends(input turmericwall.Input) (ends int, sound bool) {
+	for _, n := range requestNames(input) {
+		under := l.endsUnder(n)
+		if len(under) > ends {
+			ends, sound = len(under), under[len(under)-1].isSound(n)
+		}
+	}
+	return ends, sound
 }
 
 // rivals returns what may be the cause of all ends under a part as well, and isn't in the input. Then the input runs as a
@@ -195,7 +296,9 @@
 
 // isSound reports whether an engine wrote on a part shortly before an end under it, or since one.
 func (l *Ledger) isSound(n name) bool {
-	return slices.ContainsFunc(l.ends, func(e *end) bool { return e.names[n] != blamed && e.has(n) })
+	return slices.ContainsFunc(l.ends, func(e *end) bool {
+		return e.isSound(n) || (e.has(n) && e.names[n] == turmericwall.MarkCleared)
+	})
 }
 
 // endsUnder returns the ends under a name since it was last cleared.
@@ -231,7 +334,7 @@
 	n := name{service: service, kind: kind, text: text}
 	ends := l.endsUnder(n)
 	for _, e := range ends {
-		l.mark(e, n, cleared)
+		l.mark(e.at, e, n, turmericwall.MarkCleared)
 	}
 	return len(ends) > 0
 }
@@ -250,7 +353,9 @@
 // Expire discards the ends whose retention is over, and reports whether there were any.
 func (l *Ledger) Expire(now time.Time) bool {
 	before := len(l.ends)
-	l.ends = slices.DeleteFunc(l.ends, func(e *end) bool { return now.After(e.keptUntil) })
+	l.ends = slices.DeleteFunc(l.ends, func(e *end) bool {
+		return now.After(e.keptUntil) || (!e.counts() && now.Sub(e.at) > settledRetention)
+	})
 	if len(l.ends) == before {
 		return false
 	}
@@ -258,29 +363,33 @@
 	return true
 }
 
-// add adds a name to an end, unless it has too many.
-func (l *Ledger) add(e *end, n name) {
-	if e.has(n) || e.count(n.kind) >= maxNames {
+// mark marks a name in an end, unless it is marked with as much already.
+func (l *Ledger) mark(now time.Time, e *end, n name, as turmericwall.EndMark) {
+	before, known := e.names[n]
+	if known && before >= as {
+		if as < turmericwall.MarkRefuted && before < turmericwall.MarkRefuted {
+			e.openedAt = now
+		}
 		return
 	}
-	e.names[n] = blamed
-	l.listed[n] = true
-	l.version++
-}
-
-// mark marks a name in an end, unless it is marked with as much already.
-func (l *Ledger) mark(e *end, n name, as mark) {
-	if e.names[n] >= as {
+	if !known && !e.makeRoom(n.kind) {
 		return
 	}
 	e.names[n] = as
+	if as < turmericwall.MarkRefuted {
+		e.openedAt = now
+	}
 	l.version++
-	if as == cleared {
+	if e.blames(n) {
+		l.listed[n] = true
+		return
+	}
+	if known {
 		l.index()
 	}
 }
 
-// index collects what is in an end and not cleared there.
+// index collects what may be the cause of an end.
 func (l *Ledger) index() {
 	clear(l.listed)
 	for _, e := range l.ends {
@@ -293,9 +402,9 @@
 }
 
 // find returns an end; nil if it isn't known.
-func (l *Ledger) find(id endID) *end {
+func (l *Ledger) find(id EndID) *end {
 	for _, e := range l.ends {
-		if e.endID == id {
+		if e.EndID == id {
 			return e
 		}
 	}
@@ -303,7 +412,7 @@
 }
 
 // findOrAdd returns an end, which is added with the time if it isn't known.
-func (l *Ledger) findOrAdd(id endID, at time.Time) *end {
+func (l *Ledger) findOrAdd(id EndID, at time.Time) *end {
 	if e := l.find(id); e != nil {
 		return e
 	}
@@ -314,12 +423,23 @@
 	return e
 }
 
-// evict discards the oldest end that quarantines nothing, if there are too many.
+// evict discards an end, if there are too many: one that counts nothing, else the oldest of those that are only open, else
+// of those that quarantine nothing.
 func (l *Ledger) evict() {
 	if len(l.ends) <= maxEnds {
 		return
 	}
-	at := max(slices.IndexFunc(l.ends, func(e *end) bool { return !l.quarantines(e) }), 0)
+	at := 0
+	for _, isDispensable := range []func(e *end) bool{
+		func(e *end) bool { return !e.counts() && len(e.names) > 0 },
+		func(e *end) bool { return e.isOpen() && !e.isProved() },
+		func(e *end) bool { return !l.quarantines(e) },
+	} {
+		if found := slices.IndexFunc(l.ends, isDispensable); found >= 0 {
+			at = found
+			break
+		}
+	}
 	l.ends = slices.Delete(l.ends, at, at+1)
 	l.index()
 }
--- a/internal/quarantine/twevidence/ledger_test.go
+++ b/internal/quarantine/twevidence/ledger_test.go
@@ -26,13 +26,13 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictClear))
-	l.RecordEnd(start, engine(0), start, request("r"))
-	l.RecordEnd(start.Add(5*time.Second), engine(0), start.Add(-time.Second), request("r"))
+	l.RecordEnd(start, engine(0), start, request("r"), turmericwall.EndProved)
+	l.RecordEnd(start.Add(5*time.Second), engine(0), start.Add(-time.Second), request("r"), turmericwall.EndProved)
 	g.Expect(l.Judge(start, request("r"))).To(HaveField("Ends", 1), "a daemon that was suspended notices the same end later")
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictSuspect))
-	l.RecordEnd(start.Add(2*time.Second), engine(0), start.Add(time.Second), request("r"))
+	l.RecordEnd(start.Add(2*time.Second), engine(0), start.Add(time.Second), request("r"), turmericwall.EndProved)
 	g.Expect(l.Judge(start, request("r"))).To(HaveField("Ends", 2), "the engine started again, which its entry doesn't state yet")
-	l.RecordEnd(start.Add(3*time.Second), engine(1), start, request("r"))
+	l.RecordEnd(start.Add(3*time.Second), engine(1), start, request("r"), turmericwall.EndProved)
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictQuarantined))
 	g.Expect(l.Judge(start, request("other")).Verdict).To(Equal(turmericwall.VerdictClear))
 	g.Expect(l.Judge(start, turmericwall.Input{Service: "t", Request: "r"}).Verdict).To(Equal(turmericwall.VerdictClear))
@@ -43,9 +43,9 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start.Add(time.Duration(n)*time.Second), engine(n), start, request("r"))
+		l.RecordEnd(start.Add(time.Duration(n)*time.Second), engine(n), start, request("r"), turmericwall.EndProved)
 	}
-	l.RecordAnswer(request("r"))
+	l.RecordAnswer(start.Add(5*time.Second), request("r"))
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictClear))
 }
 
@@ -53,7 +53,7 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start, engine(n), start, request("r"))
+		l.RecordEnd(start, engine(n), start, request("r"), turmericwall.EndProved)
 	}
 	for minutes := 0; minutes <= 60; minutes += 9 {
 		now := start.Add(time.Duration(minutes) * time.Minute)
@@ -69,15 +69,15 @@
 	g := NewWithT(t)
 	l := twevidence.New()
 	for n := range 3 {
-		l.RecordEnd(start, engine(n), start, request("r"))
+		l.RecordEnd(start, engine(n), start, request("r"), turmericwall.EndProved)
 	}
 	for n := range 10_000 {
-		l.RecordEnd(start.Add(time.Duration(n)*time.Millisecond), engine(10+n/100), start, request(fmt.Sprint("sound", n)))
+		l.RecordEnd(start.Add(time.Duration(n)*time.Millisecond), engine(10+n/100), start, request(fmt.Sprint("sound", n)), turmericwall.EndProved)
 	}
 	ends := l.Export(start)
 	g.Expect(len(ends)).To(BeNumerically("<=", 64))
 	for _, e := range ends {
-		g.Expect(len(e.Requests)).To(BeNumerically("<=", 32))
+		g.Expect(len(e.Inputs)).To(BeNumerically("<=", 32))
 	}
 	g.Expect(l.Judge(start, request("r")).Verdict).To(Equal(turmericwall.VerdictQuarantined))
 }
@@ -98,9 +98,9 @@
 			l := ledgers[daemon.Draw(t, "daemon")]
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
-				l.RecordEnd(now, engine(rapid.IntRange(0, 5).Draw(t, "engine")), start, request(name.Draw(t, "request")))
+				l.RecordEnd(now, engine(rapid.IntRange(0, 5).Draw(t, "engine")), start, request(name.Draw(t, "request")), turmericwall.EndProved)
 			case 2:
-				l.RecordAnswer(request(name.Draw(t, "request")))
+				l.RecordAnswer(now, request(name.Draw(t, "request")))
 			default:
 				l.Merge(late(), ledgers[daemon.Draw(t, "from")].Export(now))
 			}
--- a/internal/quarantine/twevidence/part_test.go
+++ b/internal/quarantine/twevidence/part_test.go
@@ -51,7 +51,7 @@
 func (w *world) end(inputs ...turmericwall.Input) {
 	w.engines++
 	for _, input := range inputs {
-		w.RecordEnd(w.now, engine(w.engines), w.now, input)
+		w.RecordEnd(w.now, engine(w.engines), w.now, input, turmericwall.EndProved)
 	}
 	for part, at := range w.progressAt {
 		w.RecordProgress(at, "s", part)
@@ -88,7 +88,7 @@
 	g.Expect(w.verdict("bad", "other")).To(Equal(turmericwall.VerdictQuarantined))
 	g.Expect(w.verdict("first")).To(Equal(turmericwall.VerdictClear))
 	judged := w.Judge(w.now, w.next("first", "bad"))
-	g.Expect(judged.String()).To(Equal("3 engines ended under part bad"))
+	g.Expect(judged.String()).To(Equal("3 upstreams ended under part bad"))
 	g.Expect(w.Lift("s", twevidence.KindPart, "bad")).To(BeTrue())
 	g.Expect(w.verdict("first", "bad")).To(Equal(turmericwall.VerdictClear))
 	g.Expect(w.Lift("s", twevidence.KindPart, "bad")).To(BeFalse())
--- a/internal/quarantine/twevidencereports/reports_test.go
+++ b/internal/quarantine/twevidencereports/reports_test.go
@@ -109,7 +109,7 @@
 
 func (d *daemon) recordEnds(first, count int) {
 	for n := range count {
-		d.quarantine.RecordEnd(turmericwall.Upstream{ID: fmt.Sprint("e", first+n)}, time.Now(), input)
+		d.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: fmt.Sprint("e", first+n)}, time.Now(), input, turmericwall.EndProved)
 	}
 }
 
@@ -189,7 +189,7 @@
 			// A part that all daemons use: each of them sees engines write on it before it learns that another one has.
 			shared := turmericwall.Input{Service: "s", Request: "other", Parts: []string{"first"}}
 			f.exchanges = 0
-			f.daemons[0].quarantine.RecordEnd(turmericwall.Upstream{ID: "e"}, time.Now(), shared)
+			f.daemons[0].quarantine.RecordEnd(turmericwall.UpstreamKey{ID: "e"}, time.Now(), shared, turmericwall.EndProved)
 			f.round()
 			f.round()
 			for _, d := range f.daemons {
--- a/internal/quarantine/twevidencerow/row_test.go
+++ b/internal/quarantine/twevidencerow/row_test.go
@@ -54,7 +54,7 @@
 
 func (d *daemon) recordEnds(first, count int) {
 	for n := range count {
-		d.quarantine.RecordEnd(turmericwall.Upstream{ID: fmt.Sprint("e", first+n)}, time.Now(), input)
+		d.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: fmt.Sprint("e", first+n)}, time.Now(), input, turmericwall.EndProved)
 	}
 }
 
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -65,14 +65,48 @@
 	return judgement
 }
 
-// RecordEnd records that an engine ended while it ran the input, which was sent at the time.
-func (q *Quarantine) RecordEnd(engine turmericwall.Upstream, sentAt time.Time, input turmericwall.Input) {
-	q.change("end of "+engine.ID, func(now time.Time) {
-		q.ledger.RecordEnd(now, engine.Key(), sentAt, input)
+// RecordEnd records that an upstream has ended, or may have, while it ran the input, which was sent at the time.
+func (q *Quarantine) RecordEnd(
+	upstream turmericwall.UpstreamKey, sentAt time.Time, input turmericwall.Input, result turmericwall.EndResult,
+) {
+	q.change("end of "+upstream.ID, func(now time.Time) {
+		q.ledger.RecordEnd(now, upstream, sentAt, input, result)
 		q.applyProgress()
 	})
 }
 
+// OpenEnds returns the ends of which it isn't known yet whether the incarnation has ended, oldest first.
+func (q *Quarantine) OpenEnds() []twevidence.OpenEnd {
+	if q.empty.Load() {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.OpenEnds()
+}
+
+// Settle settles an open end by a query that began at the time.
+func (q *Quarantine) Settle(id twevidence.EndID, queriedAt time.Time, result turmericwall.EndResult) {
+	q.change(result.String()+" "+id.Upstream.ID, func(now time.Time) {
+		q.ledger.Settle(now, id, queriedAt, result)
+		q.applyProgress()
+	})
+}
+
+// Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request ran well lately.
+func (q *Quarantine) Ends(input turmericwall.Input) (ends int, sound bool) {
+	if at, ok := q.progress.Last(input.Service, twevidence.KindRequest, input.Request); ok {
+		sound = q.config.Now().Sub(at) <= twevidence.SoundSpan
+	}
+	if q.empty.Load() {
+		return 0, sound
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	ends, soundBefore := q.ledger.Ends(input)
+	return ends, sound || soundBefore
+}
+
 // Listed returns those of the input's parts on which the verdict may depend.
 func (q *Quarantine) Listed(input turmericwall.Input) []string {
 	if q.empty.Load() {
@@ -99,20 +133,26 @@
 	})
 }
 
-// RecordAnswer records that an engine completed the answer to the input.
+// RecordAnswer records that an upstream completed the answer to the input.
 func (q *Quarantine) RecordAnswer(input turmericwall.Input) {
 	q.RecordProgress(input)
+	q.progress.RecordAnswer(q.config.Now(), input)
 	if q.empty.Load() {
 		return
 	}
-	q.change("answer", func(time.Time) { q.ledger.RecordAnswer(input) })
+	q.change("answer", func(now time.Time) { q.ledger.RecordAnswer(now, input) })
 }
 
-// applyProgress tells the ledger what this daemon saw of the parts that are in ends; the lock is held.
+// applyProgress tells the ledger what this daemon saw of the input that is in ends; the lock is held.
 func (q *Quarantine) applyProgress() {
-	q.ledger.Parts(func(service, part string) {
-		if at, ok := q.progress.Last(service, part); ok {
-			q.ledger.RecordProgress(at, service, part)
+	q.ledger.Names(func(service, kind, text string) {
+		at, ok := q.progress.Last(service, kind, text)
+		switch {
+		case !ok:
+		case kind == twevidence.KindPart:
+			q.ledger.RecordProgress(at, service, text)
+		default:
+			q.ledger.RecordAnswer(at, turmericwall.Input{Service: service, Request: text})
 		}
 	})
 }
--- a/internal/quarantine/twquarantine/quarantine_test.go
+++ b/internal/quarantine/twquarantine/quarantine_test.go
@@ -40,7 +40,7 @@
 	q.RecordProgress(input(0, "first"))
 	for n := range 3 {
 		c.now = c.now.Add(time.Second)
-		q.RecordEnd(engine(n), c.now, input(n, "first", "bad"))
+		q.RecordEnd(engine(n).Key(), c.now, input(n, "first", "bad"), turmericwall.EndProved)
 		q.Judge(input(9, "first", "bad"))
 	}
 	g.Expect(q.Count(turmericwall.VerdictQuarantined)).To(BeEquivalentTo(1))
@@ -66,7 +66,7 @@
 				c := &clock{now: time.Unix(1000, 0)}
 				q := newQuarantine(c, &bytes.Buffer{})
 				for n := range ends {
-					q.RecordEnd(engine(n), c.now, input(n, fmt.Sprint("part", n)))
+					q.RecordEnd(engine(n).Key(), c.now, input(n, fmt.Sprint("part", n)), turmericwall.EndProved)
 				}
 				prompt := make([]string, parts)
 				for n := range prompt {
--- a/placements.go
+++ b/placements.go
@@ -86,6 +86,8 @@
 	SuspectedEngine string `json:"Doubted"`
 	// NotRun is set if no engine ran the call, so that its charge is refunded.
 	NotRun bool `json:"NotRun"`
+	// Unsettled is set at the end of a call while it isn't known whether its engine has ended under it.
+	Unsettled bool `json:"Unsettled"`
 	// Running is set if the call continues.
 	Running bool `json:"Running"`
 	// Prefilled is set if the prefill has ended; PrefillMillis is its duration.
--- a/upstreams.go
+++ b/upstreams.go
@@ -139,7 +139,9 @@
 
 // EngineLoad is a model engine's state as of some hundred milliseconds ago.
 type EngineLoad struct {
-	Role Role
+	// StartedMillis is the start that the engine states, in Unix milliseconds; 0 if it states none.
+	StartedMillis int64
+	Role          Role
 	// ChangingRole is set while the engine carries out a role order.
 	ChangingRole bool
 	// OrderCount is the number of role orders that the incarnation has accepted.
