fix: let evidence outlive the daemon that reported it and the leader

What callers saw: a request that had ended three engines reached a fourth or a fifth one after its daemon, or the leader, was killed (4 and 5 ended).

Cause: the leader took a report as done once it knew of it itself, and told the others with its next heartbeats, up to a quarter of a second later; its row in the store followed within another second. Killed in between, it took the knowledge along, and a daemon that was told late sent the next try as if the request were new.

Change: the leader sends evidence on to all daemons at once (to the standbys where there are more than 128, the others fetch it as before), and replies to the daemon that reported it only then, within 250 ms. Changes within 50 ms go together. The row is written at once after a quiet second.

--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -60,6 +60,26 @@
 	return c.membersVersion, append(slices.Clone(c.addresses()), c.config.Self.Address)
 }
 
+// Followers returns the addresses of all live daemons but this one, or those of the standbys if there are more than limit.
+func (c *Cluster) Followers(limit int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []string
+	for address, m := range c.members {
+		if m.live {
+			live = append(live, address)
+		}
+	}
+	if len(live) <= limit {
+		return live
+	}
+	standbys := make([]string, 0, len(c.standbys))
+	for _, m := range c.standbys {
+		standbys = append(standbys, m.Address)
+	}
+	return standbys
+}
+
 // EgressPeers returns the addresses of up to limit live daemons, chosen at random from those that lack the fewest paths
 // to upstreams. A daemon that is not the leader does not know which ones these are and chooses from all that it knows.
 func (c *Cluster) EgressPeers(limit int) []string {
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -29,7 +29,7 @@
 	AdoptPlacedCall func(turmericwall.PlacedCall)
 	RecordStreams   func([]turmericwall.StreamRecord)
 	// ExchangeEvidence adds a peer's evidence and returns this daemon's.
-	ExchangeEvidence func(turmericwall.Evidence) turmericwall.Evidence
+	ExchangeEvidence func(context.Context, turmericwall.Evidence) turmericwall.Evidence
 	Admit            func(turmericwall.AdmitRequest) turmericwall.AdmitReply
 	Charge           func(turmericwall.ChargeRequest) turmericwall.ChargeReply
 	// Exchange sends a request to an upstream for a peer; see turmericwall.EgressClient.
@@ -230,7 +230,7 @@
 func (s *Server) evidence(w http.ResponseWriter, request *http.Request) {
 	var evidence turmericwall.Evidence
 	if readJSON(w, request, &evidence) {
-		writeJSON(w, s.config.ExchangeEvidence(evidence))
+		writeJSON(w, s.config.ExchangeEvidence(request.Context(), evidence))
 	}
 }
 
--- a/internal/quarantine/twevidencereports/reports.go
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -1,5 +1,5 @@
-// Package twevidencereports exchanges evidence on engines that ended with other daemons: what changes goes to the leader at
-// once, and what the leader knows is fetched when its heartbeats name a newer version.
+// Package twevidencereports exchanges evidence on upstreams that ended with other daemons: what changes goes to the leader at
+// once, and the leader sends it on. What a daemon missed is fetched when heartbeats name a newer version.
 package twevidencereports
 
 import (
@@ -14,10 +14,15 @@
 const (
 	// checkInterval is the time between two checks whether another daemon leads now, or an exchange has to be repeated.
 	checkInterval = 250 * time.Millisecond
-	// exchangeTimeout bounds one exchange.
-	exchangeTimeout = 400 * time.Millisecond
-	// reportTimeout bounds how long a call waits for the report on the engine that ended under it.
-	reportTimeout = 200 * time.Millisecond
+	// exchangeTimeout bounds one exchange, and pushTimeout those in which the leader sends evidence on.
+	exchangeTimeout = 600 * time.Millisecond
+	pushTimeout     = 150 * time.Millisecond
+	// reportTimeout bounds how long a call waits for the report on the upstream that ended under it, and relayTimeout, within
+	// that, how long the leader waits until the others have it.
+	reportTimeout = 400 * time.Millisecond
+	relayTimeout  = 250 * time.Millisecond
+	// roundInterval is the shortest time between two rounds of the leader: changes meanwhile are sent together.
+	roundInterval = 50 * time.Millisecond
 	// maxReceivers bounds the daemons that get the evidence while there is no leader.
 	maxReceivers = 8
 )
@@ -32,7 +37,9 @@
 	// KnownPeers returns the addresses of daemons that get the evidence while there is no leader.
 	KnownPeers func() []string
 	Peers      turmericwall.EvidenceClient
-	// Announce is called while this daemon leads and its evidence has changed.
+	// Followers returns the addresses of the daemons to which this one sends its evidence on while it leads.
+	Followers func() []string
+	// Announce is called while this daemon leads, after its evidence has changed and was sent on.
 	Announce func()
 	// Count counts an event for the metrics.
 	Count func(name string, n int64)
@@ -85,9 +92,27 @@
 }
 
 // Flush has the changes so far sent and waits for that, for reportTimeout at most.
-func (r *Reports) Flush(ctx context.Context) {
+func (r *Reports) Flush(ctx context.Context) { r.flush(ctx, reportTimeout) }
+
+// Receive adds the evidence of a peer and returns this daemon's. The leader returns it once other daemons have it too, so that it
+// outlives this daemon; a daemon that gets the leader's evidence returns none.
+func (r *Reports) Receive(ctx context.Context, received turmericwall.Evidence) turmericwall.Evidence {
+	r.config.Quarantine.Merge(received)
+	leader, self, live := r.config.Leader()
+	if live && !self && received.Holder.Incarnation == leader.Incarnation {
+		return turmericwall.Evidence{}
+	}
+	if self {
+		r.flush(ctx, relayTimeout)
+	}
+	evidence, _ := r.config.Quarantine.Export()
+	return evidence
+}
+
+// flush has the changes so far sent and waits for that.
+func (r *Reports) flush(ctx context.Context, wait time.Duration) {
 	_, changes := r.config.Quarantine.Export()
-	timeout := time.NewTimer(reportTimeout)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		r.mu.Lock()
@@ -128,14 +153,18 @@
 	evidence, changes := r.config.Quarantine.Export()
 	switch {
 	case self:
-		if r.isUnsent(leader.Incarnation, changes) {
-			r.config.Announce()
+		if !r.isUnsent(leader.Incarnation, changes) {
+			return
 		}
+		r.exchangeWithAll(ctx, r.config.Followers(), evidence, pushTimeout)
 		r.recordSent(leader.Incarnation, changes)
+		r.config.Announce()
+		r.pause(ctx, roundInterval)
 	case live:
 		r.exchangeWithLeader(ctx, leader, evidence, changes)
 	case r.isUnsent("", changes):
-		r.exchangeWithPeers(ctx, evidence)
+		peers := r.config.KnownPeers()
+		r.exchangeWithAll(ctx, peers[:min(len(peers), maxReceivers)], evidence, exchangeTimeout)
 		r.recordSent("", changes)
 	}
 }
@@ -165,16 +194,27 @@
 	_ = r.exchange(ctx, from.Address, turmericwall.Evidence{Holder: evidence.Holder})
 }
 
-// exchangeWithPeers sends the evidence to the known peers, all at the same time.
-func (r *Reports) exchangeWithPeers(ctx context.Context, evidence turmericwall.Evidence) {
+// exchangeWithAll sends the evidence to daemons, all at the same time.
+func (r *Reports) exchangeWithAll(
+	ctx context.Context, addresses []string, evidence turmericwall.Evidence, timeout time.Duration,
+) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var exchanges sync.WaitGroup
-	peers := r.config.KnownPeers()
-	for _, address := range peers[:min(len(peers), maxReceivers)] {
+	for _, address := range addresses {
 		exchanges.Go(func() { _ = r.exchange(ctx, address, evidence) })
 	}
 	exchanges.Wait()
 }
 
+// pause waits for the span, or until ctx ends.
+func (r *Reports) pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-time.After(span):
+	case <-ctx.Done():
+	}
+}
+
 func (r *Reports) exchange(ctx context.Context, address string, evidence turmericwall.Evidence) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/internal/quarantine/twevidencerow/row.go
+++ b/internal/quarantine/twevidencerow/row.go
@@ -18,6 +18,8 @@
 	Key = "evidence"
 	// writeInterval is the shortest time between two writes.
 	writeInterval = time.Second
+	// checkInterval is the time between two checks whether the row lacks changes that couldn't be written at once.
+	checkInterval = 250 * time.Millisecond
 	// maxRowBytes is well below what the store accepts for a row. The oldest ends are left out of a longer one.
 	maxRowBytes = 48 << 10
 )
@@ -39,10 +41,19 @@
 	mu     sync.Mutex
 	// version is that of the row as last seen, written the version of the evidence in it, if this daemon wrote it.
 	version, written int64
+	wake             chan struct{}
 }
 
 // New returns a row that was not read yet.
-func New(config Config) *Row { return &Row{config: config} }
+func New(config Config) *Row { return &Row{config: config, wake: make(chan struct{}, 1)} }
+
+// Notify has the row written at once after a change, unless it was written within writeInterval.
+func (r *Row) Notify() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
 
 // Apply adds the evidence of a row that was read.
 func (r *Row) Apply(row turmericwall.FeedRow) {
@@ -59,30 +70,43 @@
 
 // Run writes the row while this daemon leads, after each change of its evidence, until ctx ends, and returns its error.
 func (r *Row) Run(ctx context.Context) error {
-	tick := time.NewTicker(writeInterval)
+	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
+	var nextAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-r.wake:
 		case <-tick.C:
 		}
+		if time.Now().Before(nextAt) || !r.isDue() {
+			continue
+		}
+		nextAt = time.Now().Add(writeInterval)
 		if err := r.WriteIfChanged(ctx); err != nil {
 			r.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", r.config.Table).Err(err).Send()
 		}
 	}
 }
 
+// isDue reports whether this daemon leads and the row lacks changes of its evidence.
+func (r *Row) isDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config.IsLeader() && r.config.Quarantine.Version() != r.written
+}
+
 // WriteIfChanged writes the row if this daemon leads and its evidence has changed. If another daemon has written it since,
 // that evidence is added, and the row is written with the next call.
 func (r *Row) WriteIfChanged(ctx context.Context) error {
 	changes := r.config.Quarantine.Version()
-	r.mu.Lock()
-	version, written := r.version, r.written
-	r.mu.Unlock()
-	if !r.config.IsLeader() || changes == written {
+	if !r.isDue() {
 		return nil
 	}
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
 	value, err := r.encode()
 	if err != nil {
 		return err
