--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -32,6 +32,8 @@
 	Quotas turmericwall.QuotaMeter
 	// Quarantine judges the input of calls; it may be nil.
 	Quarantine turmericwall.CallQuarantine
+	// RefreshEvidence learns what other daemons and the store know of input that ends upstreams; it may be nil.
+	RefreshEvidence func(ctx context.Context)
 	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
 	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
 }
--- a/internal/placement/twcoordinator/turn.go
+++ b/internal/placement/twcoordinator/turn.go
@@ -33,7 +33,11 @@
 	}
 	input := inputOf(request)
 	judgement := c.config.Quarantine.Judge(input)
-	_ = ctx
+	if judgement.Verdict == turmericwall.VerdictSuspect && !c.config.IsLeader() && c.config.RefreshEvidence != nil {
+		// Other daemons without the leader may have seen more upstreams end under it.
+		c.config.RefreshEvidence(ctx)
+		judgement = c.config.Quarantine.Judge(input)
+	}
 	now := time.Now()
 	switch {
 	case judgement.Verdict == turmericwall.VerdictQuarantined:
--- a/internal/quarantine/twevidencereports/reports.go
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -41,6 +41,8 @@
 	Followers func() []string
 	// Announce is called while this daemon leads, after its evidence has changed and was sent on.
 	Announce func()
+	// Persist stores what changed, and Load adds what is stored.
+	Persist, Load func(ctx context.Context)
 	// Count counts an event for the metrics.
 	Count func(name string, n int64)
 }
@@ -57,6 +59,8 @@
 	// and replaced with each round of exchanges.
 	receiver string
 	sent     int64
+	// backedUp is the number of changes that other daemons or the store have.
+	backedUp int64
 	done     chan struct{}
 }
 
@@ -72,15 +76,18 @@
 	r.mu.Unlock()
 	if !r.config.Quarantine.Includes(leader, version) {
 		r.Notify()
+		return
 	}
+	r.config.Quarantine.MarkCurrent()
 }
 
 // Fetch fetches the evidence of the daemon at the address, unless that version of it is included already.
 func (r *Reports) Fetch(ctx context.Context, address, holder string, version int64) {
-	if version == 0 || r.config.Quarantine.Includes(turmericwall.Member{Incarnation: holder}, version) {
+	if !r.config.Quarantine.Includes(turmericwall.Member{Incarnation: holder}, version) &&
+		r.exchange(ctx, address, turmericwall.Evidence{}) != nil {
 		return
 	}
-	_ = r.exchange(ctx, address, turmericwall.Evidence{})
+	r.config.Quarantine.MarkCurrent()
 }
 
 // Notify has changes sent at once.
@@ -116,9 +123,9 @@
 	defer timeout.Stop()
 	for {
 		r.mu.Lock()
-		sent, done := r.sent, r.done
+		known, done := max(r.sent, r.backedUp), r.done
 		r.mu.Unlock()
-		if sent >= changes {
+		if known >= changes {
 			return
 		}
 		r.Notify()
@@ -156,15 +163,14 @@
 		if !r.isUnsent(leader.Incarnation, changes) {
 			return
 		}
-		r.exchangeWithAll(ctx, r.config.Followers(), evidence, pushTimeout)
+		r.backUp(ctx, r.config.Followers(), evidence)
 		r.recordSent(leader.Incarnation, changes)
 		r.config.Announce()
 		r.pause(ctx, roundInterval)
 	case live:
 		r.exchangeWithLeader(ctx, leader, evidence, changes)
 	case r.isUnsent("", changes):
-		peers := r.config.KnownPeers()
-		r.exchangeWithAll(ctx, peers[:min(len(peers), maxReceivers)], evidence, exchangeTimeout)
+		r.backUp(ctx, r.knownPeers(), evidence)
 		r.recordSent("", changes)
 	}
 }
@@ -177,7 +183,11 @@
 	if r.isUnsent(leader.Incarnation, changes) {
 		if r.exchange(ctx, leader.Address, evidence) == nil {
 			r.recordSent(leader.Incarnation, changes)
+			return
 		}
+		// The leader may have ended a moment ago. It gets the changes later, or the next one does.
+		r.backUp(ctx, r.knownPeers(), evidence)
+		r.recordBackedUp(changes)
 		return
 	}
 	r.mu.Lock()
@@ -194,13 +204,32 @@
 	_ = r.exchange(ctx, from.Address, turmericwall.Evidence{Holder: evidence.Holder})
 }
 
-// exchangeWithAll sends the evidence to daemons, all at the same time.
-func (r *Reports) exchangeWithAll(
-	ctx context.Context, addresses []string, evidence turmericwall.Evidence, timeout time.Duration,
-) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// Refresh exchanges evidence with other daemons and reads what is stored, for a suspect that no leader judges.
+func (r *Reports) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	evidence, _ := r.config.Quarantine.Export()
+	loaded := make(chan struct{})
+	go func() {
+		r.config.Load(ctx)
+		close(loaded)
+	}()
+	r.backUp(ctx, r.knownPeers(), evidence)
+	<-loaded
+}
+
+// knownPeers returns the daemons that get the evidence while there is no leader.
+func (r *Reports) knownPeers() []string {
+	peers := r.config.KnownPeers()
+	return peers[:min(len(peers), maxReceivers)]
+}
+
+// backUp sends the evidence to daemons, all at the same time, and stores it.
+func (r *Reports) backUp(ctx context.Context, addresses []string, evidence turmericwall.Evidence) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	var exchanges sync.WaitGroup
+	exchanges.Go(func() { r.config.Persist(ctx) })
 	for _, address := range addresses {
 		exchanges.Go(func() { _ = r.exchange(ctx, address, evidence) })
 	}
@@ -235,6 +264,15 @@
 	return changes > 0 && (r.receiver != receiver || r.sent < changes)
 }
 
+// recordBackedUp records how many changes other daemons or the store have.
+func (r *Reports) recordBackedUp(changes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.backedUp = changes
+	close(r.done)
+	r.done = make(chan struct{})
+}
+
 // recordSent records how many changes the receiver knows.
 func (r *Reports) recordSent(receiver string, changes int64) {
 	r.mu.Lock()
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -37,6 +37,10 @@
 	ledger *twevidence.Ledger
 	// progress has what this daemon saw engines write on.
 	progress *twprogress.Progress
+	// isCurrent is set once this daemon has learnt what others knew at its start.
+	isCurrent atomic.Bool
+	// own counts the changes by what this daemon noticed itself.
+	own int64
 	// unsent counts the changes that the leader may not know: all but those that came from it.
 	unsent int64
 	// included has the versions of the evidence of other daemons that the ledger includes, by their incarnations.
@@ -217,6 +221,19 @@
 	return q.ledger.Beliefs()
 }
 
+// MarkCurrent records that this daemon has learnt what others knew at its start.
+func (q *Quarantine) MarkCurrent() { q.isCurrent.Store(true) }
+
+// IsCurrent reports whether this daemon has learnt what others knew at its start.
+func (q *Quarantine) IsCurrent() bool { return q.isCurrent.Load() }
+
+// OwnChanges returns the number of changes by what this daemon noticed itself.
+func (q *Quarantine) OwnChanges() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.own
+}
+
 // Version returns the number of changes so far that other daemons need to know.
 func (q *Quarantine) Version() int64 {
 	if q.empty.Load() {
@@ -266,6 +283,7 @@
 	apply(now)
 	changed := q.ledger.Version() != before
 	if changed {
+		q.own++
 		q.unsent++
 	}
 	if changed || expired {
