fix: judge and record the ends of engines that read a prompt or take a moved run

What callers saw: a request ended six engines in one try as they read its prompt; by reading, a move could bring it to a fourth engine that nobody counted.

Cause: only the run at the decode engine was judged. A prefill that broke off, and a moved run whose engine ended before the head of its answer, were neither checked nor recorded, and a moved run wasn't judged again, though other tries may have ended engines while it was copied. A move that failed because its source ended under the run was put down to the move.

Change: one function settles every broken run, prefills, moved runs and failed moves too; a move is placed with the request's fingerprint and judged before its send.

TestEndOfAnEngineThatReads- ThePromptIsRecorded and TestMovedRunIsJudgedAndItsEndRecorded fail on the code before (4 prefills; no record; sent after three ends).

--- a/internal/delivery/twrelay/ends_test.go
+++ b/internal/delivery/twrelay/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
 )
 
 // Guards against one request that ends engine after engine: in one call, and over the tries of its caller.
@@ -118,6 +120,7 @@
 
 // endings are what checks find of the fixture's upstreams, and how often its evidence was sent.
 type endings struct {
+	quarantine      *twquarantine.Quarantine
 	found           atomic.Int64
 	checks, flushes atomic.Int64
 }
@@ -129,3 +132,50 @@
 		e.found.Store(int64(turmericwall.EndProved))
 	}
 }
+
+// Guards against a request that ends engine after engine as they read its prompt.
+func TestEndOfAnEngineThatReadsThePromptIsRecorded(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"), splitPlacement("d1"), splitPlacement("d2"))
+	s.setEnded(true)
+	s.upstreams.prefill = func(int) (turmericwall.EngineExport, error) {
+		return turmericwall.EngineExport{}, &turmericwall.SendError{Sent: true, Err: errConnectionReset}
+	}
+	w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable), "no engine ran it")
+	g.Expect(s.upstreams.prefills).To(Equal(3))
+	g.Expect(s.flushes.Load()).To(BeEquivalentTo(3))
+}
+
+// Guards against a fourth engine that a request ends by a move: the engine that takes the run ends before it answers.
+func TestMovedRunIsJudgedAndItsEndRecorded(t *testing.T) {
+	for name, test := range map[string]struct {
+		// endsBefore is the number of engines that ended under other tries while the run was copied.
+		endsBefore    int
+		sends, counts int
+	}{
+		"the engine ends":               {0, 2, 1},
+		"three engines ended meanwhile": {3, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"), turmericwall.Placement{Decode: engine("d2", turmericwall.RoleDecode)})
+			s.setEnded(true)
+			answers := leavingStream(s, "d1", func() (turmericwall.EngineExport, bool, error) {
+				for n := range test.endsBefore {
+					s.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: fmt.Sprint("other", n)}, time.Now(),
+						turmericwall.Input{Service: "engines", Request: s.placer.lastRequest().Fingerprint}, turmericwall.EndProved)
+				}
+				return moved()
+			})
+			answers["d2"] = func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+				return nil, &turmericwall.SendError{Sent: true, Err: errConnectionReset}
+			}
+			s.upstreams.send = answers.send
+			_, _ = s.serveWithin(context.Background(), "/m/x", resumeSpan)
+			g.Expect(s.upstreams.sentTo()).To(HaveLen(test.sends))
+			g.Expect(s.flushes.Load()).To(BeEquivalentTo(test.counts))
+		})
+	}
+}
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -183,6 +183,13 @@
 	p.updates = append(p.updates, update)
 }
 
+// lastRequest returns the last request for a placement.
+func (p *fakePlacer) lastRequest() turmericwall.PlaceRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.requests[len(p.requests)-1]
+}
+
 // last returns the last report.
 func (p *fakePlacer) last() turmericwall.PlacementUpdate {
 	p.mu.Lock()
@@ -323,6 +330,11 @@
 		{ID: "c", Service: "plain", Slots: 4},
 		engine("p1", turmericwall.RolePrefill), engine("d1", turmericwall.RoleDecode), engine("d2", turmericwall.RoleDecode),
 	})
+	s.quarantine = twquarantine.New(twquarantine.Config{
+		Self:   func() turmericwall.Member { return turmericwall.Member{} },
+		Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true }, OnChange: func() {},
+		Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Now: time.Now,
+	})
 	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
 	s.relay = twrelay.New(twrelay.Config{
 		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(twpicker.Config{}), Placer: s.placer,
@@ -335,11 +347,7 @@
 			s.checks.Add(1)
 			return twendcheck.Finding{Incarnation: run.Upstream.Key(), Result: turmericwall.EndResult(s.found.Load())}
 		},
-		Quarantine: twquarantine.New(twquarantine.Config{
-			Self:   func() turmericwall.Member { return turmericwall.Member{} },
-			Leader: func() (turmericwall.Member, bool, bool) { return turmericwall.Member{}, true, true }, OnChange: func() {},
-			Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Now: time.Now,
-		}),
+		Quarantine:    s.quarantine,
 		FlushEvidence: func(context.Context) { s.flushes.Add(1) },
 		Observe:       func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
 		StopsAt:       func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -150,6 +150,7 @@
 		Zone: request.from.Zone, Work: request.work, TargetDeadline: a.deadline, GiveUpDeadline: a.deadline,
 		CallerDeadline: a.call.Deadline, EventGapMillis: a.route.EventGapMillis, Moving: true,
 		Avoid: []string{request.from.ID}, Version: a.version,
+		Fingerprint: string(a.fingerprint()), StreamFingerprint: a.takenUpStream(), Parts: r.listedParts(a),
 	})
 	if err != nil {
 		return placement, err
@@ -188,6 +189,7 @@
 	s.attempt.step = stepMove
 	s.logMove(result)
 	if result.err != nil {
+		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(s.run, result.err))
 		return nil, result.err
 	}
 	source := s.run.engine
@@ -264,7 +266,11 @@
 
 // sendMoved sends a run that was moved to its engine. It is the same run, so that it doesn't count as a further one.
 func (s *answerStream) sendMoved(ctx context.Context, run *modelRun, engine turmericwall.Upstream) (err error) {
-	run.engine = engine
+	if err := s.relay.checkQuarantine(s.attempt); err != nil {
+		// Engines have ended under other tries of the request meanwhile.
+		return err
+	}
+	run.engine, run.sentAt = engine, time.Now()
 	s.attempt.upstreamID = engine.ID
 	s.relay.recordSent(s.attempt, run.engine)
 	run.ctx, run.cancel = context.WithCancel(ctx)
@@ -276,6 +282,7 @@
 	if err != nil {
 		run.stop()
 		s.relay.returnUnsent(s.attempt, err)
+		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err))
 	}
 	return err
 }
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -141,11 +141,16 @@
 		a.retryDenied = true
 		return turmericwall.EngineExport{}, errRetryBudgetUsed
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack)
-	defer cancel()
-	export, err := r.config.Upstreams.Prefill(ctx, p.Prefill, turmericwall.OutgoingCall{
+	sentAt := time.Now()
+	export, err := r.requestPrefill(ctx, p, turmericwall.OutgoingCall{
 		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
 	})
+	if err != nil {
+		// The answer wasn't begun, so that only the request can be the cause.
+		broken := a.brokenRun(p.Prefill, sentAt, err)
+		broken.input.Parts = nil
+		r.settleBroken(ctx, a, broken)
+	}
 	switch {
 	case err == nil || wasSent(err):
 		a.prefillSent = true
@@ -155,6 +160,15 @@
 	return export, err
 }
 
+// requestPrefill sends a prompt to its prefill engine, and gives up when the prefill takes far longer than expected.
+func (r *Relay) requestPrefill(
+	ctx context.Context, p turmericwall.Placement, call turmericwall.OutgoingCall,
+) (turmericwall.EngineExport, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack)
+	defer cancel()
+	return r.config.Upstreams.Prefill(ctx, p.Prefill, call)
+}
+
 // releaseEngines releases the reservation and the export of a failed placement, independently of the caller's context.
 func (r *Relay) releaseEngines(
 	decode turmericwall.Upstream, reservation string, prefill turmericwall.Upstream, export turmericwall.EngineExport,
