fix: count an end from the end of its placement too, and a run's second end at a lagging entry

What callers saw: nothing yet; found by a model of daemons, kills, lost reports and late entries in which a request ends an upstream with each try.

Cause: the end of a placement released the run before the report on its engine had reached the leader, if that report was lost. And two runs that broke off at one incarnation, by its lagging entry, shared one open end.

Change: the end of a placement names the upstream that has ended, or may have, and the leader records it as an open end unless it knows better. A run of the same input that was sent after another one had broken off there is a further end.

Evidence: TestNoRequestEndsAFourthUpstreamInAnyOrder, the real ledger and registry, four daemons, five upstreams: 20,000 series of 60 steps. It fails at once without either change, and with unknown results taken as refuted.

--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -55,29 +55,27 @@
 }
 
 // settleBroken finds out whether the upstream of a broken run has ended, and records it. Then the call may go on, or its caller
-// be answered, who may come again at once. Where the caller has left, or the time is over, it doesn't wait, and reports pending.
-func (r *Relay) settleBroken(ctx context.Context, a *attempt, broken brokenRun) (pending bool) {
+// be answered, who may come again at once. Where the caller has left, or the time is over, it doesn't wait. The update is that of
+// the run's placement.
+func (r *Relay) settleBroken(
+	ctx context.Context, a *attempt, broken brokenRun, update *turmericwall.PlacementUpdate,
+) {
 	switch {
 	case r.config.Quarantine == nil || r.config.CheckEnd == nil, !mayHaveEnded(broken.cause):
 		r.logBroken(broken, "no")
-		return false
-	case errors.Is(broken.cause, errSilent):
-		// Another engine is about to take over. A query would have to wait for the silent one.
-		r.recordEnd(ctx, a, broken, twendcheck.Finding{Incarnation: broken.upstream.Key()})
-		return false
-	case hasLeft(ctx, broken.cause) && r.isListed(broken.input):
-		// The caller's next try is on its way.
-		r.recordEnd(ctx, a, broken, twendcheck.Finding{Incarnation: broken.upstream.Key()})
-		return false
+		return
+	case errors.Is(broken.cause, errSilent), hasLeft(ctx, broken.cause) && r.isListed(broken.input):
+		// Another engine is about to take over, or the next try of a suspect to come: a query of a silent one takes too long.
+		update.Ended = r.recordEnd(ctx, a, broken, twendcheck.Finding{Incarnation: broken.upstream.Key()})
 	case hasLeft(ctx, broken.cause):
+		update.Unsettled = true
 		go func() {
 			background := context.WithoutCancel(ctx)
 			r.recordEnd(background, nil, broken, r.checkEnd(background, broken))
 		}()
-		return true
+	default:
+		update.Ended = r.recordEnd(ctx, a, broken, r.checkEnd(ctx, broken))
 	}
-	r.recordEnd(ctx, a, broken, r.checkEnd(ctx, broken))
-	return false
 }
 
 // isListed reports whether upstreams ended, or may have, under the input's request.
@@ -105,17 +103,21 @@
 	})
 }
 
-// recordEnd records what was found of a broken run's upstream. It returns once the daemon that judges the next try knows of it.
-func (r *Relay) recordEnd(ctx context.Context, a *attempt, broken brokenRun, found twendcheck.Finding) {
+// recordEnd records what was found of a broken run's upstream. It returns the incarnation that has ended, or may have, once the
+// daemon that judges the next try knows of it; nil if it is alive.
+func (r *Relay) recordEnd(
+	ctx context.Context, a *attempt, broken brokenRun, found twendcheck.Finding,
+) *turmericwall.UpstreamKey {
 	r.logBroken(broken, found.Result.String())
 	if found.Result == turmericwall.EndRefuted {
-		return
+		return nil
 	}
 	if a != nil {
 		a.upstreamEnds.Add(1)
 	}
 	r.config.Quarantine.RecordEnd(found.Incarnation, broken.sentAt, broken.input, found.Result)
 	r.config.FlushEvidence(context.WithoutCancel(ctx))
+	return &found.Incarnation
 }
 
 // logBroken writes the line about a broken run, and what was found of its upstream.
--- a/internal/delivery/twrelay/failures.go
+++ b/internal/delivery/twrelay/failures.go
@@ -14,7 +14,7 @@
 	p, update := run.placement, &run.update
 	var sent *turmericwall.SendError
 	if !errors.As(err, &sent) || !sent.IsSafeToResend() {
-		update.Unsettled = r.settleBroken(ctx, a, a.brokenModelRun(run, err))
+		r.settleBroken(ctx, a, a.brokenModelRun(run, err), update)
 		if ctx.Err() == nil {
 			update.FailedEngine = r.failedEngine(p.Decode, err)
 		}
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -189,7 +189,7 @@
 	s.attempt.step = stepMove
 	s.logMove(result)
 	if result.err != nil {
-		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(s.run, result.err))
+		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(s.run, result.err), &s.run.update)
 		return nil, result.err
 	}
 	source := s.run.engine
@@ -282,7 +282,7 @@
 	if err != nil {
 		run.stop()
 		s.relay.returnUnsent(s.attempt, err)
-		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err))
+		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err), &run.update)
 	}
 	return err
 }
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -257,7 +257,7 @@
 	}
 	got.duration = time.Since(began)
 	r.reportToPicker(ctx, got)
-	unsettled := false
+	update := turmericwall.PlacementUpdate{ID: turn, Service: a.service.Name}
 	if got.succeeded() {
 		a.isAnswered.Store(true)
 	}
@@ -265,9 +265,11 @@
 	case got.complete && got.succeeded():
 		r.recordPlainAnswer(a)
 	case got.err != nil && !a.isAnswered.Load():
-		unsettled = r.settleBroken(ctx, a, a.brokenRun(upstream, began, got.err))
+		r.settleBroken(ctx, a, a.brokenRun(upstream, began, got.err), &update)
+	}
+	if turn != "" {
+		r.config.Placer.ApplyUpdate(update)
 	}
-	r.endTurn(a, turn, unsettled)
 	return got
 }
 
@@ -328,7 +330,7 @@
 	sentAt := got.answer.SentAt
 	_, err := io.Copy(a.w, got.answer.Body)
 	if err != nil {
-		r.settleBroken(ctx, a, a.brokenRun(got.upstream, sentAt, err))
+		r.settleBroken(ctx, a, a.brokenRun(got.upstream, sentAt, err), &turmericwall.PlacementUpdate{})
 		return err
 	}
 	r.recordPlainAnswer(a)
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -132,6 +132,7 @@
 // retry budget before it is sent, whether the one before succeeded or not.
 func (r *Relay) sendPrefill(
 	ctx context.Context, a *attempt, p turmericwall.Placement, out turmericwall.OutgoingCall,
+	update *turmericwall.PlacementUpdate,
 ) (turmericwall.EngineExport, error) {
 	if err := r.checkAcceptsCalls(p.Prefill); err != nil {
 		return turmericwall.EngineExport{}, &turmericwall.SendError{Err: err}
@@ -149,7 +150,7 @@
 		// The answer wasn't begun, so that only the request can be the cause.
 		broken := a.brokenRun(p.Prefill, sentAt, err)
 		broken.input.Parts = nil
-		r.settleBroken(ctx, a, broken)
+		r.settleBroken(ctx, a, broken, update)
 	}
 	switch {
 	case err == nil || wasSent(err):
@@ -196,7 +197,7 @@
 	}
 	a.step = stepPrefill
 	began := time.Now()
-	run.out.Export, err = r.sendPrefill(ctx, a, p, run.out)
+	run.out.Export, err = r.sendPrefill(ctx, a, p, run.out, &run.update)
 	if errors.Is(err, errRetryBudgetUsed) {
 		return true, noEngineProblem(err)
 	}
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -264,7 +264,7 @@
 	var toCaller *callerError
 	run.update.Answered = err == nil && run.answer.Status < http.StatusMultipleChoices
 	if err != nil && (ctx.Err() != nil || !s.move.isPending()) {
-		run.update.Unsettled = s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err))
+		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err), &run.update)
 	}
 	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
 		if !errors.Is(err, errOtherVersion) {
--- a/internal/delivery/twrelay/turn.go
+++ b/internal/delivery/twrelay/turn.go
@@ -42,13 +42,6 @@
 	}
 }
 
-// endTurn ends a turn. It is unsettled if it isn't known yet whether the upstream has ended under the call.
-func (r *Relay) endTurn(a *attempt, id string, unsettled bool) {
-	if id != "" {
-		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: id, Service: a.service.Name, Unsettled: unsettled})
-	}
-}
-
 // recordPlainAnswer records that a plain upstream has answered the call completely.
 func (r *Relay) recordPlainAnswer(a *attempt) {
 	if r.config.Quarantine != nil {
--- a/internal/placement/twcoordinator/turn.go
+++ b/internal/placement/twcoordinator/turn.go
@@ -108,8 +108,13 @@
 		keptUntil = now.Add(unsettledSpan)
 	}
 	run, ok := c.runs.End(now, update.ID, keptUntil)
-	if ok && update.Answered && c.config.Quarantine != nil {
+	switch {
+	case !ok || c.config.Quarantine == nil:
+	case update.Answered:
 		c.config.Quarantine.RecordAnswer(run.Input)
+	case update.Ended != nil:
+		run.Input.Parts = nil
+		c.config.Quarantine.RecordEnd(*update.Ended, run.PlacedAt, run.Input, turmericwall.EndUnknown)
 	}
 }
 
--- a/internal/quarantine/twevidence/end.go
+++ b/internal/quarantine/twevidence/end.go
@@ -107,13 +107,9 @@
 // isOpen reports whether it isn't known of some name's run yet whether the incarnation has ended.
 func (e *end) isOpen() bool { return e.hasMark(turmericwall.MarkOpen, turmericwall.MarkOpenSound) }
 
-// isOver reports whether no name of the end counts any more, or that of the input was settled there: a further run of it that
-// breaks off is another end.
-func (e *end) isSettledFor(input turmericwall.Input) bool {
-	return slices.ContainsFunc(namesOf(input), func(n name) bool {
-		mark, ok := e.names[n]
-		return ok && (mark == turmericwall.MarkRefuted || mark == turmericwall.MarkCleared)
-	})
+// hasAny reports whether the upstream ran any of the input's names.
+func (e *end) hasAny(input turmericwall.Input) bool {
+	return slices.ContainsFunc(namesOf(input), e.has)
 }
 
 // blames reports whether the name may be the cause of the end. Open ends count for requests only, whose runs can't be sent
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -51,7 +51,8 @@
 func (l *Ledger) IsEmpty() bool { return len(l.ends) == 0 }
 
 // RecordEnd records that at now an upstream was found to have ended, or may have, while it ran the input, which was sent at the
-// time. A run that was sent after a proved end of the incarnation shows that it had started again.
+// time. A run that was sent after a proved end of the incarnation shows that it had started again; one that was sent after another
+// run of the same input had broken off there may be a further end.
 func (l *Ledger) RecordEnd(
 	now time.Time, upstream turmericwall.UpstreamKey, sentAt time.Time, input turmericwall.Input, result turmericwall.EndResult,
 ) {
@@ -60,7 +61,7 @@
 	}
 	id := EndID{Service: input.Service, Upstream: upstream}
 	for known := l.find(id); known != nil && sentAt.After(known.at); known = l.find(id) {
-		if !known.isProved() && !known.isSettledFor(input) {
+		if !known.isProved() && !known.hasAny(input) {
 			break
 		}
 		id.Number++
--- a/placements.go
+++ b/placements.go
@@ -93,8 +93,10 @@
 	NotRun bool `json:"NotRun"`
 	// Answered is set at the end of a call that its engine has answered completely.
 	Answered bool `json:"Answered"`
-	// Unsettled is set at the end of a call while it isn't known whether its engine has ended under it.
-	Unsettled bool `json:"Unsettled"`
+	// Ended is the upstream that has ended, or may have, under the call, which is reported with the other evidence too: that
+	// report may be lost. Unsettled is set at the end of a call while its daemon finds out.
+	Ended     *UpstreamKey `json:"Ended,omitempty"`
+	Unsettled bool         `json:"Unsettled"`
 	// Running is set if the call continues.
 	Running bool `json:"Running"`
 	// Prefilled is set if the prefill has ended; PrefillMillis is its duration.
