fix: judge plain upstreams, which don't state their start, by whose side ended the run

Cause: plain upstreams answer a query for their report with 400 and state no start, so that a check could never find them alive.

Change: where this daemon ended the run, because its caller left, its time was over or the upstream is only slow, an upstream that answers is the one of before, as a process that ends closes its connections.

--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -96,11 +97,23 @@
 	}
 }
 
-// checkEnd checks whether the upstream of a broken run has ended.
+// checkEnd checks whether the upstream of a broken run has ended. One that answers without stating its start is the one of before if
+// the run was ended here: a process that ends closes its connections.
 func (r *Relay) checkEnd(ctx context.Context, broken brokenRun) twendcheck.Finding {
-	return r.config.CheckEnd(ctx, twendcheck.Run{
+	found := r.config.CheckEnd(ctx, twendcheck.Run{
 		Upstream: broken.upstream, SentAt: broken.sentAt, BrokenAt: broken.brokenAt,
 	})
+	if found.Result == turmericwall.EndUnknown && found.Answered && wasEndedHere(broken.cause) {
+		found.Result = turmericwall.EndRefuted
+	}
+	return found
+}
+
+// wasEndedHere reports whether this daemon ended the exchange of a run, and not its upstream.
+func wasEndedHere(cause error) bool {
+	var toCaller *callerError
+	return errors.Is(cause, errSilent) || errors.Is(cause, net.ErrClosed) || errors.Is(cause, context.Canceled) ||
+		errors.Is(cause, context.DeadlineExceeded) || errors.As(cause, &toCaller) || isTimeout(cause)
 }
 
 // recordEnd records what was found of a broken run's upstream. It returns the incarnation that has ended, or may have, once the
--- a/placements.go
+++ b/placements.go
@@ -92,11 +92,11 @@
 	// NotRun is set if no engine ran the call, so that its charge is refunded.
 	NotRun bool `json:"NotRun"`
 	// Answered is set at the end of a call that its engine has answered completely.
-	Answered bool `json:"Answered"`
+	Answered bool `json:"Answered,omitempty"`
 	// Ended is the upstream that has ended, or may have, under the call, which is reported with the other evidence too: that
 	// report may be lost. Unsettled is set at the end of a call while its daemon finds out.
 	Ended     *UpstreamKey `json:"Ended,omitempty"`
-	Unsettled bool         `json:"Unsettled"`
+	Unsettled bool         `json:"Unsettled,omitempty"`
 	// Running is set if the call continues.
 	Running bool `json:"Running"`
 	// Prefilled is set if the prefill has ended; PrefillMillis is its duration.
