fix: count ends of engines that read, or can't be judged, on the older interface, and over all leases of an entry

What callers saw: by reading; a completion ended engines as they read its prompt, or were silent, without a bound, and a deferrable request ended three at each daemon that took its lease.

Cause: only the end of a decode that refuses a query was recorded, at the daemon that saw it.

Change: one check with three results for prefills and decodes, also after the caller has left; open ends are settled by the same task as on the new machines and hold a request back without ending it; a lease carries the ends to the next daemon. Engines there state no start, so that one which answers counts as alive.

No test of its own shows the bound over several daemons; urgent tries at several daemons are still counted by each.

--- a/internal/delivery/twdelivery/delivery.go
+++ b/internal/delivery/twdelivery/delivery.go
@@ -28,6 +28,13 @@
 	retryBudget    *twretries.Budget
 }
 
+// Quarantine is the evidence of one daemon on engines that ended.
+type Quarantine interface {
+	turmericwall.CallQuarantine
+	Merge(evidence turmericwall.Evidence)
+	Export() (evidence turmericwall.Evidence, changes int64)
+}
+
 // Config holds the dependencies of a Delivery.
 type Config struct {
 	// Incarnation is the first part of each attempt's name, by which any daemon can find the attempt's owner.
@@ -38,8 +45,8 @@
 	Clock       clockwork.Clock
 	Recorder    turmericwall.Recorder
 	Registry    metrics.Registry
-	// Quarantine has the ends of engines that this daemon noticed.
-	Quarantine turmericwall.CallQuarantine
+	// Quarantine has the ends of engines that this daemon noticed, and those that requests bring along.
+	Quarantine Quarantine
 }
 
 // New returns a delivery without active requests.
@@ -60,6 +67,9 @@
 func (d *Delivery) Deliver(
 	ctx context.Context, request turmericwall.Request, sink turmericwall.Sink,
 ) (turmericwall.Usage, error) {
+	if len(request.Ends) > 0 {
+		d.config.Quarantine.Merge(turmericwall.Evidence{Ends: request.Ends})
+	}
 	r := newRun(d, request, sink)
 	return r.deliver(ctx)
 }
--- a/internal/delivery/twdelivery/ends.go
+++ b/internal/delivery/twdelivery/ends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -27,23 +28,56 @@
 	if judgement.Verdict != turmericwall.VerdictQuarantined {
 		return nil
 	}
+	if judgement.Open {
+		return turmericwall.NewProblem(turmericwall.KindOverloaded, judgement.String()+", or may have",
+			"come back at the time given").WithOutcome(r.outcome()).
+			WithRetryAt(r.delivery.config.Clock.Now().Add(time.Duration(judgement.RemainingMillis) * time.Millisecond))
+	}
 	return turmericwall.NewQuarantineProblem(judgement.String(),
 		r.delivery.config.Clock.Now().Add(time.Duration(judgement.RemainingMillis)*time.Millisecond)).
 		WithOutcome(r.outcome())
 }
 
-// recordEnd records the end of the decode engine if it broke the answer off and doesn't answer a query either.
+// recordEnd records the end of an engine that broke its part of the request off, unless it answers a query. Where the caller has
+// left, it doesn't wait for that.
 func (r *run) recordEnd(ctx context.Context, engine turmericwall.VM, sentAt time.Time, err error) {
 	var failed *turmericwall.EngineError
-	if ctx.Err() != nil || !errors.As(err, &failed) || failed.Reason() != turmericwall.EngineUnreachable {
-		return
+	isBroken := errors.As(err, &failed) && failed.Reason() == turmericwall.EngineUnreachable
+	input := r.input()
+	record := func() {
+		result := r.delivery.CheckEnd(context.WithoutCancel(ctx), engine.Address)
+		if result != turmericwall.EndRefuted {
+			key := turmericwall.UpstreamKey{ID: engine.Name}
+			r.delivery.config.Quarantine.RecordEnd(key, sentAt, input, result)
+		}
+	}
+	switch {
+	case ctx.Err() != nil:
+		go record()
+	case isBroken:
+		record()
 	}
+}
+
+// CheckEnd queries an engine after it broke a request off.
+func (d *Delivery) CheckEnd(ctx context.Context, address string) turmericwall.EndResult {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if _, err := r.delivery.config.Engines.Engine(engine.Address).Report(ctx, true); err == nil || ctx.Err() != nil {
-		return
+	_, err := d.config.Engines.Engine(address).Report(ctx, true)
+	switch {
+	case err == nil:
+		return turmericwall.EndRefuted
+	case ctx.Err() != nil:
+		return turmericwall.EndUnknown
 	}
-	r.delivery.config.Quarantine.RecordEnd(
-		turmericwall.UpstreamKey{ID: engine.Name}, sentAt, r.input(), turmericwall.EndProved,
-	)
+	return turmericwall.EndProved
+}
+
+// EndsUnder returns the ends of engines that this daemon knows under a request.
+func (d *Delivery) EndsUnder(request turmericwall.Request) []turmericwall.UpstreamEnd {
+	fingerprint := (&run{request: request}).input().Request
+	evidence, _ := d.config.Quarantine.Export()
+	return slices.DeleteFunc(evidence.Ends, func(end turmericwall.UpstreamEnd) bool {
+		return !slices.ContainsFunc(end.Inputs, func(input turmericwall.EndedInput) bool { return input.Name == fingerprint })
+	})
 }
--- a/internal/delivery/twdelivery/run.go
+++ b/internal/delivery/twdelivery/run.go
@@ -140,10 +140,12 @@
 		Attempt: name, Model: r.request.Model, Prompt: r.promptWithAnswer(), MaxTokens: r.remainingTokens(),
 		Priority: r.priority(),
 	}
+	sentAt := r.delivery.config.Clock.Now()
 	if err := r.prefill(ctx, call, grant); err != nil {
+		r.recordEnd(ctx, grant.Prefill, sentAt, err)
 		return grant.Prefill, err
 	}
-	sentAt := r.delivery.config.Clock.Now()
+	sentAt = r.delivery.config.Clock.Now()
 	if err := r.decode(ctx, call, grant); err != nil {
 		r.recordEnd(ctx, grant.Decode, sentAt, err)
 		return grant.Decode, err
--- a/internal/ledger/twentry/entry.go
+++ b/internal/ledger/twentry/entry.go
@@ -56,6 +56,8 @@
 	Account string `json:"account"`
 	// Owner is the incarnation that processes the entry; empty when none does.
 	Owner string `json:"owner,omitempty"`
+	// Ends are the ends of engines under the request, so that they count at all daemons that process it.
+	Ends []turmericwall.UpstreamEnd `json:"ends,omitempty"`
 }
 
 // DeriveID derives the ID of an entry from its account and idempotency key; the same pair always gives the same ID.
--- a/internal/ledger/twledger/work.go
+++ b/internal/ledger/twledger/work.go
@@ -113,9 +113,11 @@
 		l.releaseLease(held)
 		return
 	}
+	request.Ends = held.lease.Ends
 	var answer collector
 	usage, err := l.config.Deliverer.Deliver(ctx, request, &answer)
 	if err != nil && !isTerminal(err) {
+		held.lease.Ends = l.config.Deliverer.EndsUnder(request)
 		l.waitAfterFailure(ctx)
 		l.releaseLease(held)
 		return
--- a/internal/operations/twdaemon/build.go
+++ b/internal/operations/twdaemon/build.go
@@ -1,6 +1,7 @@
 package twdaemon
 
 import (
+	"context"
 	"crypto/tls"
 
 	"google.golang.org/grpc/credentials"
@@ -10,6 +11,7 @@
 	"github.com/turmericwall/turmericwall/internal/admission/twlimiter"
 	"github.com/turmericwall/turmericwall/internal/delivery/twcanceller"
 	"github.com/turmericwall/turmericwall/internal/delivery/twdelivery"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twengine"
 	"github.com/turmericwall/turmericwall/internal/document/twpublisher"
 	"github.com/turmericwall/turmericwall/internal/document/twrevision"
@@ -34,6 +36,7 @@
 	"github.com/turmericwall/turmericwall/internal/platform/twtable"
 	"github.com/turmericwall/turmericwall/internal/platform/twvmlist"
 	"github.com/turmericwall/turmericwall/internal/quarantine/twquarantine"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twsettler"
 )
 
 // transportSecurity is the TLS configuration of the daemon's listeners and of its calls to peers. The callers'
@@ -116,10 +119,28 @@
 		Peers: d.exchange, Local: d.leader, LocalOnly: d.settings.Policy != twpolicy.Leader, Clock: d.clock,
 		Recorder: d.recorder,
 	})
+	quarantine := d.newQuarantine(incarnation)
 	d.delivery = twdelivery.New(twdelivery.Config{
 		Incarnation: incarnation, Placer: d.router, Engines: engines, Canceller: d.canceller,
-		Clock: d.clock, Recorder: d.recorder, Registry: d.registry, Quarantine: d.newQuarantine(incarnation),
+		Clock: d.clock, Recorder: d.recorder, Registry: d.registry, Quarantine: quarantine,
 	})
+	d.settler = twsettler.New(twsettler.Config{
+		Evidence: quarantine, Listed: d.listedEngine, IsResponsible: func() bool { return true },
+		Check: func(ctx context.Context, run twendcheck.Run) twendcheck.Finding {
+			result := d.delivery.CheckEnd(ctx, run.Upstream.Address)
+			return twendcheck.Finding{Incarnation: run.Upstream.Key(), Result: result, Answered: result == turmericwall.EndRefuted}
+		},
+	})
+}
+
+// listedEngine returns an engine of the VM list; ok is false if it isn't listed.
+func (d *Daemon) listedEngine(name string) (engine turmericwall.Upstream, ok bool) {
+	for _, vm := range d.fleet.All() {
+		if vm.Name == name {
+			return turmericwall.Upstream{ID: vm.Name, Address: vm.Address}, true
+		}
+	}
+	return engine, false
 }
 
 // newQuarantine returns the quarantine of this daemon's requests, which knows the ends of engines that this daemon noticed.
--- a/internal/operations/twdaemon/daemon.go
+++ b/internal/operations/twdaemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twleader"
 	"github.com/turmericwall/turmericwall/internal/placement/twrouter"
 	"github.com/turmericwall/turmericwall/internal/platform/twbatch"
+	"github.com/turmericwall/turmericwall/internal/quarantine/twsettler"
 )
 
 // Daemon is one router process: all components between callers and upstreams on one VM.
@@ -57,6 +58,7 @@
 	leader     *twleader.Leader
 	router     *twrouter.Router
 	delivery   *twdelivery.Delivery
+	settler    *twsettler.Settler
 	claims     *twclaim.Claims
 	ledger     *twledger.Ledger
 	edge       *twedge.Edge
@@ -183,6 +185,7 @@
 	background.Start("endings", d.router.Run)
 	background.Start("cancels", d.canceller.Run)
 	background.Start("claims", d.claims.Run)
+	background.Start("settle open ends", d.settler.Run)
 	background.Start("operations", func(ctx context.Context) error {
 		return d.operations.Serve(ctx, d.listeners.operations)
 	})
--- a/internal/quarantine/twevidence/bound_test.go
+++ b/internal/quarantine/twevidence/bound_test.go
@@ -170,7 +170,9 @@
 	w.row = leader.Export(w.now)
 }
 
-func (w *boundModel) exchange(from, to int) { w.ledgers[to].Merge(w.now, w.ledgers[from].Export(w.now)) }
+func (w *boundModel) exchange(from, to int) {
+	w.ledgers[to].Merge(w.now, w.ledgers[from].Export(w.now))
+}
 
 // deliverLate delivers evidence that was on its way for a while.
 func (w *boundModel) deliverLate() {
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -207,7 +207,7 @@
 		return judged
 	}
 	if proved := provedUnder(n, ends); l.verdictOn(n, proved) != turmericwall.VerdictQuarantined {
-		judged.RemainingMillis = openRetry.Milliseconds()
+		judged.Open, judged.RemainingMillis = true, openRetry.Milliseconds()
 		return judged
 	}
 	if rivals := l.rivals(n, ends, input); len(rivals) > 0 {
--- a/messages.go
+++ b/messages.go
@@ -138,6 +138,8 @@
 	MaxTokens int
 	// FirstTokenDeadline is the target time of the first token; zero for deferrable work.
 	FirstTokenDeadline time.Time
+	// Ends are the ends of engines under the request that other daemons noticed.
+	Ends []UpstreamEnd
 }
 
 // Usage is the number of tokens of one request.
--- a/quarantine.go
+++ b/quarantine.go
@@ -124,6 +124,8 @@
 	Keys []string
 	// Ends is the number of upstreams that ended, or may have ended, under it.
 	Ends int
+	// Open is set if the call is held back only until it is known whether some of these have ended.
+	Open bool
 	// RemainingMillis is how much longer a quarantine lasts if nobody asks for it.
 	RemainingMillis int64
 }
--- a/turmericwall.go
+++ b/turmericwall.go
@@ -107,6 +107,8 @@
 type Deliverer interface {
 	// Deliver returns nil only if the sink received the complete answer.
 	Deliver(ctx context.Context, request Request, sink Sink) (Usage, error)
+	// EndsUnder returns the ends of engines under the request that are known here.
+	EndsUnder(request Request) []UpstreamEnd
 }
 
 // Forwarder sends a call to an upstream of a plain service.
