fix: log a row with evidence that can't be read, and reports that come late

The same class as the incident, found by reading: an unreadable row, and a store that doesn't answer at the start, looked like a row without evidence. Each has a line now, and evidence_reports_late counts the calls that went on before their report had arrived.

--- a/internal/quarantine/twevidencereports/reports.go
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -132,6 +132,7 @@
 		select {
 		case <-done:
 		case <-timeout.C:
+			r.config.Count("evidence_reports_late", 1)
 			return
 		case <-ctx.Done():
 			return
--- a/internal/quarantine/twevidencerow/row.go
+++ b/internal/quarantine/twevidencerow/row.go
@@ -73,8 +73,12 @@
 	known := row.Version == r.version
 	r.version = row.Version
 	r.mu.Unlock()
+	if known {
+		return
+	}
 	var evidence turmericwall.Evidence
-	if known || json.Unmarshal(row.Value, &evidence) != nil {
+	if err := json.Unmarshal(row.Value, &evidence); err != nil {
+		r.config.Recorder.Record(turmericwall.EventRowUnreadable).Str("table", r.config.Table).Str("key", Key).Err(err).Send()
 		return
 	}
 	r.config.Quarantine.Merge(evidence)
@@ -118,6 +122,7 @@
 func (r *Row) Load(ctx context.Context) {
 	snapshot, err := r.config.Store.Rows(ctx, r.config.Table)
 	if err != nil {
+		r.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", r.config.Table).Err(err).Send()
 		return
 	}
 	for _, row := range snapshot.Rows {
