--- a/internal/quarantine/twevidence/end.go
+++ b/internal/quarantine/twevidence/end.go
@@ -131,9 +131,6 @@
 	return ok && (mark == turmericwall.MarkSound || mark == turmericwall.MarkOpenSound)
 }
 
-// isProvedFor reports whether the incarnation is known to have ended while it ran the name.
-func (e *end) isProvedFor(n name) bool { return e.names[n] >= turmericwall.MarkBlamed }
-
 // counts reports whether any name may be the cause of the end.
 func (e *end) counts() bool {
 	for n := range e.names {
--- a/internal/quarantine/twevidence/ledger.go
+++ b/internal/quarantine/twevidence/ledger.go
@@ -177,131 +177,6 @@
 	return parts
 }
 
-// Judge returns the verdict on an input, and keeps the ends that decide it for longer.
-func (l *Ledger) Judge(now time.Time, input turmericwall.Input) turmericwall.Judgement {
-	var suspected turmericwall.Judgement
-	for _, n := range namesOf(input) {
-		if !l.listed[n] {
-			continue
-		}
-		judged := l.judgeName(now, n, input)
-		switch judged.Verdict {
-		case turmericwall.VerdictQuarantined:
-			return judged
-		case turmericwall.VerdictSuspect:
-			suspected.Verdict, suspected.Ends = judged.Verdict, max(suspected.Ends, judged.Ends)
-			suspected.Keys = append(suspected.Keys, judged.Keys...)
-		}
-	}
-	slices.Sort(suspected.Keys)
-	suspected.Keys = slices.Compact(suspected.Keys)
-	return suspected
-}
-
-// judgeName returns the verdict on one name of an input. The keys of a suspect include its rivals: one that runs on the same
-// engine would leave open which of the two ended it.
-func (l *Ledger) judgeName(now time.Time, n name, input turmericwall.Input) turmericwall.Judgement {
-	ends := l.endsUnder(n)
-	judged := turmericwall.Judgement{Verdict: l.verdictOn(n, ends), Keys: []string{n.String()}, Ends: len(ends)}
-	if judged.Verdict != turmericwall.VerdictQuarantined {
-		return judged
-	}
-	if proved := provedUnder(n, ends); l.verdictOn(n, proved) != turmericwall.VerdictQuarantined {
-		judged.Open, judged.RemainingMillis = true, openRetry.Milliseconds()
-		return judged
-	}
-	if rivals := l.rivals(n, ends, input); len(rivals) > 0 {
-		judged.Verdict = turmericwall.VerdictSuspect
-		for _, rival := range rivals {
-			judged.Keys = append(judged.Keys, rival.String())
-		}
-		return judged
-	}
-	l.extend(now, ends)
-	judged.RemainingMillis = retention.Milliseconds()
-	return judged
-}
-
-// verdictOn returns the verdict on a name by the ends under it alone.
-func (l *Ledger) verdictOn(n name, ends []*end) turmericwall.Verdict {
-	if n.kind == KindPart {
-		return l.verdictOnPart(n, ends)
-	}
-	sound := 0
-	for _, e := range ends {
-		if e.isSound(n) {
-			sound++
-		}
-	}
-	// A request that ran well shortly before was in the ends of others; only one more, under a run of it alone, is its own.
-	alone := len(ends) - sound
-	switch {
-	case alone > 0 && len(ends) >= MaxEndsPerRequest:
-		return turmericwall.VerdictQuarantined
-	case alone > 0 || sound >= MaxEndsPerRequest:
-		return turmericwall.VerdictSuspect
-	}
-	return turmericwall.VerdictClear
-}
-
-// verdictOnPart returns the verdict on a part. An end weighs a third of what it takes against it, or a fifth, and any progress
-// since outweighs all of them.
-func (l *Ledger) verdictOnPart(n name, ends []*end) turmericwall.Verdict {
-	need := minEnds
-	if l.isSound(n) {
-		need = minEndsIfSound
-	}
-	switch {
-	case len(ends) >= need:
-		return turmericwall.VerdictQuarantined
-	case len(ends) >= need-1:
-		return turmericwall.VerdictSuspect
-	}
-	return turmericwall.VerdictClear
-}
-
-// provedUnder returns those of the ends that are proved.
-func provedUnder(n name, ends []*end) []*end {
-	return slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return !e.isProvedFor(n) })
-}
-
-// Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request had run well
-// shortly before the last of them.
-func (l *Ledger) Ends(input turmericwall.Input) (ends int, sound bool) {
-	for _, n := range requestNames(input) {
-		under := l.endsUnder(n)
-		if len(under) > ends {
-			ends, sound = len(under), under[len(under)-1].isSound(n)
-		}
-	}
-	return ends, sound
-}
-
-// rivals returns what may be the cause of all ends under a part as well, and isn't in the input. Then the input runs as a
-// suspect: either it clears the part, or the end of its engine rules all these rivals out.
-func (l *Ledger) rivals(n name, ends []*end, input turmericwall.Input) []name {
-	if n.kind != KindPart {
-		return nil
-	}
-	own := namesOf(input)
-	var rivals []name
-	for rival := range ends[0].names {
-		inAll := !slices.ContainsFunc(ends, func(e *end) bool { return !e.blames(rival) })
-		if inAll && !slices.Contains(own, rival) &&
-			l.verdictOn(rival, l.endsUnder(rival)) == turmericwall.VerdictQuarantined {
-			rivals = append(rivals, rival)
-		}
-	}
-	return rivals
-}
-
-// isSound reports whether an engine wrote on a part shortly before an end under it, or since one.
-func (l *Ledger) isSound(n name) bool {
-	return slices.ContainsFunc(l.ends, func(e *end) bool {
-		return e.isSound(n) || (e.has(n) && e.names[n] == turmericwall.MarkCleared)
-	})
-}
-
 // endsUnder returns the ends under a name since it was last cleared.
 func (l *Ledger) endsUnder(n name) []*end {
 	var ends []*end
@@ -313,23 +188,6 @@
 	return ends
 }
 
-// Beliefs returns the input that is quarantined, and what is suspected after several ends.
-func (l *Ledger) Beliefs() []Belief {
-	var beliefs []Belief
-	for n := range l.listed {
-		ends := l.endsUnder(n)
-		verdict := l.verdictOn(n, ends)
-		if verdict != turmericwall.VerdictClear && len(ends) >= minLoggedEnds {
-			beliefs = append(beliefs, Belief{Service: n.service, Kind: n.kind, Key: n.text, Ends: len(ends), Verdict: verdict})
-		}
-	}
-	slices.SortFunc(beliefs, compareBeliefs)
-	return beliefs
-}
-
-// minLoggedEnds is the number of ends from which a suspicion is logged: each end has many requests.
-const minLoggedEnds = 2
-
 // Lift clears a request or a part of a service of all ends, as an operator asks. It reports whether there were any.
 func (l *Ledger) Lift(service, kind, text string) bool {
 	n := name{service: service, kind: kind, text: text}
@@ -355,7 +213,7 @@
 func (l *Ledger) Expire(now time.Time) bool {
 	before := len(l.ends)
 	l.ends = slices.DeleteFunc(l.ends, func(e *end) bool {
-		return now.After(e.keptUntil) || (!e.counts() && now.Sub(e.at) > settledRetention)
+		return now.After(e.keptUntil) || (now.Sub(e.at) > settledRetention && !e.counts())
 	})
 	if len(l.ends) == before {
 		return false
@@ -448,7 +306,7 @@
 // quarantines reports whether a name of the end is quarantined.
 func (l *Ledger) quarantines(e *end) bool {
 	for n := range e.names {
-		if e.blames(n) && l.verdictOn(n, l.endsUnder(n)) == turmericwall.VerdictQuarantined {
+		if e.blames(n) && verdictOn(n, l.count(n)) == turmericwall.VerdictQuarantined {
 			return true
 		}
 	}
