--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -333,7 +333,9 @@
 		r.settleBroken(ctx, a, a.brokenRun(got.upstream, sentAt, err), &turmericwall.PlacementUpdate{})
 		return err
 	}
-	r.recordPlainAnswer(a)
+	if got.succeeded() {
+		r.recordPlainAnswer(a)
+	}
 	return nil
 }
 
