fix: let a daemon that starts wait for the leader, and a turn for runs that nobody knows

Cause: a daemon that had read the row counted as informed and placed calls itself for a quarter of a second, though the leader lived and knew three runs of the request under way. And a daemon may send a plain call up to 50 ms after another one has reported the end under it, which the leader didn't count when it granted the next turn.

--- a/internal/placement/twcoordinator/turn.go
+++ b/internal/placement/twcoordinator/turn.go
@@ -16,6 +16,9 @@
 	turnRetryAfter = 400 * time.Millisecond
 	// unsettledSpan is how long a run counts as under way after its end while its daemon finds out whether the engine has ended.
 	unsettledSpan = time.Second
+	// settleSpan is how long after an end under a request a plain call with it waits: its other runs, which the leader doesn't know,
+	// end or are reported in that time.
+	settleSpan = 100 * time.Millisecond
 )
 
 // inputOf returns what a call brings to upstreams.
@@ -43,6 +46,8 @@
 	case judgement.Verdict == turmericwall.VerdictQuarantined:
 		return turmericwall.NewQuarantineProblem(judgement.String(),
 			now.Add(time.Duration(judgement.RemainingMillis)*time.Millisecond))
+	case request.Turn && now.Sub(c.config.Quarantine.LastEndAt(input)) < settleSpan:
+		return waitProblem(now, "an upstream has just ended under the input of this call")
 	case judgement.Verdict == turmericwall.VerdictSuspect && !request.Moving &&
 		!c.turns.Take(now, judgement.Keys, request.CallID(), request.ID, request.Owner):
 		return waitProblem(now, "upstreams ended under the input of this call, and another call with it runs")
--- a/internal/placement/twcoordinator/turn_test.go
+++ b/internal/placement/twcoordinator/turn_test.go
@@ -19,6 +19,8 @@
 
 func (j *fixedJudgement) Ends(turmericwall.Input) (int, bool) { return j.Judgement.Ends, false }
 
+func (*fixedJudgement) LastEndAt(turmericwall.Input) time.Time { return time.Time{} }
+
 func (*fixedJudgement) Listed(turmericwall.Input) []string { return nil }
 func (*fixedJudgement) RecordProgress(turmericwall.Input)  {}
 func (*fixedJudgement) RecordEnd(turmericwall.UpstreamKey, time.Time, turmericwall.Input, turmericwall.EndResult) {
--- a/internal/quarantine/twevidence/verdict.go
+++ b/internal/quarantine/twevidence/verdict.go
@@ -114,6 +114,18 @@
 	return turmericwall.VerdictClear
 }
 
+// LastEndAt returns when this daemon learnt of the last proved end under the input's request; zero if there is none.
+func (l *Ledger) LastEndAt(input turmericwall.Input) (at time.Time) {
+	for _, n := range requestNames(input) {
+		for _, e := range l.endsUnder(n) {
+			if e.names[n] >= turmericwall.MarkBlamed && e.at.After(at) {
+				at = e.at
+			}
+		}
+	}
+	return at
+}
+
 // Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request had run well
 // shortly before the last of them.
 func (l *Ledger) Ends(input turmericwall.Input) (ends int, sound bool) {
--- a/internal/quarantine/twevidencerow/row.go
+++ b/internal/quarantine/twevidencerow/row.go
@@ -27,6 +27,8 @@
 	checkInterval = 250 * time.Millisecond
 	// startInterval is the time between two checks at the start whether the row has to be read.
 	startInterval = 50 * time.Millisecond
+	// maxLeaderWait is how long a daemon that has read the row waits for a leader's heartbeat before it serves.
+	maxLeaderWait = 800 * time.Millisecond
 	// maxRowBytes is well below what the store accepts for a row. The oldest ends are left out of a longer one.
 	maxRowBytes = 48 << 10
 )
@@ -102,13 +104,19 @@
 	}
 }
 
-// loadAtStart reads the row once this daemon has its state from the store and no evidence with it.
+// loadAtStart reads the row once this daemon has its state from the store and no evidence with it. A live leader knows more, and
+// which runs are under way: its heartbeat is waited for.
 func (r *Row) loadAtStart(ctx context.Context) {
 	tick := time.NewTicker(startInterval)
 	defer tick.Stop()
+	var loadedAt time.Time
 	for !r.config.Quarantine.IsCurrent() {
-		if r.config.HasState() {
-			r.Load(ctx)
+		switch {
+		case !r.config.HasState():
+		case loadedAt.IsZero() && r.Load(ctx):
+			loadedAt = time.Now()
+		case !loadedAt.IsZero() && time.Since(loadedAt) > maxLeaderWait:
+			r.config.Quarantine.MarkCurrent()
 		}
 		select {
 		case <-ctx.Done():
@@ -118,19 +126,19 @@
 	}
 }
 
-// Load reads the row, so that this daemon knows what others knew before it.
-func (r *Row) Load(ctx context.Context) {
+// Load reads the row, so that this daemon knows what others knew before it. It reports whether the store answered.
+func (r *Row) Load(ctx context.Context) bool {
 	snapshot, err := r.config.Store.Rows(ctx, r.config.Table)
 	if err != nil {
 		r.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", r.config.Table).Err(err).Send()
-		return
+		return false
 	}
 	for _, row := range snapshot.Rows {
 		if row.Key == Key {
 			r.Apply(row)
 		}
 	}
-	r.config.Quarantine.MarkCurrent()
+	return true
 }
 
 // Persist writes the row if it lacks changes that this daemon has to write, unless it has written it too often lately.
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -97,6 +97,16 @@
 	})
 }
 
+// LastEndAt returns when this daemon learnt of the last proved end under the input's request; zero if there is none.
+func (q *Quarantine) LastEndAt(input turmericwall.Input) time.Time {
+	if q.empty.Load() {
+		return time.Time{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.LastEndAt(input)
+}
+
 // Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request ran well lately.
 func (q *Quarantine) Ends(input turmericwall.Input) (ends int, sound bool) {
 	if at, ok := q.progress.Last(input.Service, twevidence.KindRequest, input.Request); ok {
--- a/quarantine.go
+++ b/quarantine.go
@@ -139,6 +139,8 @@
 type CallQuarantine interface {
 	// Judge returns the verdict on a call's input.
 	Judge(input Input) Judgement
+	// LastEndAt returns when this daemon learnt of the last proved end under the input's request; zero if there is none.
+	LastEndAt(input Input) time.Time
 	// Ends returns how many upstreams ended under the input's request, or may have; sound is set if the request ran well lately.
 	Ends(input Input) (ends int, sound bool)
 	// Listed returns those of the input's parts on which the verdict may depend.
