fix: prepare no takeover for a request whose silent engine may be the third that ends under it

Cause: the silent engine was recorded after the takeover had been prepared.

Change: it is an open end before, if upstreams ended under the request already, and the request is judged again.

Evidence: TestNoTakeoverIsPreparedForARequestUnderWhichThreeEnginesMayHaveEnded fails on the code before (two prompts sent, one allowed).

--- a/internal/delivery/twrelay/ends_test.go
+++ b/internal/delivery/twrelay/ends_test.go
@@ -179,3 +179,24 @@
 		})
 	}
 }
+
+// Guards against a prompt that is sent to a further engine for a takeover, while the silent one may be the third that ends under the
+// request.
+func TestNoTakeoverIsPreparedForARequestUnderWhichThreeEnginesMayHaveEnded(t *testing.T) {
+	for ends, prefills := range map[int]int{1: 2, 2: 1} {
+		t.Run(fmt.Sprint(ends, " ended before"), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+			s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+				for n := range ends {
+					s.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: fmt.Sprint("other", n)}, time.Now(),
+						turmericwall.Input{Service: "engines", Request: s.placer.lastRequest().Fingerprint}, turmericwall.EndProved)
+				}
+				<-ctx.Done()
+				return nil, &turmericwall.SendError{Sent: true, Err: ctx.Err()}
+			}}.send
+			_, _ = s.serveWithin(context.Background(), "/r/x", 2500*time.Millisecond)
+			g.Expect(s.upstreams.prefills).To(Equal(prefills))
+		})
+	}
+}
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
 )
 
@@ -100,7 +101,7 @@
 // prepareTakeover prepares a run at another engine because that of the present run is silent. It returns false if that
 // is not allowed or fails, or if the engine has gone on meanwhile: then the present run remains.
 func (r *Relay) prepareTakeover(ctx context.Context, a *attempt, run *modelRun, arrived *arrivals) bool {
-	if a.takeovers >= maxTakeovers || !r.isSilent(run.engine) || !r.mayResume(ctx, a) {
+	if a.takeovers >= maxTakeovers || !r.isSilent(run.engine) || !r.mayResume(ctx, a) || !r.mayReplace(ctx, a, run) {
 		return false
 	}
 	a.takeovers++
@@ -121,6 +122,16 @@
 	return false
 }
 
+// mayReplace reports whether another engine may be reached for the call while the present one is silent: that one may be the last
+// which may end under a suspected request.
+func (r *Relay) mayReplace(ctx context.Context, a *attempt, run *modelRun) bool {
+	if r.config.Quarantine == nil || !r.isListed(a.input()) {
+		return true
+	}
+	r.recordEnd(ctx, a, a.brokenModelRun(run, errSilent), twendcheck.Finding{Incarnation: run.engine.Key()})
+	return r.checkQuarantine(a) == nil
+}
+
 // isSilent reports whether nothing was received from the engine for a while, on any connection of this daemon. An engine
 // that sends to others has only preempted a run.
 func (r *Relay) isSilent(engine turmericwall.Upstream) bool {
