--- a/internal/delivery/twrelay/ends_test.go
+++ b/internal/delivery/twrelay/ends_test.go
@@ -187,7 +187,7 @@
 		t.Run(fmt.Sprint(ends, " ended before"), func(t *testing.T) {
 			g := NewWithT(t)
 			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
-			s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+			s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
 				for n := range ends {
 					s.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: fmt.Sprint("other", n)}, time.Now(),
 						turmericwall.Input{Service: "engines", Request: s.placer.lastRequest().Fingerprint}, turmericwall.EndProved)
