feat: measure by how much a daemon's link and processor delay what passes through it

No line or metric told a full link from a late processor or a share of connections in use. Logged as 1007 and 1008, and as gauges.

--- a/events.go
+++ b/events.go
@@ -11,6 +11,8 @@
 	EventDrainEnded         EventID = 1004
 	EventTaskFailed         EventID = 1005
 	EventSettingsRead       EventID = 1006
+	EventCapacityShort      EventID = 1007
+	EventCapacityRegained   EventID = 1008
 	EventRequestAccepted    EventID = 2001
 	EventRequestRefused     EventID = 2002
 	EventRequestAnswered    EventID = 2003
@@ -74,6 +76,8 @@
 	EventDrainEnded:         "Drain ended",
 	EventTaskFailed:         "Task failed",
 	EventSettingsRead:       "Settings read",
+	EventCapacityShort:      "Capacity short",
+	EventCapacityRegained:   "Capacity regained",
 	EventRequestAccepted:    "Request accepted",
 	EventRequestRefused:     "Request refused",
 	EventRequestAnswered:    "Request answered",
--- a/internal/membership/twpeerhttp/bench_test.go
+++ b/internal/membership/twpeerhttp/bench_test.go
@@ -21,7 +21,7 @@
 		return &turmericwall.Answer{Status: 200, Length: 800, Body: io.NopCloser(bytes.NewReader(answer))}, nil
 	}}))
 	defer server.Close()
-	client, address := twpeerhttp.NewClient(), strings.TrimPrefix(server.URL, "http://")
+	client, address := twpeerhttp.NewClient(nil), strings.TrimPrefix(server.URL, "http://")
 	request := turmericwall.UpstreamRequest{Head: bytes.Repeat([]byte("h"), 700), Body: make([]byte, 1000), Method: "POST"}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twmeter"
 	"github.com/turmericwall/turmericwall/internal/operations/twsocket"
 )
 
@@ -39,12 +40,12 @@
 	return twsocket.New(twsocket.Config{ProbeSeconds: 1, DeadMillis: 2000})
 }
 
-// NewClient returns a client without open connections.
-func NewClient() *Client {
+// NewClient returns a client without open connections, whose bytes the meter counts; it may be nil.
+func NewClient(meter *twmeter.Meter) *Client {
 	liveness := Liveness()
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: liveness.Control, KeepAliveConfig: liveness.KeepAlive()}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
+		DialContext: meter.Dial(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
 	}}}
 }
 
--- a/internal/membership/twpeerhttp/exchange_test.go
+++ b/internal/membership/twpeerhttp/exchange_test.go
@@ -63,7 +63,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	answer, err := twpeerhttp.NewClient().Exchange(ctx, address, exchangeTarget, exchangeRequest())
+	answer, err := twpeerhttp.NewClient(nil).Exchange(ctx, address, exchangeTarget, exchangeRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 	body, err := io.ReadAll(answer.Body)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -82,7 +82,7 @@
 	) (*turmericwall.Answer, error) {
 		return nil, result
 	})
-	client := twpeerhttp.NewClient()
+	client := twpeerhttp.NewClient(nil)
 	_, err := client.Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
 	g.Expect(err).To(Equal(refusal))
 	result = &turmericwall.SendError{Sent: true, Err: errors.New("reset")}
@@ -99,19 +99,19 @@
 	defer func() { _ = silent.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	_, err = twpeerhttp.NewClient().Exchange(ctx, silent.Addr().String(), exchangeTarget, exchangeRequest())
+	_, err = twpeerhttp.NewClient(nil).Exchange(ctx, silent.Addr().String(), exchangeTarget, exchangeRequest())
 	g.Expect(asSendError(err).Sent).To(BeTrue())
 	terminating := newPeer(t, func(
 		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
 	) (*turmericwall.Answer, error) {
 		panic(http.ErrAbortHandler)
 	})
-	_, err = twpeerhttp.NewClient().Exchange(context.Background(), terminating, exchangeTarget, exchangeRequest())
+	_, err = twpeerhttp.NewClient(nil).Exchange(context.Background(), terminating, exchangeTarget, exchangeRequest())
 	g.Expect(asSendError(err).Sent).To(BeTrue())
 	closed, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	_ = closed.Close()
-	_, err = twpeerhttp.NewClient().Exchange(context.Background(), closed.Addr().String(), exchangeTarget, exchangeRequest())
+	_, err = twpeerhttp.NewClient(nil).Exchange(context.Background(), closed.Addr().String(), exchangeTarget, exchangeRequest())
 	g.Expect(asSendError(err).Sent).To(BeFalse())
 }
 
@@ -125,7 +125,7 @@
 			strings.NewReader("part"), brokenReader{},
 		))}, nil
 	})
-	answer, err := twpeerhttp.NewClient().Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
+	answer, err := twpeerhttp.NewClient(nil).Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = io.ReadAll(answer.Body)
 	g.Expect(asSendError(err).PathLost).To(BeTrue())
@@ -141,7 +141,7 @@
 			Status: 200, Length: -1, Framing: turmericwall.FramingConnection, Body: io.NopCloser(strings.NewReader("whole")),
 		}, nil
 	})
-	answer, err := twpeerhttp.NewClient().Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
+	answer, err := twpeerhttp.NewClient(nil).Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.Framing).To(Equal(turmericwall.FramingConnection))
 	g.Expect(io.ReadAll(answer.Body)).To(BeEquivalentTo("whole"))
@@ -164,7 +164,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := twpeerhttp.NewClient().Exchange(ctx, address, exchangeTarget, exchangeRequest())
+	_, err := twpeerhttp.NewClient(nil).Exchange(ctx, address, exchangeTarget, exchangeRequest())
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(left, time.Second).Should(BeClosed())
 }
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -51,7 +51,7 @@
 			}, nil
 		},
 	})
-	got, err := twpeerhttp.NewClient().Place(context.Background(), address, want)
+	got, err := twpeerhttp.NewClient(nil).Place(context.Background(), address, want)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect([]any{got.ID, got.Decode.ID, got.ReserveTokens, got.Late, got.Reason}).
 		To(Equal([]any{"1/0", "d", 7, true, "r"}))
@@ -68,7 +68,7 @@
 			})
 		},
 	})
-	_, err := twpeerhttp.NewClient().Place(context.Background(), address, placeRequest())
+	_, err := twpeerhttp.NewClient(nil).Place(context.Background(), address, placeRequest())
 	g.Expect(turmericwall.IsKind(err, turmericwall.KindOverloaded)).To(BeTrue())
 	g.Expect(err.(*turmericwall.Problem).RetryAt()).
 		To(BeTemporally("~", time.Now().Add(2*time.Second), 300*time.Millisecond))
@@ -79,7 +79,7 @@
 func TestOnlyLeaderPlacesCalls(t *testing.T) {
 	g := NewWithT(t)
 	address := serve(t, twpeerhttp.Config{IsLeader: func() bool { return false }})
-	_, err := twpeerhttp.NewClient().Place(context.Background(), address, placeRequest())
+	_, err := twpeerhttp.NewClient(nil).Place(context.Background(), address, placeRequest())
 	g.Expect(err).To(MatchError(ContainSubstring("421")))
 }
 
@@ -107,7 +107,7 @@
 		Finish:          func(update turmericwall.PlacementUpdate) { ended = append(ended, update) },
 		AdoptPlacedCall: func(placed turmericwall.PlacedCall) { adopted = append(adopted, placed) },
 	})
-	c, ctx := twpeerhttp.NewClient(), context.Background()
+	c, ctx := twpeerhttp.NewClient(nil), context.Background()
 	g.Expect(c.SendUpdates(ctx, address, []turmericwall.PlacementUpdate{
 		{ID: "1", Running: true, Prefilled: true, PrefillMillis: 5},
 	})).To(Succeed())
@@ -134,7 +134,7 @@
 		_, _ = io.WriteString(w, `{"packedPlan":"AAAA"}`)
 	}))
 	defer server.Close()
-	_, err := twpeerhttp.NewClient().
+	_, err := twpeerhttp.NewClient(nil).
 		FetchState(context.Background(), strings.TrimPrefix(server.URL, "http://"), turmericwall.StateRequest{})
 	g.Expect(err).To(MatchError(ContainSubstring("unpack the plan")))
 }
@@ -158,11 +158,11 @@
 	_ = response.Body.Close()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(body)).To(BeNumerically("<", 64<<10))
-	received, err := twpeerhttp.NewClient().FetchState(context.Background(), address, turmericwall.StateRequest{})
+	received, err := twpeerhttp.NewClient(nil).FetchState(context.Background(), address, turmericwall.StateRequest{})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(received.Upstreams).To(Equal(state.Upstreams))
 	state.UpstreamsPosition, state.Upstreams = 10, state.Upstreams[:1]
-	received, err = twpeerhttp.NewClient().FetchState(context.Background(), address, turmericwall.StateRequest{})
+	received, err = twpeerhttp.NewClient(nil).FetchState(context.Background(), address, turmericwall.StateRequest{})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(received.Upstreams).To(HaveLen(1), "a newer list is compressed anew")
 }
@@ -191,7 +191,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(body)).To(BeNumerically("<", 10<<10))
 	for _, position := range []int64{0, 100, 0} {
-		received, err := twpeerhttp.NewClient().FetchState(context.Background(), address,
+		received, err := twpeerhttp.NewClient(nil).FetchState(context.Background(), address,
 			turmericwall.StateRequest{UpstreamsPosition: position})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(received.Partial).To(BeTrue())
