fix: accept no more connections of callers than the link carries

Callers saw: while the balancer hands most new connections to one daemon, a quarter of the calls that it reads aren't served, and streams stall for seconds after it has ended.

Cause: a daemon reads whatever is connected. 130 calls a second are more than its link of 10 Mbit/s carries, and nothing knew its rate. Evidence (trials, bytes in steps of 0.2 s, one-way times to the leader): sending saturates at 1.24 MB a second, the way out takes 20 ms at second 15.4 and 290 at 18.5.

Change: a pure account of what accepted calls are going to send and receive, and of what is queued, decides whether the daemon listens for callers at all.

--- a/internal/admission/twcapacity/link.go
+++ b/internal/admission/twcapacity/link.go
@@ -1,31 +1,66 @@
 package twcapacity
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// link is one direction of the network link, as a queue that is emptied at the link's rate.
+const (
+	// minCallShare is the share of the link that calls get at least beside other traffic.
+	minCallShare = 0.1
+	// maxUse is the share of the rate from which on nothing is accepted. Below it, by up to useMargin, calls are accepted the more
+	// slowly the less is left: those that have just begun are going to need more.
+	maxUse, useMargin = 0.95, 0.1
+	// useSpan is the span over which the use of the link is averaged.
+	useSpan = 250 * time.Millisecond
+)
+
+// link is one direction of the network link.
 type link struct {
 	// rate is in bytes per second, 0 if it is unknown.
-	rate       float64
-	queued     float64
-	total      int64
-	recordedAt time.Time
+	rate float64
+	// use is the rate at which all traffic uses the link.
+	use float64
+	// queued is what was handed to the system and not carried yet, and expected what accepted calls are going to need.
+	queued, expected float64
+	// callBytes are the bytes of calls, weighted by how recent they are, and otherRate is the rate of all other traffic.
+	callBytes, otherRate float64
+	// calls and others are the totals that were recorded last.
+	calls, others int64
 }
 
-// record adds the bytes since the last record, and removes those that the link has carried since.
-func (l *link) record(now time.Time, total int64) {
-	if l.recordedAt.IsZero() {
-		l.total, l.recordedAt = total, now
-		return
+// record adds what was sent in the seconds since the last record, of which the share kept still counts towards averages.
+func (l *link) record(seconds, kept float64, calls, others int64) {
+	ofCalls, ofOthers := float64(calls-l.calls), float64(others-l.others)
+	l.calls, l.others = calls, others
+	l.callBytes = l.callBytes*kept + ofCalls
+	if seconds > 0 {
+		l.use += ((ofCalls+ofOthers)/seconds - l.use) * (1 - math.Exp(-seconds/useSpan.Seconds()))
+		l.otherRate += (ofOthers/seconds - l.otherRate) * (1 - kept)
 	}
-	elapsed := now.Sub(l.recordedAt).Seconds()
-	l.queued = max(l.queued+float64(total-l.total)-l.rate*elapsed, 0)
-	l.total, l.recordedAt = total, now
+	l.queued = max(l.queued+ofCalls+ofOthers-l.rate*seconds, 0)
+	forCalls := max(l.rate-l.otherRate, l.rate*minCallShare)
+	l.expected = max(l.expected-forCalls*l.unused()*seconds, 0)
+}
+
+// unused returns how much of useMargin is left, from 0 to 1.
+func (l *link) unused() float64 {
+	if l.rate <= 0 {
+		return 1
+	}
+	return min(max((maxUse-l.use/l.rate)/useMargin, 0), 1)
+}
+
+// hasRoom reports whether the link carries a further call within so many times the delays.
+func (l *link) hasRoom(overshoot float64) bool {
+	return l.delay(l.expected).Seconds() <= overshoot*maxExpectedDelay.Seconds() &&
+		l.delay(l.queued).Seconds() <= overshoot*maxQueuedDelay.Seconds()
 }
 
-// delay returns how long the link takes to carry what is queued.
-func (l *link) delay() time.Duration {
+// delay returns how long the link takes to carry the bytes.
+func (l *link) delay(bytes float64) time.Duration {
 	if l.rate <= 0 {
 		return 0
 	}
-	return time.Duration(l.queued / l.rate * float64(time.Second))
+	return time.Duration(bytes / l.rate * float64(time.Second))
 }
