fix: give others as much longer as this daemon delays their answers

Cause: each span after which a daemon blames an upstream, a path or a peer is counted from its own sends, over its own link and processor. Class: an observer that blames others for its own shortage.

What upstreams do themselves (refuse, close, answer) counts as before.

Test: a path isn't checked for the daemon's own delay.

--- a/internal/admission/twcapacity/capacity.go
+++ b/internal/admission/twcapacity/capacity.go
@@ -47,8 +47,8 @@
 // Delays are the times that something waits for each of the daemon's own resources.
 type Delays struct{ Sending, Receiving, Processor time.Duration }
 
-// Longest returns the longest of the delays.
-func (d Delays) Longest() time.Duration { return max(d.Sending, d.Receiving, d.Processor) }
+// Total returns the delay of an exchange, which passes through all of them.
+func (d Delays) Total() time.Duration { return d.Sending + d.Receiving + d.Processor }
 
 // Capacity has the state of one daemon's link and processor. It is safe for concurrent use and has no clock of its own.
 type Capacity struct {
@@ -90,7 +90,7 @@
 	c.sending.record(elapsed.Seconds(), kept, traffic.Calls.Sent, traffic.Others.Sent)
 	c.receiving.record(elapsed.Seconds(), kept, traffic.Calls.Received, traffic.Others.Received)
 	c.lag = max(lag, 0)
-	if delay := c.delays().Longest(); delay >= c.longest || now.Sub(c.longestAt) > delayRetention {
+	if delay := c.delays().Total(); delay >= c.longest || now.Sub(c.longestAt) > delayRetention {
 		c.longest, c.longestAt = delay, now
 	}
 	c.rotation.record(now, c.admits(now, 1))
@@ -166,12 +166,15 @@
 
 // hasRoom is HasRoom; the lock is held.
 func (c *Capacity) hasRoom(now time.Time, overshoot float64) bool {
-	lag := c.lag
-	if !c.recordedAt.IsZero() {
-		// A processor that is late records late.
-		lag = max(lag, now.Sub(c.recordedAt)-time.Duration(c.config.RecordMillis)*time.Millisecond)
+	return c.lagAt(now).Seconds() <= overshoot*maxLag.Seconds() && c.sending.hasRoom(overshoot) && c.receiving.hasRoom(overshoot)
+}
+
+// lagAt returns by how much the processor is late; the lock is held. A processor that is late records late.
+func (c *Capacity) lagAt(now time.Time) time.Duration {
+	if c.recordedAt.IsZero() {
+		return c.lag
 	}
-	return lag.Seconds() <= overshoot*maxLag.Seconds() && c.sending.hasRoom(overshoot) && c.receiving.hasRoom(overshoot)
+	return max(c.lag, now.Sub(c.recordedAt)-time.Duration(c.config.RecordMillis)*time.Millisecond)
 }
 
 // charge adds the cost of one call to what is expected; the lock is held.
@@ -203,8 +206,9 @@
 func (c *Capacity) OwnDelay(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.longestAt) > delayRetention {
-		return min(c.delays().Longest(), maxOwnDelay)
+	delay := c.delays().Total()
+	if now.Sub(c.longestAt) <= delayRetention {
+		delay = c.longest
 	}
-	return min(c.longest, maxOwnDelay)
+	return min(max(delay, c.lagAt(now)), maxOwnDelay)
 }
--- a/internal/admission/twcapacity/capacity_test.go
+++ b/internal/admission/twcapacity/capacity_test.go
@@ -219,6 +219,8 @@
 	g.Expect(capacity.HasRoom(at(200))).To(BeFalse())
 	capacity.Record(at(201), twcapacity.Traffic{}, 180*time.Millisecond)
 	g.Expect(capacity.HasRoom(at(202))).To(BeFalse())
+	g.Expect(capacity.OwnDelay(at(401))).To(Equal(180*time.Millisecond), "not recorded for that long")
+	capacity.Record(at(890), twcapacity.Traffic{}, 0)
 	g.Expect(capacity.OwnDelay(at(900))).To(Equal(180 * time.Millisecond))
 	capacity.Record(at(1300), twcapacity.Traffic{}, 0)
 	g.Expect(capacity.HasRoom(at(1301))).To(BeTrue())
--- a/internal/delivery/twdirect/transport.go
+++ b/internal/delivery/twdirect/transport.go
@@ -26,6 +26,8 @@
 	Connections turmericwall.UpstreamConnections
 	Paths       *twpath.Paths
 	Recorder    turmericwall.Recorder
+	// OwnDelay returns by how much this daemon may delay the answers that it waits for; it may be nil.
+	OwnDelay func() time.Duration
 }
 
 // Transport exchanges requests on the direct paths.
@@ -102,10 +104,11 @@
 	}
 }
 
-// checkIfSilent requests a check of the path, if nothing was received from the upstream for silenceSpan.
+// checkIfSilent requests a check of the path, if nothing was received from the upstream for silenceSpan and more than this daemon
+// delays it.
 func (t *Transport) checkIfSilent(to turmericwall.Upstream) {
 	now := time.Now()
-	if now.Sub(t.config.Connections.LastReceivedAt(to)) < silenceSpan || !t.config.Paths.StartCheck(now, to) {
+	if now.Sub(t.config.Connections.LastReceivedAt(to)) < silenceSpan+t.ownDelay() || !t.config.Paths.StartCheck(now, to) {
 		return
 	}
 	select {
@@ -114,6 +117,14 @@
 	}
 }
 
+// ownDelay returns by how much this daemon may delay the answers that it waits for.
+func (t *Transport) ownDelay() time.Duration {
+	if t.config.OwnDelay == nil {
+		return 0
+	}
+	return t.config.OwnDelay()
+}
+
 // probe tries to connect to the upstream and records whether that succeeded.
 func (t *Transport) probe(ctx context.Context, to turmericwall.Upstream) {
 	startedAt := time.Now()
--- a/internal/delivery/twdirect/transport_test.go
+++ b/internal/delivery/twdirect/transport_test.go
@@ -29,6 +29,7 @@
 	connects       int
 	idleClosed     int
 	lastReceivedAt time.Time
+	ownDelay       time.Duration
 }
 
 func (c *fakeConnections) Exchange(
@@ -67,6 +68,7 @@
 	paths := twpath.New()
 	transport := twdirect.New(twdirect.Config{
 		Connections: connections, Paths: paths, Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+		OwnDelay: func() time.Duration { return connections.ownDelay },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -111,6 +113,19 @@
 	g.Expect(connects).To(BeZero())
 }
 
+// Guards against a path that counts as lost because this daemon delays the answers itself.
+func TestUpstreamIsNotCheckedForThisDaemonsOwnDelay(t *testing.T) {
+	g := NewWithT(t)
+	connections := &fakeConnections{exchange: untilDeadline, lastReceivedAt: time.Now(), ownDelay: time.Second}
+	transport, _ := run(t, connections)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	_, err := transport.Exchange(ctx, target, request)
+	g.Expect(err).To(HaveOccurred())
+	connects, _ := connections.counts()
+	g.Expect(connects).To(BeZero())
+}
+
 func TestLostPathIsRegainedByProbe(t *testing.T) {
 	g := NewWithT(t)
 	connections := &fakeConnections{exchange: func(context.Context) (*turmericwall.Answer, error) {
--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -29,6 +29,8 @@
 	// direct path: otherwise this daemon is cut off, which it may not know yet.
 	Others      func(upstream turmericwall.Upstream) []turmericwall.Upstream
 	QueryDirect func(ctx context.Context, to turmericwall.Upstream) error
+	// OwnDelay returns by how much this daemon may delay the answers to queries; it may be nil.
+	OwnDelay func() time.Duration
 }
 
 // Checker checks whether upstreams have ended. It is safe for concurrent use.
@@ -150,7 +152,7 @@
 // run makes the check. It doesn't end with the call that started it, as other calls wait for it too. A query that breaks off
 // is repeated once, since it may have been sent on a connection that broke with the answers.
 func (c *Checker) run(started *check, upstream turmericwall.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout+c.ownDelay())
 	defer cancel()
 	startedMillis, err := c.config.Query(ctx, upstream)
 	if isBrokenOff(err) && ctx.Err() == nil {
@@ -171,6 +173,14 @@
 	c.finish(started, upstream)
 }
 
+// ownDelay returns by how much this daemon may delay the answers to queries.
+func (c *Checker) ownDelay() time.Duration {
+	if c.config.OwnDelay == nil {
+		return 0
+	}
+	return c.config.OwnDelay()
+}
+
 // finish records what the check found, and the start that the upstream stated.
 func (c *Checker) finish(finished *check, upstream turmericwall.Upstream) {
 	c.mu.Lock()
@@ -205,7 +215,7 @@
 
 // reachesOthers reports whether another upstream answers.
 func (c *Checker) reachesOthers(upstream turmericwall.Upstream) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout+c.ownDelay())
 	defer cancel()
 	others := c.config.Others(upstream)
 	answers := make(chan error, len(others))
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -204,7 +204,7 @@
 // startStallTimer reports the decode engine as failed when it sends no first event in time. The call may be running
 // there and can't be sent again, but the placer keeps other calls away from the engine.
 func (r *Relay) startStallTimer(p turmericwall.Placement, service string) *time.Timer {
-	wait := firstEventTimeout
+	wait := firstEventTimeout + r.config.OwnDelay()
 	if p.Prefill.ID == "" {
 		wait += 2 * max(time.Until(p.PrefillEndsAt), 0)
 	}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -130,7 +130,7 @@
 		go func() { replies <- r.send(ctx, a, upstream, turn) }()
 	}
 	sendNext()
-	hedgeTimer := time.NewTimer(a.hedgeDelay())
+	hedgeTimer := time.NewTimer(a.hedgeDelay() + r.config.OwnDelay())
 	defer hedgeTimer.Stop()
 	var failure reply
 	for pending > 0 {
@@ -247,7 +247,7 @@
 func (r *Relay) send(ctx context.Context, a *attempt, upstream turmericwall.Upstream, turn string) reply {
 	began := time.Now()
 	got := reply{upstream: upstream}
-	silence := time.AfterFunc(a.hedgeDelay(), func() { r.checkSilent(ctx, a, upstream, began) })
+	silence := time.AfterFunc(a.hedgeDelay()+r.config.OwnDelay(), func() { r.checkSilent(ctx, a, upstream, began) })
 	defer silence.Stop()
 	got.answer, got.err = r.config.Upstreams.Send(
 		ctx, upstream, turmericwall.OutgoingCall{Call: a.call, Deadline: a.deadline},
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -103,7 +103,7 @@
 //
 // The connection to an unresponsive engine breaks only long after the call's target, in which another engine can answer.
 func (r *Relay) reserve(ctx context.Context, p turmericwall.Placement) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout+r.config.OwnDelay())
 	defer cancel()
 	until := p.PrefillEndsAt.Add(reservationSlack)
 	if latest := time.Now().Add(time.Duration(r.maxReservationMillis(p)) * time.Millisecond); until.After(latest) {
@@ -165,7 +165,7 @@
 func (r *Relay) requestPrefill(
 	ctx context.Context, p turmericwall.Placement, call turmericwall.OutgoingCall,
 ) (turmericwall.EngineExport, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack)
+	ctx, cancel := context.WithTimeout(ctx, 2*max(time.Until(p.PrefillEndsAt), 0)+prefillSlack+r.config.OwnDelay())
 	defer cancel()
 	return r.config.Upstreams.Prefill(ctx, p.Prefill, call)
 }
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -63,6 +63,8 @@
 	// Quarantine judges the input of model calls, and FlushEvidence waits until what was recorded there has reached the
 	// daemon that judges their next placement. They may be nil.
 	Quarantine turmericwall.CallQuarantine
+	// OwnDelay returns by how much this daemon may delay what it waits for; it may be nil.
+	OwnDelay func() time.Duration
 	// KnowsEvidence reports whether this daemon has learnt at its start which input ends upstreams; it may be nil.
 	KnowsEvidence func() bool
 	FlushEvidence func(ctx context.Context)
@@ -89,7 +91,12 @@
 }
 
 // New returns a relay.
-func New(config Config) *Relay { return &Relay{config: config} }
+func New(config Config) *Relay {
+	if config.OwnDelay == nil {
+		config.OwnDelay = func() time.Duration { return 0 }
+	}
+	return &Relay{config: config}
+}
 
 // attempt is the state of one call while it is served.
 type attempt struct {
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -132,11 +132,11 @@
 	return r.checkQuarantine(a) == nil
 }
 
-// isSilent reports whether nothing was received from the engine for a while, on any connection of this daemon. An engine
-// that sends to others has only preempted a run.
+// isSilent reports whether nothing was received from the engine for a while, on any connection of this daemon, and for longer than the
+// daemon delays it. An engine that sends to others has only preempted a run.
 func (r *Relay) isSilent(engine turmericwall.Upstream) bool {
 	receivedAt := r.config.LastReceivedAt
-	return receivedAt == nil || time.Since(receivedAt(engine)) >= minSilence
+	return receivedAt == nil || time.Since(receivedAt(engine)) >= minSilence+r.config.OwnDelay()
 }
 
 // silenceSpan is how long the run may send no event before another engine is prepared. The prompt may be read first, at
