fix: accept several calls that come at once on a link that is hardly used

Callers saw: 1 to 2 in 100 calls served by nobody while one daemon got the new connections: the daemon that their retry met refused too, though a quarter of its link was in use (soak, by the outcome of both tries: all of 25 lost calls were unread twice). Three calls of 16 kB that come at once were 50 ms of a link of 10 Mbit/s.

--- a/internal/admission/twcapacity/link.go
+++ b/internal/admission/twcapacity/link.go
@@ -11,6 +11,8 @@
 	// maxUse is the share of the rate from which on nothing is accepted. Below it, by up to useMargin, calls are accepted the more
 	// slowly the less is left: those that have just begun are going to need more.
 	maxUse, useMargin = 0.95, 0.1
+	// idleBurst is how many times maxExpectedDelay may be expected in addition while the link is hardly used.
+	idleBurst = 1
 	// useSpan is the span over which the use of the link is averaged.
 	useSpan = 250 * time.Millisecond
 )
@@ -53,7 +55,9 @@
 
 // hasRoom reports whether the link carries a further call within so many times the delays.
 func (l *link) hasRoom(overshoot float64) bool {
-	return l.delay(l.expected).Seconds() <= overshoot*maxExpectedDelay.Seconds() &&
+	// Several calls that come at once don't fill a link that is hardly used.
+	burst := overshoot * (1 + idleBurst*l.unused())
+	return l.delay(l.expected).Seconds() <= burst*maxExpectedDelay.Seconds() &&
 		l.delay(l.queued).Seconds() <= overshoot*maxQueuedDelay.Seconds()
 }
 
