fix: let a processor that is late beside few calls refuse nobody

Cause: each daemon took 60 ms of lateness for its own shortage and refused new connections, all daemons at once, while the host was busy with something else. An observer again that takes one thing for another: refusing callers helps only where they are the cause.

Change: lateness counts from 250 ms on, and only beside sixteen open calls or more.

--- a/internal/admission/twcapacity/capacity.go
+++ b/internal/admission/twcapacity/capacity.go
@@ -12,11 +12,14 @@
 	// usableShare is the share of the link's rate that payload can use; the rest is for the headers of packets, of which events of a
 	// stream have one each.
 	usableShare = 0.8
-	// maxExpectedDelay, maxQueuedDelay and maxLag are the delays from which on a daemon doesn't listen: each leaves a plain call
+	// maxExpectedDelay and maxQueuedDelay are the delays of the link from which on a daemon doesn't listen: each leaves a plain call
 	// most of its target time.
 	maxExpectedDelay = 50 * time.Millisecond
 	maxQueuedDelay   = 60 * time.Millisecond
-	maxLag           = 60 * time.Millisecond
+	// maxLag is the lateness of the processor from which on it doesn't, if at least minCallsOfLag calls are open: a processor that is
+	// late beside fewer calls isn't late because of them, and to refuse more would only lose them.
+	maxLag        = 250 * time.Millisecond
+	minCallsOfLag = 16
 	// maxOvershoot is how many times these delays may be before a connection that is established is reset: its call is on its way, and
 	// the pause after it gets longer instead.
 	maxOvershoot = 3
@@ -24,8 +27,9 @@
 	costSpan = 4 * time.Second
 	// delayRetention is how long a delay may still explain what is slow: what waited in it may not have arrived yet.
 	delayRetention = time.Second
-	// maxOwnDelay bounds what a daemon that was suspended takes for its own delay.
-	maxOwnDelay = time.Second
+	// maxOwnDelay bounds what a daemon takes for its own delay: one that was suspended, or gets no processor, must still notice that an
+	// upstream has ended before its callers come again.
+	maxOwnDelay = 250 * time.Millisecond
 )
 
 // Config configures a Capacity.
@@ -166,7 +170,10 @@
 
 // hasRoom is HasRoom; the lock is held.
 func (c *Capacity) hasRoom(now time.Time, overshoot float64) bool {
-	return c.lagAt(now).Seconds() <= overshoot*maxLag.Seconds() && c.sending.hasRoom(overshoot) && c.receiving.hasRoom(overshoot)
+	if c.calls >= minCallsOfLag && c.lagAt(now).Seconds() > overshoot*maxLag.Seconds() {
+		return false
+	}
+	return c.sending.hasRoom(overshoot) && c.receiving.hasRoom(overshoot)
 }
 
 // lagAt returns by how much the processor is late; the lock is held. A processor that is late records late.
