fix: let a daemon that a peer told its evidence wait for the leader

A daemon that reads the row waits up to 800 ms for a heartbeat; one that asks a peer didn't.

Change: a peer's evidence is merged at once and no longer makes the daemon current; it waits for the heartbeat as after a read of the row.

Evidence: TestPeersEvidenceDoesNotReplaceTheLeaders fails with the former line and passes now, TestDaemonThatAPeerToldWaitsForTheLeader shows the wait and its end.

--- a/internal/quarantine/twevidencereports/reports.go
+++ b/internal/quarantine/twevidencereports/reports.go
@@ -81,13 +81,14 @@
 	r.config.Quarantine.MarkCurrent()
 }
 
-// Fetch fetches the evidence of the daemon at the address, unless that version of it is included already.
+// Fetch fetches the evidence of the daemon at the address, unless that version of it is included already. A daemon that starts
+// still waits for the leader, which knows the runs under way.
 func (r *Reports) Fetch(ctx context.Context, address, holder string, version int64) {
 	if !r.config.Quarantine.Includes(turmericwall.Member{Incarnation: holder}, version) &&
 		r.exchange(ctx, address, turmericwall.Evidence{}) != nil {
 		return
 	}
-	r.config.Quarantine.MarkCurrent()
+	r.config.Quarantine.MarkPeerEvidence()
 }
 
 // Notify has changes sent at once.
--- a/internal/quarantine/twevidencereports/reports_test.go
+++ b/internal/quarantine/twevidencereports/reports_test.go
@@ -181,6 +181,21 @@
 	g.Expect(started.verdict()).To(Equal(turmericwall.VerdictQuarantined))
 }
 
+// Guards against a daemon that starts and serves with a peer's evidence before it knows the leader, which knows the runs under way.
+func TestPeersEvidenceDoesNotReplaceTheLeaders(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	started, peer := f.daemons[0], f.daemons[1]
+	peer.recordEnds(0, 3)
+	started.reports.Fetch(context.Background(), peer.self.Address, peer.self.Incarnation, peer.quarantine.Version())
+	g.Expect(started.verdict()).To(Equal(turmericwall.VerdictQuarantined))
+	g.Expect(started.quarantine.IsCurrent()).To(BeFalse())
+	f.leader = f.daemons[2].self.Address
+	f.round()
+	f.round()
+	g.Expect(started.quarantine.IsCurrent()).To(BeTrue())
+}
+
 // Guards against evidence that a daemon in a cut keeps to itself when the cut heals.
 func TestEvidenceOfACutIsSentAfterIt(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/quarantine/twevidencerow/row.go
+++ b/internal/quarantine/twevidencerow/row.go
@@ -27,7 +27,7 @@
 	checkInterval = 250 * time.Millisecond
 	// startInterval is the time between two checks at the start whether the row has to be read.
 	startInterval = 50 * time.Millisecond
-	// maxLeaderWait is how long a daemon that has read the row waits for a leader's heartbeat before it serves.
+	// maxLeaderWait is how long a daemon that has others' evidence waits for a leader's heartbeat before it serves.
 	maxLeaderWait = 800 * time.Millisecond
 	// maxRowBytes is well below what the store accepts for a row. The oldest ends are left out of a longer one.
 	maxRowBytes = 48 << 10
@@ -104,18 +104,18 @@
 	}
 }
 
-// loadAtStart reads the row once this daemon has its state from the store and no evidence with it. A live leader knows more, and
-// which runs are under way: its heartbeat is waited for.
+// loadAtStart reads the row once this daemon has its state, unless a peer has told it its evidence. A live leader knows more, and
+// which runs are under way: its heartbeat is waited for in both cases.
 func (r *Row) loadAtStart(ctx context.Context) {
 	tick := time.NewTicker(startInterval)
 	defer tick.Stop()
-	var loadedAt time.Time
+	var learntAt time.Time
 	for !r.config.Quarantine.IsCurrent() {
 		switch {
 		case !r.config.HasState():
-		case loadedAt.IsZero() && r.Load(ctx):
-			loadedAt = time.Now()
-		case !loadedAt.IsZero() && time.Since(loadedAt) > maxLeaderWait:
+		case learntAt.IsZero() && (r.config.Quarantine.HasPeerEvidence() || r.Load(ctx)):
+			learntAt = time.Now()
+		case !learntAt.IsZero() && time.Since(learntAt) > maxLeaderWait:
 			r.config.Quarantine.MarkCurrent()
 		}
 		select {
--- a/internal/quarantine/twevidencerow/row_test.go
+++ b/internal/quarantine/twevidencerow/row_test.go
@@ -55,7 +55,8 @@
 		OnChange: func() {}, Recorder: recorder, Now: time.Now,
 	})
 	d.row = twevidencerow.New(twevidencerow.Config{
-		Store: s, Table: "t", Quarantine: d.quarantine, Leader: func() (self, live bool) { return d.leads, true }, Recorder: recorder,
+		Store: s, Table: "t", Quarantine: d.quarantine, Leader: func() (self, live bool) { return d.leads, true },
+		HasState: func() bool { return true }, Recorder: recorder,
 	})
 	return d
 }
@@ -114,3 +115,18 @@
 	follower.row.Persist(context.Background())
 	g.Expect(s.writes).To(Equal(3), "a daemon that noticed nothing writes nothing")
 }
+
+// Guards against a daemon that starts, gets a peer's evidence and places a request before it knows the leader, which has runs of it
+// under way.
+func TestDaemonThatAPeerToldWaitsForTheLeader(t *testing.T) {
+	g := NewWithT(t)
+	started := newDaemon(&store{}, false)
+	started.quarantine.MarkPeerEvidence()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- started.row.Run(ctx) }()
+	g.Consistently(started.quarantine.IsCurrent, 600*time.Millisecond).Should(BeFalse())
+	g.Eventually(started.quarantine.IsCurrent, 2*time.Second).Should(BeTrue(), "without a leader it serves all the same")
+	cancel()
+	g.Expect(<-ended).To(MatchError(context.Canceled))
+}
--- a/internal/quarantine/twquarantine/quarantine.go
+++ b/internal/quarantine/twquarantine/quarantine.go
@@ -37,8 +37,8 @@
 	ledger *twevidence.Ledger
 	// progress has what this daemon saw engines write on.
 	progress *twprogress.Progress
-	// isCurrent is set once this daemon has learnt what others knew at its start.
-	isCurrent atomic.Bool
+	// hasPeerEvidence is set once a peer has told this daemon its evidence, isCurrent once this daemon serves with what it has.
+	hasPeerEvidence, isCurrent atomic.Bool
 	// own counts the changes by what this daemon noticed itself.
 	own int64
 	// unsent counts the changes that the leader may not know: all but those that came from it.
@@ -231,6 +231,12 @@
 	return q.ledger.Beliefs()
 }
 
+// MarkPeerEvidence records that a peer has told this daemon its evidence. What runs at this moment only the leader knows.
+func (q *Quarantine) MarkPeerEvidence() { q.hasPeerEvidence.Store(true) }
+
+// HasPeerEvidence reports whether a peer has told this daemon its evidence.
+func (q *Quarantine) HasPeerEvidence() bool { return q.hasPeerEvidence.Load() }
+
 // MarkCurrent records that this daemon has learnt what others knew at its start.
 func (q *Quarantine) MarkCurrent() { q.isCurrent.Store(true) }
 
