fix: take a prefill engine that ends nothing for busy, and predict its ends by the errors of the latest ones

Cause: the backlog of a prefill engine was predicted by its speed alone and fell to nothing while the engine was silent, so that it looked idle and got further prompts. Change: twprefills keeps each engine's open prefills in order. While the oldest is overdue, the engine is expected to need as long again; the 80th percentile of the errors of the last three seconds is added to a prediction. Both are off in partial mode and below the time of a report. Ruled out: an earlier ejection, which needs a failed call.

--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -314,7 +314,7 @@
 // endPrefill records that the engine that prefills the call's prompt has ended the prefill, or was released from it.
 func (a *Allocator) endPrefill(id string, r *run) {
 	if e, ok := a.engines[r.prefillEngineID]; ok {
-		delete(e.prefills, id)
+		e.prefills.Withdraw(id)
 	}
 }
 
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -92,11 +92,11 @@
 	return a.tuning.MaxCandidates * max(len(a.versions), 1)
 }
 
-// isPrefillUsed reports whether a prefill engine differs from the idle ones: it has a backlog, or its own speed was
-// measured.
+// isPrefillUsed reports whether a prefill engine differs from the idle ones: it has a backlog, a prefill that has not
+// ended, or its own speed was measured.
 func (a *Allocator) isPrefillUsed(now time.Time, e *engine) bool {
 	measured := e.prefillSpeed > 0 && now.Sub(e.lastPrefillAt) < speedValidity
-	return measured || e.pendingPrefillTokens(now, a.prefillSpeedOf(now, e)) > 0
+	return measured || e.prefills.Tokens() > 0 || e.pendingPrefillTokens(now, a.prefillSpeedOf(now, e)) > 0
 }
 
 // leastFilledDecode returns the decode engine whose projected peak of memory is lowest with the call; nil when the call
--- a/internal/placement/twallocator/engine.go
+++ b/internal/placement/twallocator/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twprefills"
 )
 
 const (
@@ -53,8 +54,8 @@
 	zone                 *zoneEngines
 	zoneIndex, usedIndex int
 	runs                 map[string]*run
-	// prefills are the prompt tokens of the prefills that were requested from this engine and have not ended, by call.
-	prefills map[string]int
+	// prefills are the prefills that were requested from this engine and have not ended.
+	prefills *twprefills.Prefills
 	// memoryProjection is the latest projection of the runs; nil when they have changed since.
 	memoryProjection *projection
 	// prefillBacklog is the number of prompt tokens that wait for their prefill here, as of prefillBacklogAt.
@@ -98,7 +99,8 @@
 
 // pendingPrefillTokens returns the prefill backlog at the time now, in tokens.
 func (e *engine) pendingPrefillTokens(now time.Time, speed float64) float64 {
-	return math.Max(0, e.prefillBacklog-speed*float64(now.Sub(e.prefillBacklogAt).Milliseconds()))
+	queuedMillis := math.Max(0, e.prefillBacklog/speed-float64(now.Sub(e.prefillBacklogAt).Milliseconds()))
+	return speed * e.prefills.BacklogMillis(now, queuedMillis, speed)
 }
 
 // measurePrefill updates the engine's prefill speed with a finished prefill. An engine prefills one prompt after
--- a/internal/placement/twallocator/engines.go
+++ b/internal/placement/twallocator/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twprefills"
 )
 
 // SetEngines replaces the list of engines. The calls on engines that are no longer listed, or that were restarted, are
@@ -38,7 +39,7 @@
 		}
 		a.engines[u.ID] = &engine{
 			upstream: u, runs: make(map[string]*run), prefillBacklogAt: now, usedIndex: notUsed,
-			prefills: make(map[string]int),
+			prefills: twprefills.New(),
 		}
 	}
 	for _, u := range old {
--- a/internal/placement/twallocator/speeds.go
+++ b/internal/placement/twallocator/speeds.go
@@ -41,7 +41,7 @@
 		return
 	}
 	r.prefilling = false
-	a.endPrefill(update.ID, r)
+	a.completePrefill(now, update.ID, r)
 	r.firstTokenAt = now
 	e.memoryProjection = nil
 	a.callers.recordEngine(now, r.work, e)
@@ -62,15 +62,24 @@
 		prefillEngine.measurePrefill(now, r, speed)
 		a.updatePoolSpeed(now, prefillEngine)
 	}
-	pendingTokens := 0.0
-	for _, tokens := range prefillEngine.prefills {
-		pendingTokens += float64(tokens)
-	}
-	prefillEngine.prefillBacklog = pendingTokens
+	prefillEngine.prefillBacklog = float64(prefillEngine.prefills.Tokens())
 	prefillEngine.prefillBacklogAt = now
 	a.updateUsed(now, prefillEngine)
 }
 
+// completePrefill records that a prefill has ended. The error of its prediction says nothing about the engine while other
+// daemons place calls there, or if the prompt was cached.
+func (a *Allocator) completePrefill(now time.Time, id string, r *run) {
+	e, ok := a.engines[r.prefillEngineID]
+	switch {
+	case !ok:
+	case a.partial || r.promptCached:
+		e.prefills.Withdraw(id)
+	default:
+		e.prefills.Complete(now, id)
+	}
+}
+
 // prefillSpeedOf returns the engine's prefill speed in tokens per millisecond.
 //
 // A speed that was measured while the engine was slow would keep calls away from it, and without calls it would never
