fix: change roles within a second once a role has lost most of its engines

Cause: with one or two prefill engines left, calls found none in time, but decode engines change their role only after fifteen seconds without a shortage of their own and below 60% of their memory. Neither comes while they wait for prompts, so that the split stayed as it was. TestLossOfMostPrefillEnginesChangesTheSplit: with one and two left nothing changed before; a service that lost none, or one of ten, changes nothing. Not covered: an engine whose entry isn't expired yet counts as serving, up to three of its heartbeats.

--- a/internal/placement/twroles/roles.go
+++ b/internal/placement/twroles/roles.go
@@ -19,6 +19,9 @@
 	DefaultPrefillShare float64
 	// MinGain is the relative gain in what the engines can serve that all changes to one role together must bring.
 	MinGain float64
+	// LossGain is the relative gain from which on engines change their role as soon as calls find none of the role in
+	// time, without a surplus of the other one.
+	LossGain float64
 	// RestartMillis is how long an engine that vanished without announcing its end is expected to restart.
 	RestartMillis float64
 	// SettleMillis must pass without a new engine before the first change, because engines register one after the
@@ -28,7 +31,7 @@
 
 // DefaultTuning returns the default limits.
 func DefaultTuning() Tuning {
-	return Tuning{DefaultPrefillShare: 0.3, MinGain: 0.04, RestartMillis: 3000, SettleMillis: 1300}
+	return Tuning{DefaultPrefillShare: 0.3, MinGain: 0.04, LossGain: 0.25, RestartMillis: 3000, SettleMillis: 1300}
 }
 
 // Planner plans the role changes of one service's engines. It has no clock of its own.
@@ -113,7 +116,7 @@
 		return r.nextRoleByShare(p.final, demand.Busy)
 	}
 	for _, role := range []turmericwall.Role{turmericwall.RolePrefill, turmericwall.RoleDecode} {
-		if demand.Busy && !p.needsEngine(role, demand) {
+		if demand.Busy && !r.needsEngine(p, role, demand) {
 			continue
 		}
 		gain := 0.0
@@ -129,14 +132,21 @@
 	return "", false
 }
 
-// needsEngine reports whether the role should get an engine while calls are under way: it has none; or for prefill,
-// calls find no prefill engine in time and decode engines have a surplus; or for decode, prefill engines have a
-// surplus.
-func (p *pools) needsEngine(role turmericwall.Role, demand turmericwall.EngineDemand) bool {
+// needsEngine reports whether the role should get an engine while calls are under way: it has none; it lost so many that
+// calls find none in time; or for prefill, calls find no prefill engine in time and decode engines have a surplus; or
+// for decode, prefill engines have a surplus.
+func (r *Planner) needsEngine(p *pools, role turmericwall.Role, demand turmericwall.EngineDemand) bool {
 	if role == turmericwall.RolePrefill {
-		return (demand.Prefill.Shortage && demand.Decode.Surplus) || p.final.Prefills == 0
+		return (demand.Prefill.Shortage && demand.Decode.Surplus) || p.final.Prefills == 0 ||
+			(demand.Prefill.Acute && r.isLopsided(p, role, demand.Cost))
 	}
-	return demand.Prefill.Surplus || p.final.Decodes == 0
+	return demand.Prefill.Surplus || p.final.Decodes == 0 || (demand.Decode.Acute && r.isLopsided(p, role, demand.Cost))
+}
+
+// isLopsided reports whether the engines can serve far more calls if some change to the role, as after the loss of engines
+// of it. The other role can't have a surplus to show then: its engines wait for those that were lost.
+func (r *Planner) isLopsided(p *pools, role turmericwall.Role, cost turmericwall.CallCost) bool {
+	return p.final.Best(role, cost).Rate(cost) > p.final.Rate(cost)*(1+r.tuning.LossGain)
 }
 
 // nextRoleByShare returns the role that lacks engines while the cost of calls is unknown.
--- a/internal/placement/twroles/roles_test.go
+++ b/internal/placement/twroles/roles_test.go
@@ -192,3 +192,28 @@
 		}
 	}
 }
+
+// Guards against a service that keeps one or two prefill engines for good after it lost the others: its decode engines
+// show no surplus while they wait for prompts.
+func TestLossOfMostPrefillEnginesChangesTheSplit(t *testing.T) {
+	for name, c := range map[string]struct {
+		prefills, decodes int
+		prefill, decode   turmericwall.RoleDemand
+		changed           bool
+	}{
+		"one left":            {1, 12, turmericwall.RoleDemand{Acute: true}, balanced, true},
+		"two left":            {2, 16, turmericwall.RoleDemand{Acute: true}, balanced, true},
+		"calls in time":       {1, 12, balanced, balanced, false},
+		"none lost":           {5, 13, turmericwall.RoleDemand{Acute: true}, balanced, false},
+		"one lost of a dozen": {10, 36, turmericwall.RoleDemand{Acute: true}, balanced, false},
+		"decode engines lost": {5, 4, balanced, turmericwall.RoleDemand{Acute: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			list := engines(c.prefills, c.decodes)
+			r, at := settledPlanner(list)
+			changes := r.Plan(at, plan, list, busyNeed(decodeHeavy, c.prefill, c.decode))
+			g.Expect(len(changes) > 0).To(Equal(c.changed), "%v", changes)
+		})
+	}
+}
--- a/placements.go
+++ b/placements.go
@@ -132,8 +132,9 @@
 
 // RoleDemand states whether the engines of one role suffice for the calls.
 type RoleDemand struct {
-	// Shortage is set during a shortage: for longer than a burst, calls find no engine of the role in time.
-	Shortage bool
+	// Shortage is set during a shortage: for longer than a burst, calls find no engine of the role in time. Acute is set as
+	// soon as several calls in a row find none.
+	Shortage, Acute bool
 	// Surplus is set during a surplus: an engine can change to the other role.
 	Surplus bool
 }
