fix: let the errors of predicted prefills compare engines only

Cause: with the errors added to the time that decides whether a call can be on time, most calls of a shortage count as late, since most prefills end late there. Change: the errors choose among engines, no more.

--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -12,7 +12,7 @@
 // fastestPrefill returns the prefill engine that would finish the prompt first, and how many milliseconds that takes.
 func (a *Allocator) fastestPrefill(st *decisionState, request turmericwall.PlaceRequest) (*engine, float64) {
 	var best *engine
-	bestMillis := math.Inf(1)
+	bestMillis, bestAdjusted := math.Inf(1), math.Inf(1)
 	consider := func(e *engine) bool {
 		if !a.acceptsCall(st.now, e, request) {
 			return false
@@ -21,8 +21,11 @@
 		if e.upstream.Zone != request.Zone {
 			readyMillis += prefillOverheadMillis
 		}
-		if readyMillis < bestMillis || (readyMillis == bestMillis && e.upstream.ID < best.upstream.ID) {
-			best, bestMillis = e, readyMillis
+		// The errors of the predictions compare engines. They don't decide whether a call can be on time: in a shortage most
+		// ends are late, and most calls would be refused.
+		adjusted := readyMillis + e.prefills.MarginMillis(st.now)
+		if adjusted < bestAdjusted || (adjusted == bestAdjusted && e.upstream.ID < best.upstream.ID) {
+			best, bestMillis, bestAdjusted = e, readyMillis, adjusted
 		}
 		return true
 	}
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -224,8 +224,7 @@
 // prefillMillis returns in how many milliseconds the engine would finish the call's prompt, its backlog included.
 func (a *Allocator) prefillMillis(now time.Time, e *engine, request turmericwall.PlaceRequest) float64 {
 	speed := a.prefillSpeedOf(now, e)
-	return (e.pendingPrefillTokens(now, speed)+float64(request.Work.PromptTokens))/speed + prefillOverheadMillis +
-		e.prefills.MarginMillis(now)
+	return (e.pendingPrefillTokens(now, speed)+float64(request.Work.PromptTokens))/speed + prefillOverheadMillis
 }
 
 // reserve records a placed call on its engines. prefillEngine is decode when the decode engine does the prefill itself.
@@ -237,8 +236,7 @@
 	prefillEngine.prefillBacklog = prefillEngine.pendingPrefillTokens(st.now, a.prefillSpeedOf(st.now, prefillEngine)) +
 		float64(request.Work.PromptTokens)
 	prefillEngine.prefillBacklogAt = st.now
-	prefillEngine.prefills.Begin(request.ID, request.Work.PromptTokens,
-		prefillEndsAt.Add(-millis(prefillEngine.prefills.MarginMillis(st.now))))
+	prefillEngine.prefills.Begin(request.ID, request.Work.PromptTokens, prefillEndsAt)
 	decode.runs[request.ID] = &run{
 		owner: request.Owner, work: request.Work, firstTokenAt: prefillEndsAt.Add(millis(a.tuning.FirstEventMarginMillis)),
 		prefillEngineID: prefillEngine.upstream.ID, prefilling: true, placedAt: st.now,
