test: expect an acute shortage where a lasting one is expected

The two tests compare whole values, which have a further field since roles change within a second after a loss. Both now expect it, so that they ask for more than before.

--- a/internal/placement/twallocator/shortage_test.go
+++ b/internal/placement/twallocator/shortage_test.go
@@ -39,7 +39,7 @@
 	sim.pausesStreams = true
 	at = requestAbovePrefillRate(sim, 5*time.Second)
 	demand := sim.allocator.EngineDemand(at)
-	g.Expect(demand.Prefill).To(Equal(turmericwall.RoleDemand{Shortage: true}))
+	g.Expect(demand.Prefill).To(Equal(turmericwall.RoleDemand{Shortage: true, Acute: true}))
 	g.Expect(demand.Decode).To(Equal(turmericwall.RoleDemand{Surplus: true}))
 	g.Expect(demand.CostKnown).To(BeTrue())
 	g.Expect(sim.allocator.EngineDemand(at.Add(16*time.Second)).Prefill).To(
@@ -56,6 +56,6 @@
 		a.Decide(at)
 		at = at.Add(50 * time.Millisecond)
 	}
-	g.Expect(a.EngineDemand(at).Decode).To(Equal(turmericwall.RoleDemand{Shortage: true}))
+	g.Expect(a.EngineDemand(at).Decode).To(Equal(turmericwall.RoleDemand{Shortage: true, Acute: true}))
 	g.Expect(a.EngineDemand(at.Add(10 * time.Second)).Decode.Surplus).To(BeFalse())
 }
