feat: refer starting daemons to those that have the list of upstreams

Cause, by reading and in a model: where all daemons start at once, each seed sends the whole list to a third of them at the same time. A receiver waits 800 ms; the transfers share the seed's link, so that at 300 daemons before 3,000 upstreams and links of 20 Mbit/s each takes longer, none arrives, and all ask again.

One list is always sent. The answer has no age of the state, since it would make an older list look new. Queries wait for three times the last answer's duration, so that slow seeds aren't asked faster than they answer.

Not played on a deployment. Ruled out: the processor time for encoding (the list is packed once), the lease's delay (1.5 s at most), the election's polls.

--- a/internal/membership/twdiscovery/discovery.go
+++ b/internal/membership/twdiscovery/discovery.go
@@ -30,6 +30,8 @@
 	Standbys func() []turmericwall.Member
 	Seeds    func() []string
 	Holder   func() turmericwall.Member
+	// Referred returns the peers to which the last answer referred this daemon; it may be nil.
+	Referred func() []string
 	// FetchState fetches a peer's state and announces this daemon to it. newer reports whether the peer had newer state
 	// than this daemon.
 	FetchState func(ctx context.Context, address string) (leader turmericwall.Member, newer bool, err error)
@@ -108,5 +110,10 @@
 		add(seed)
 	}
 	add(d.config.Holder().Address)
+	if d.config.Referred != nil {
+		for _, address := range d.config.Referred() {
+			add(address)
+		}
+	}
 	return list
 }
--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twlists"
 	"github.com/turmericwall/turmericwall/internal/membership/twpeerhttp"
 )
 
@@ -167,6 +168,29 @@
 	g.Expect(received.Upstreams).To(HaveLen(1), "a newer list is compressed anew")
 }
 
+// Guards against whole lists that fill the link of a daemon which all others ask at once, and against an answer without the list that
+// counts as state: its age would make the peer's older list look new.
+func TestListIsWithheldWhileOthersGetIt(t *testing.T) {
+	g := NewWithT(t)
+	state := turmericwall.SharedState{UpstreamsPosition: 9, StateAgeMillis: 5}
+	for n := range 3000 {
+		state.Upstreams = append(state.Upstreams, turmericwall.Upstream{ID: fmt.Sprint("i-", n), Service: "s"})
+	}
+	address := serve(t, twpeerhttp.Config{
+		State: func(turmericwall.StateRequest) turmericwall.SharedState { return state },
+		Lists: twlists.New(twlists.Config{LinkMegabits: 0.2}),
+	})
+	ask := func(name string) turmericwall.SharedState {
+		received, err := twpeerhttp.NewClient(nil).FetchState(context.Background(), address, turmericwall.StateRequest{
+			Joining: &turmericwall.HeartbeatReply{Member: turmericwall.Member{Address: name}},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		return received
+	}
+	g.Expect(ask("a").Upstreams).To(HaveLen(3000))
+	g.Expect(ask("b")).To(Equal(turmericwall.SharedState{Loading: true, StateAgeMillis: -1}))
+}
+
 // A removal of engines changes hundreds of upstreams at once. Each peer must get the changes between its own state and
 // this daemon's, compressed.
 func TestManyChangedUpstreamsAreCompressed(t *testing.T) {
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,12 +18,15 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/membership/twlists"
 )
 
 // Config holds the functions that answer the calls. IsLeader reports whether this daemon may place calls as the leader.
 type Config struct {
 	HandleHeartbeat func(context.Context, turmericwall.Heartbeat) turmericwall.HeartbeatReply
 	State           func(turmericwall.StateRequest) turmericwall.SharedState
+	// Lists decides whether a whole list of upstreams is sent to a daemon now; nil means always.
+	Lists           *twlists.Lists
 	IsLeader        func() bool
 	Place           func(context.Context, turmericwall.PlaceRequest) (turmericwall.Placement, error)
 	Finish          func(turmericwall.PlacementUpdate)
@@ -92,9 +96,27 @@
 		http.Error(w, "the state can't be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
 	}
+	s.withhold(&answer, stateRequest)
 	writeJSON(w, answer)
 }
 
+// withhold takes the whole list of upstreams out of the answer if too many are under way. The peer asks again, this daemon or one that
+// has got it.
+func (s *Server) withhold(answer *wireState, request turmericwall.StateRequest) {
+	if s.config.Lists == nil || answer.Partial || len(answer.PackedUpstreams) == 0 {
+		return
+	}
+	now, address := time.Now(), ""
+	if request.Joining != nil {
+		address = request.Joining.Address
+	}
+	if s.config.Lists.Begin(now, address, base64.StdEncoding.EncodedLen(len(answer.PackedUpstreams))) {
+		return
+	}
+	answer.PackedUpstreams, answer.UpstreamsPosition, answer.StateAgeMillis = nil, 0, -1
+	answer.Loading, answer.Referred = true, s.config.Lists.Refer(now)
+}
+
 // minPackedChanges is the number of changed upstreams from which on they are compressed.
 const minPackedChanges = 16
 
--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -18,6 +18,10 @@
 	startQueryInterval  = 150 * time.Millisecond
 	firstQueryInterval  = 40 * time.Millisecond
 	queryIntervalGrowth = 1.5
+	// answerGapFactor is the least time between an answered query and the next one, in times that the answer took: a daemon takes at most
+	// a quarter of a seed's time.
+	answerGapFactor = 3
+	maxAnswerGap    = time.Second
 	// maxUselessQueries is how many queries in a row must bring nothing before this daemon reads the store itself.
 	maxUselessQueries = 3
 	// standbyReadShare is the part of Config.Staleness after which a standby begins to read.
@@ -234,11 +238,15 @@
 	s.uselessQueries++
 }
 
-// RecordPeer records that a peer has answered a query.
-func (s *Source) RecordPeer() {
+// RecordPeer records that a peer has answered a query that took that long. The next query waits for a multiple of it, so that seeds
+// which many daemons ask at once aren't asked faster than they answer.
+func (s *Source) RecordPeer(now time.Time, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hasPeer = true
+	if next := now.Add(min(answerGapFactor*took, maxAnswerGap)); next.After(s.nextQueryAt) {
+		s.nextQueryAt = next
+	}
 }
 
 // HasNoPeer reports whether several queries to peers were made and none was answered so far.
--- a/peering.go
+++ b/peering.go
@@ -151,8 +151,10 @@
 	LeaseHolder  Member `json:"leaseHolder"`
 	// Standbys are those in the leader's last heartbeat.
 	Standbys []Member `json:"standbys,omitempty"`
-	// Loading is set while the answering daemon has no state yet and is reading it from the store.
-	Loading bool `json:"loading,omitempty"`
+	// Loading is set while the answering daemon has no state yet and is reading it from the store, or sends the list of upstreams to
+	// too many other daemons at this moment. Referred are the addresses of daemons that have got the list then.
+	Loading  bool     `json:"loading,omitempty"`
+	Referred []string `json:"referred,omitempty"`
 	// StateAgeMillis is the time since the store was queried for this state; negative if it is unknown.
 	StateAgeMillis int64 `json:"freshMillis"`
 	// ProofAgeMillis is the age of the proof that the answering daemon's plan is in force; negative if there is none.
