--- a/internal/membership/twelection/election.go
+++ b/internal/membership/twelection/election.go
@@ -121,14 +121,16 @@
 	e.Nominate()
 }
 
-// RecordReadRow records the lease's row as this daemon has read it elsewhere, at its start. Other rows are ignored.
-func (e *Election) RecordReadRow(row turmericwall.FeedRow) {
+// RecordReadRow records the lease's row as this daemon has read it elsewhere, at its start. Other rows are ignored. It reports whether an
+// earlier incarnation of this daemon holds the lease.
+func (e *Election) RecordReadRow(row turmericwall.FeedRow) (heldBefore bool) {
 	var lease twlease.Row
 	if row.Key != key || json.Unmarshal(row.Value, &lease) != nil || lease.Holder == (turmericwall.Member{}) {
-		return
+		return false
 	}
 	e.RecordLeaseVersion(row.Version, lease.Holder)
 	e.ReclaimLease(row.Version, lease.Holder)
+	return lease.Holder.Name == e.config.Self.Name && lease.Holder != e.config.Self
 }
 
 // LeaseVersion returns the version of the lease's row as last seen.
--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -49,7 +49,9 @@
 	// some queries. evidenceReadSpread is the span over which daemons spread these reads, and the mean time between two of one daemon;
 	// startReadSpread is that of the first reads of the state at a start. A thousand daemons whose seeds are all down read the row 790
 	// times a second, and then, until they find a leader, 1,970 times: two tables and the lease each.
+	// Without seeds each daemon needs the lease's row to find another one: noSeedsReadSpread lets a thousand of them read it 1,970 times a second.
 	evidencePeerWait   = 250 * time.Millisecond
+	noSeedsReadSpread  = 500 * time.Millisecond
 	evidenceReadSpread = 1250 * time.Millisecond
 	startReadSpread    = 1500 * time.Millisecond
 	// assumedDaemons is used as the number of daemons while it is unknown.
@@ -98,6 +100,8 @@
 	// queries is how many queries to peers there were so far, and hasPeer is set once one was answered.
 	queries int
 	hasPeer bool
+	// ledBefore is set if this daemon held the lease before its start.
+	ledBefore bool
 	// nextEvidenceReadAt is when this daemon may read the evidence row; zero before the first check.
 	nextEvidenceReadAt time.Time
 	// loadingAt is when a peer last reported that it is loading the state.
@@ -164,7 +168,7 @@
 // awaitsPeers reports whether a peer may still bring the state; the lock is held.
 func (s *Source) awaitsPeers(now time.Time, o Observation) bool {
 	if o.FreshAt.IsZero() {
-		return !s.config.Seed && now.Sub(s.config.StartedAt) < s.bootstrapTimeout(now)
+		return !s.config.Seed && !s.ledBefore && now.Sub(s.config.StartedAt) < s.bootstrapTimeout(now)
 	}
 	return s.uselessQueries < maxUselessQueries
 }
@@ -248,6 +252,15 @@
 	s.uselessQueries++
 }
 
+// RecordLeading records that this daemon held the lease before its start, as it has read in the store: the others wait for it, so that it
+// reads the state without waiting for a peer.
+func (s *Source) RecordLeading(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledBefore = true
+	s.nextReadAt = now
+}
+
 // RecordPeer records that a peer has answered a query that took that long. The next query waits for a multiple of it, so that seeds
 // which many daemons ask at once aren't asked faster than they answer.
 func (s *Source) RecordPeer(now time.Time, took time.Duration) {
@@ -271,13 +284,14 @@
 func (s *Source) ShouldReadEvidence(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	spread := time.Duration(s.config.Random() * float64(evidenceReadSpread))
+	share := s.config.Random()
+	spread := time.Duration(share * float64(evidenceReadSpread))
 	if s.nextEvidenceReadAt.IsZero() {
 		s.nextEvidenceReadAt = s.config.StartedAt
 		switch {
 		case s.config.Seed:
 		case s.config.NoSeeds:
-			s.nextEvidenceReadAt = s.config.StartedAt.Add(spread)
+			s.nextEvidenceReadAt = s.config.StartedAt.Add(time.Duration(share * float64(noSeedsReadSpread)))
 		default:
 			s.nextEvidenceReadAt = s.config.StartedAt.Add(evidencePeerWait + spread)
 		}
--- a/internal/membership/twsource/start_test.go
+++ b/internal/membership/twsource/start_test.go
@@ -77,6 +77,10 @@
 			if d.evidenceAt.IsZero() && d.source.ShouldReadEvidence(now) && read(1) {
 				d.evidenceAt = now.Add(c.storeTakes)
 				d.leaseReadAt = d.evidenceAt
+				if i == 0 && c.deadSeeds == 0 {
+					// It held the lease before.
+					d.source.RecordLeading(now)
+				}
 			}
 			if d.source.ShouldRead(now, o) && now.After(d.readingUntil) {
 				d.readingUntil = now.Add(max(c.storeTakes, 260*time.Millisecond))
@@ -154,7 +158,7 @@
 		"seeds":               {starting{seeds: 3, storeTakes: 4 * time.Millisecond}, 500 * time.Millisecond},
 		"a dead seed":         {starting{seeds: 2, deadSeeds: 1, storeTakes: 4 * time.Millisecond}, 800 * time.Millisecond},
 		"all seeds dead":      {starting{deadSeeds: 3, storeTakes: 4 * time.Millisecond}, 3500 * time.Millisecond},
-		"no seeds":            {starting{storeTakes: 4 * time.Millisecond}, 2000 * time.Millisecond},
+		"no seeds":            {starting{storeTakes: 4 * time.Millisecond}, 1000 * time.Millisecond},
 		"slow store":          {starting{seeds: 3, storeTakes: 700 * time.Millisecond}, 2200 * time.Millisecond},
 		"store away":          {starting{seeds: 3, storeAway: true}, 0},
 		"a peer has it":       {starting{seeds: 3, storeAway: true, peerHasState: true}, 500 * time.Millisecond},
