feat: refuse calls at once while the store fails and no peer has answered; state what was weighed

Cause: only the evidence counted as stalled. After maxEvidenceWait, with the store away and no peers, each call still waited for the routes, a twentieth of its caller's time, and was refused then.

--- a/internal/admission/twgate/gate.go
+++ b/internal/admission/twgate/gate.go
@@ -66,8 +66,7 @@
 func (g *Gate) RecordStalled(item twreadiness.Item, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.readiness.RecordStalled(item, until)
-	if !until.IsZero() {
+	if g.readiness.RecordStalled(item, until) {
 		g.notify()
 	}
 }
--- a/internal/admission/twreadiness/readiness.go
+++ b/internal/admission/twreadiness/readiness.go
@@ -108,8 +108,12 @@
 }
 
 // RecordStalled records that an item can't become known before the time, because its sources fail; the zero time means that it can
-// come at any time again.
-func (r *Readiness) RecordStalled(item Item, until time.Time) { r.notBefore[item] = until }
+// come at any time again. It reports whether calls that wait have to be reconsidered: its sources fail since now.
+func (r *Readiness) RecordStalled(item Item, until time.Time) (fails bool) {
+	fails = r.notBefore[item].IsZero() && !until.IsZero() && r.knownAt[item].IsZero()
+	r.notBefore[item] = until
+	return fails
+}
 
 // Stop records that the daemon stops: no call waits any more.
 func (r *Readiness) Stop() { r.stopping = true }
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/admission/twreadiness"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twrelay"
@@ -204,6 +205,8 @@
 	proof     *twproof.Proof
 	log       *logBuffer
 	streams   *twstreamrecords.Records
+	// awaitStart holds calls at the start; nil if none is held.
+	awaitStart func(ctx context.Context, id string, describe func() twreadiness.Call) error
 	// lastEvent and resumes are those of the calls.
 	lastEvent int64
 	resumes   string
@@ -296,6 +299,12 @@
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
 		Recorder:      tweventlog.New(tweventlog.Config{Output: s.log}), Daemons: func() int { return 1 }, Daemon: "me",
 		Streams: s.streams,
+		AwaitStart: func(ctx context.Context, id string, describe func() twreadiness.Call) error {
+			if s.awaitStart == nil {
+				return nil
+			}
+			return s.awaitStart(ctx, id, describe)
+		},
 		CheckEnd: func(_ context.Context, run twendcheck.Run) twendcheck.Finding {
 			s.checks.Add(1)
 			return twendcheck.Finding{Incarnation: run.Upstream.Key(), Result: turmericwall.EndResult(s.found.Load())}
