--- a/internal/membership/twcluster/members.go
+++ b/internal/membership/twcluster/members.go
@@ -12,7 +12,7 @@
 // member is another daemon as the leader knows it, with its last reply.
 type member struct {
 	turmericwall.HeartbeatReply
-	// addedAt is when its address was added.
+	// addedAt is when its address was added, or it joined again.
 	addedAt    time.Time
 	answeredAt time.Time
 	// startedAt is when its incarnation started.
@@ -53,11 +53,18 @@
 	}
 }
 
-// Members returns the addresses of all daemons that this one knows, itself included, and the version of that list.
+// Members returns the addresses of all daemons that this one knows, itself included, and the version of that list. A daemon that isn't the
+// leader doesn't learn which ones are lost, and returns those that have joined lately.
 func (c *Cluster) Members() (version int64, addresses []string) {
+	_, leading := c.config.IsLeader()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.membersVersion, append(slices.Clone(c.addresses()), c.config.Self.Address)
+	for _, address := range c.addresses() {
+		if leading || time.Since(c.members[address].addedAt) < memberRetention {
+			addresses = append(addresses, address)
+		}
+	}
+	return c.membersVersion, append(addresses, c.config.Self.Address)
 }
 
 // Followers returns the addresses of all live daemons but this one, or those of the standbys if there are more than limit.
@@ -115,7 +122,7 @@
 	if m, ok := c.members[address]; ok {
 		if !m.live {
 			// It joins again after its restart, or after a partition.
-			m.sentAt = time.Time{}
+			m.sentAt, m.addedAt = time.Time{}, time.Now()
 		}
 		return true
 	}
