fix: let calls whose target is unknown wait up to what the deployments' targets bear

Cause: in the soak beside a load average of 46, 51 of 52 calls that were refused at a start had waited for the routes, for a twentieth of their caller's time: 150 ms of 3 s, and 30 ms of the 600 ms of the deployments' plain calls, whose target bears 105 ms.

Change: 80 ms and a 28th of that time, a sixth of it at most: 100 of 600 ms, 134 ms of 1.5 s, 580 ms of 14 s, below the targets of 120, 150 and 800 ms.

Not played on a deployment.

--- a/internal/admission/twreadiness/readiness.go
+++ b/internal/admission/twreadiness/readiness.go
@@ -33,9 +33,12 @@
 	// modelNeedShare is that of a model call: a prompt of 5,200 tokens takes 94 ms on an idle prefill engine and 187 ms on a decode
 	// engine, of 800 or 900 ms; placement, transfer and the first step come on top.
 	modelNeedShare = 0.25
-	// unknownTargetShare is the part of its caller's time for which a call waits while the routes, and with them its target, are
-	// unknown. Targets are a fifth to an eighteenth of the callers' deadlines.
-	unknownTargetShare = 0.05
+	// While the routes, and with them a call's target, are unknown, the call waits for unknownTargetBase and unknownTargetShare of its
+	// caller's time, but maxUnknownShare of that at most. That is below the targets of the deployments: 100 ms of 600 (target 120), 134 ms of
+	// 1.5 s (150), 580 ms of 14 s (800 and 900).
+	unknownTargetBase  = 80 * time.Millisecond
+	unknownTargetShare = 1.0 / 28
+	maxUnknownShare    = 1.0 / 6
 	// retrySpan is the retry time when it is unknown when what is missing comes: two reads of the store.
 	retrySpan = 500 * time.Millisecond
 )
@@ -202,7 +205,8 @@
 func (c Call) waitUntil() time.Time {
 	var until time.Time
 	if c.TargetAt.IsZero() {
-		until = c.ReceivedAt.Add(time.Duration(unknownTargetShare * float64(c.Deadline.Sub(c.ReceivedAt))))
+		span := float64(c.Deadline.Sub(c.ReceivedAt))
+		until = c.ReceivedAt.Add(time.Duration(min(float64(unknownTargetBase)+unknownTargetShare*span, maxUnknownShare*span)))
 	} else {
 		need := plainNeedShare
 		if c.Model {
