--- a/internal/delivery/twengine/engine.go
+++ b/internal/delivery/twengine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twbody"
 )
 
 // Limits of the calls to engines.
@@ -27,6 +28,8 @@
 	maxReplyBytes         = 8 << 20
 	maxIdleConnsPerEngine = 64
 	idleConnTimeout       = 10 * time.Second
+	// maxHeadBytes bounds the head of a reply, which has some hundred bytes.
+	maxHeadBytes = 16 << 10
 )
 
 // Engines creates the clients of engines and shares their connections. It implements turmericwall.Engines.
@@ -34,6 +37,7 @@
 	// pooled reuses connections; fresh opens one for each call.
 	pooled   *http.Client
 	fresh    *http.Client
+	bodies   *twbody.Reader
 	bytesIn  metrics.Counter
 	messages metrics.Counter
 }
@@ -45,11 +49,12 @@
 
 // New returns the client factory for all engines.
 func New(config Config) *Engines {
-	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerEngine, IdleConnTimeout: idleConnTimeout}
-	fresh := &http.Transport{DisableKeepAlives: true}
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerEngine, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
+	fresh := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Engines{
 		pooled:   &http.Client{Transport: pooled},
 		fresh:    &http.Client{Transport: fresh},
+		bodies:   twbody.New(twbody.Config{MaxBytes: maxReplyBytes}),
 		bytesIn:  metrics.GetOrRegisterCounter("control.engines.bytesIn", config.Registry),
 		messages: metrics.GetOrRegisterCounter("control.engines.messages", config.Registry),
 	}
@@ -216,7 +221,8 @@
 	if err != nil {
 		return nil, e.callError(turmericwall.EngineUnreachable, err)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	content, release, err := e.clients.bodies.Read(response.Body, response.ContentLength)
+	release()
 	_ = response.Body.Close()
 	if err != nil {
 		return nil, e.callError(turmericwall.EngineUnreachable, err)
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -6,12 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twbody"
 	"github.com/turmericwall/turmericwall/internal/operations/twmeter"
 	"github.com/turmericwall/turmericwall/internal/operations/twsocket"
 )
@@ -26,13 +26,19 @@
 	// idleTimeout is how long a connection without calls is kept open: less than the peer keeps it, so that no request is
 	// sent while the peer closes it.
 	idleTimeout = 15 * time.Second
+	// maxHeadBytes bounds the head of an answer, which has some hundred bytes. The head of an upstream's answer that comes
+	// through a peer is in the body.
+	maxHeadBytes = 16 << 10
 )
 
 // errStatus is returned when a peer answers with another status than 200.
 var errStatus = errors.New("the peer did not accept the call")
 
 // Client calls other daemons; it implements turmericwall.PeerClient and is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http   *http.Client
+	bodies *twbody.Reader
+}
 
 // Liveness returns the rule for connections between daemons, on both sides. A request to an upstream that a peer sends
 // ends when this daemon is gone.
@@ -44,8 +50,9 @@
 func NewClient(meter *twmeter.Meter) *Client {
 	liveness := Liveness()
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: liveness.Control, KeepAliveConfig: liveness.KeepAlive()}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{bodies: twbody.New(twbody.Config{MaxBytes: maxMessageBytes}), http: &http.Client{Transport: &http.Transport{
 		DialContext: meter.Dial(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
@@ -171,7 +178,8 @@
 		return fmt.Errorf("call the peer: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	replyBody, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	replyBody, release, err := c.bodies.Read(response.Body, response.ContentLength)
+	defer release()
 	if err != nil {
 		return fmt.Errorf("read the peer's answer: %w", err)
 	}
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -42,7 +42,11 @@
 	Refused   turmericwall.EgressReason `json:"refused,omitempty"`
 	LostShare float64                   `json:"lostShare,omitempty"`
 	// Error is the error of a request that was sent and got no answer.
-	Error  string      `json:"error,omitempty"`
+	Error string `json:"error,omitempty"`
+	// Limit is the limit that what the upstream sent exceeded, and LimitMax its value; empty if there was none.
+	Limit    turmericwall.Limit `json:"limit,omitempty"`
+	LimitMax int64              `json:"limitMax,omitempty"`
+
 	Status int         `json:"status,omitempty"`
 	Header http.Header `json:"header,omitempty"`
 	Length int64       `json:"length"`
@@ -68,11 +72,19 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	body := bytes.Join([][]byte{line, []byte("\n"), request.Head, request.Body}, nil)
-	httpRequest, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+pathExchange, bytes.NewReader(body))
+	line = append(line, '\n')
+	// The body isn't copied: it may have several megabytes.
+	newBody := func() (io.ReadCloser, error) {
+		return io.NopCloser(io.MultiReader(
+			bytes.NewReader(line), bytes.NewReader(request.Head), bytes.NewReader(request.Body))), nil
+	}
+	httpRequest, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+pathExchange, nil)
 	if err != nil {
 		return nil, &turmericwall.SendError{Err: fmt.Errorf("call %s: %w", pathExchange, err)}
 	}
+	httpRequest.Body, _ = newBody()
+	httpRequest.GetBody = newBody
+	httpRequest.ContentLength = int64(len(line) + len(request.Head) + len(request.Body))
 	sentAt := time.Now()
 	response, err := c.http.Do(httpRequest)
 	if err != nil {
@@ -111,6 +123,10 @@
 	case reply.Refused != "":
 		_, _ = io.Copy(io.Discard, reader)
 		return fail(&turmericwall.EgressRefusal{Reason: reply.Refused, LostShare: reply.LostShare})
+	case reply.Limit != "":
+		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf(
+			"have a peer call %s: %w", to.ID, &turmericwall.LimitError{Limit: reply.Limit, Max: reply.LimitMax},
+		)})
 	case reply.Error != "":
 		return fail(&turmericwall.SendError{Sent: true, Err: errors.New(reply.Error)})
 	}
@@ -149,16 +165,22 @@
 			return nil, err
 		}
 		if len(line) > maxExchangeHeadBytes {
-			return nil, errors.New("the line is too long")
+			return nil, &turmericwall.LimitError{Limit: turmericwall.LimitHeadBytes, Max: maxExchangeHeadBytes}
 		}
 	}
 }
 
 // exchange sends a peer's request to an upstream, and returns the answer as it arrives.
 func (s *Server) exchange(w http.ResponseWriter, request *http.Request) {
-	message, upstreamRequest, err := readExchange(request.Body)
+	content, release, err := s.exchanges.Read(request.Body, request.ContentLength)
+	defer release()
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	message, upstreamRequest, err := readExchange(content)
 	if err != nil {
-		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
+		s.refuse(w, err)
 		return
 	}
 	ctx := request.Context()
@@ -184,25 +206,20 @@
 }
 
 // readExchange reads a request to an upstream.
-func readExchange(from io.Reader) (wireExchange, turmericwall.UpstreamRequest, error) {
+func readExchange(content []byte) (wireExchange, turmericwall.UpstreamRequest, error) {
 	var message wireExchange
-	reader := bufio.NewReader(io.LimitReader(from, maxExchangeBytes))
-	line, err := readLine(reader)
-	if err != nil {
-		return message, turmericwall.UpstreamRequest{}, err
+	line, rest, ok := bytes.Cut(content, []byte("\n"))
+	if !ok {
+		return message, turmericwall.UpstreamRequest{}, io.ErrUnexpectedEOF
 	}
 	if err := json.Unmarshal(line, &message); err != nil {
 		return message, turmericwall.UpstreamRequest{}, err
 	}
-	rest, err := io.ReadAll(reader)
-	if err != nil {
-		return message, turmericwall.UpstreamRequest{}, err
-	}
 	if message.HeadBytes <= 0 || message.HeadBytes > len(rest) {
 		return message, turmericwall.UpstreamRequest{}, errors.New("the request's head is incomplete")
 	}
 	return message, turmericwall.UpstreamRequest{
-		Head: rest[:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID,
+		Head: rest[:message.HeadBytes:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID,
 	}, nil
 }
 
@@ -212,7 +229,12 @@
 	if errors.As(err, &refusal) {
 		return wireExchangeReply{Refused: refusal.Reason, LostShare: refusal.LostShare}
 	}
-	return wireExchangeReply{Error: err.Error()}
+	reply := wireExchangeReply{Error: err.Error()}
+	var limit *turmericwall.LimitError
+	if errors.As(err, &limit) {
+		reply.Limit, reply.LimitMax = limit.Limit, limit.Max
+	}
+	return reply
 }
 
 // writeLine sends a message as one line at once.
--- a/internal/membership/twpeerhttp/exchange_test.go
+++ b/internal/membership/twpeerhttp/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/membership/twpeerhttp"
+	"github.com/turmericwall/turmericwall/internal/operations/twbudget"
 )
 
 type exchangeFunc func(
@@ -168,3 +169,64 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(left, time.Second).Should(BeClosed())
 }
+
+// Guards against an upstream that counts as ended because a peer's error doesn't say that it sent too much.
+func TestExceededLimitPassesThroughAPeer(t *testing.T) {
+	g := NewWithT(t)
+	want := &turmericwall.LimitError{Limit: turmericwall.LimitHeadBytes, Max: 5}
+	address := newPeer(t, func(
+		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+	) (*turmericwall.Answer, error) {
+		return nil, &turmericwall.SendError{Sent: true, Err: want}
+	})
+	_, err := twpeerhttp.NewClient(nil).Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
+	g.Expect(asSendError(err).Sent).To(BeTrue())
+	var got *turmericwall.LimitError
+	g.Expect(errors.As(err, &got)).To(BeTrue())
+	g.Expect(got).To(Equal(want))
+}
+
+// Guards against requests of many peers that together take all memory of a daemon, and against small ones that are refused
+// with them.
+func TestMessagesOfAllPeersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	memory := twbudget.New(twbudget.Config{Bytes: 64 << 10})
+	release, refused := make(chan struct{}), make(chan turmericwall.Limit, 9)
+	entered := make(chan struct{}, 9)
+	server := httptest.NewServer(twpeerhttp.NewServer(twpeerhttp.Config{
+		BodyMemory:    memory,
+		OnReadRefused: func(err *turmericwall.LimitError) { refused <- err.Limit },
+		Exchange: func(
+			context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+		) (*turmericwall.Answer, error) {
+			entered <- struct{}{}
+			<-release
+			return &turmericwall.Answer{Status: 200, Length: -1, Body: io.NopCloser(strings.NewReader(""))}, nil
+		},
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	send := func(size int) error {
+		request := exchangeRequest()
+		request.Body = make([]byte, size)
+		answer, err := twpeerhttp.NewClient(nil).Exchange(context.Background(), address, exchangeTarget, request)
+		if err != nil {
+			return err
+		}
+		return answer.Body.Close()
+	}
+	done := make(chan error, 2)
+	go func() { done <- send(50 << 10) }()
+	<-entered
+	err := send(50 << 10)
+	g.Expect(asSendError(err).IsSafeToResend()).To(BeTrue(), "nothing was sent to the upstream")
+	g.Expect(<-refused).To(Equal(turmericwall.LimitBufferMemory))
+	go func() { done <- send(1 << 10) }()
+	g.Eventually(entered).Should(Receive())
+	close(release)
+	g.Expect(<-done).To(Succeed())
+	g.Expect(<-done).To(Succeed())
+	g.Eventually(memory.Held).Should(BeZero())
+	g.Expect(asSendError(send(10 << 20)).IsSafeToResend()).To(BeTrue())
+	g.Expect(<-refused).To(Or(Equal(turmericwall.LimitBodyBytes), Equal(turmericwall.LimitBufferMemory)))
+}
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twbody"
+	"github.com/turmericwall/turmericwall/internal/operations/twbudget"
 )
 
 // Config holds the functions that answer the calls. IsLeader reports whether this daemon may place calls as the leader.
@@ -36,13 +38,19 @@
 	Exchange func(
 		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
 	) (*turmericwall.Answer, error)
+	// BodyMemory is the memory for large messages that are being read, of all peers; it may be nil.
+	BodyMemory *twbudget.Budget
+	// OnReadRefused is called for each message that exceeds a limit; it may be nil.
+	OnReadRefused func(err *turmericwall.LimitError)
 }
 
 // Server is the HTTP handler of the calls from peers.
 type Server struct {
 	config Config
 	mux    *http.ServeMux
-	mu     sync.Mutex
+	// messages and exchanges read the bodies of messages and of requests to upstreams.
+	messages, exchanges *twbody.Reader
+	mu                  sync.Mutex
 	// plan is the newest plan, upstreams the newest list of all upstreams and changes the newest list of changed
 	// upstreams, compressed.
 	plan, upstreams, changes packed
@@ -56,7 +64,11 @@
 
 // NewServer returns a handler that answers with the functions in config.
 func NewServer(config Config) *Server {
-	s := &Server{config: config, mux: http.NewServeMux()}
+	s := &Server{
+		config: config, mux: http.NewServeMux(),
+		messages:  twbody.New(twbody.Config{MaxBytes: maxMessageBytes, Memory: config.BodyMemory}),
+		exchanges: twbody.New(twbody.Config{MaxBytes: maxExchangeBytes, Memory: config.BodyMemory}),
+	}
 	s.mux.HandleFunc("POST "+pathHeartbeat, s.heartbeat)
 	s.mux.HandleFunc("POST "+pathState, s.state)
 	s.mux.HandleFunc("POST "+pathPlace, s.place)
@@ -75,14 +87,14 @@
 
 func (s *Server) heartbeat(w http.ResponseWriter, request *http.Request) {
 	var heartbeat turmericwall.Heartbeat
-	if readJSON(w, request, &heartbeat) {
+	if s.readJSON(w, request, &heartbeat) {
 		writeJSON(w, s.config.HandleHeartbeat(request.Context(), heartbeat))
 	}
 }
 
 func (s *Server) state(w http.ResponseWriter, request *http.Request) {
 	var stateRequest turmericwall.StateRequest
-	if !readJSON(w, request, &stateRequest) {
+	if !s.readJSON(w, request, &stateRequest) {
 		return
 	}
 	state := s.config.State(stateRequest)
@@ -166,7 +178,7 @@
 
 func (s *Server) place(w http.ResponseWriter, request *http.Request) {
 	var placeRequest wirePlaceRequest
-	if !readJSON(w, request, &placeRequest) {
+	if !s.readJSON(w, request, &placeRequest) {
 		return
 	}
 	if !s.config.IsLeader() {
@@ -195,7 +207,7 @@
 
 func (s *Server) finish(w http.ResponseWriter, request *http.Request) {
 	var updates []turmericwall.PlacementUpdate
-	if !readJSON(w, request, &updates) {
+	if !s.readJSON(w, request, &updates) {
 		return
 	}
 	for _, update := range updates {
@@ -206,7 +218,7 @@
 
 func (s *Server) runs(w http.ResponseWriter, request *http.Request) {
 	var runs []wirePlacedCall
-	if !readJSON(w, request, &runs) {
+	if !s.readJSON(w, request, &runs) {
 		return
 	}
 	now := time.Now()
@@ -220,7 +232,7 @@
 
 func (s *Server) streams(w http.ResponseWriter, request *http.Request) {
 	var records []turmericwall.StreamRecord
-	if !readJSON(w, request, &records) {
+	if !s.readJSON(w, request, &records) {
 		return
 	}
 	s.config.RecordStreams(records)
@@ -229,37 +241,56 @@
 
 func (s *Server) evidence(w http.ResponseWriter, request *http.Request) {
 	var evidence turmericwall.Evidence
-	if readJSON(w, request, &evidence) {
+	if s.readJSON(w, request, &evidence) {
 		writeJSON(w, s.config.ExchangeEvidence(request.Context(), evidence))
 	}
 }
 
 func (s *Server) admit(w http.ResponseWriter, request *http.Request) {
 	var admitRequest turmericwall.AdmitRequest
-	if readJSON(w, request, &admitRequest) {
+	if s.readJSON(w, request, &admitRequest) {
 		writeJSON(w, s.config.Admit(admitRequest))
 	}
 }
 
 func (s *Server) charge(w http.ResponseWriter, request *http.Request) {
 	var chargeRequest turmericwall.ChargeRequest
-	if readJSON(w, request, &chargeRequest) {
+	if s.readJSON(w, request, &chargeRequest) {
 		writeJSON(w, s.config.Charge(chargeRequest))
 	}
 }
 
-// readJSON decodes the request's body and reports whether that succeeded; if not, it has answered with status 400.
-func readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxMessageBytes))
+// readJSON decodes the request's body and reports whether that succeeded; if not, it has answered the request.
+func (s *Server) readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
+	body, release, err := s.messages.Read(request.Body, request.ContentLength)
+	defer release()
 	if err == nil {
 		err = json.Unmarshal(body, into)
 	}
 	if err != nil {
-		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
+		s.refuse(w, err)
 	}
 	return err == nil
 }
 
+// refuse answers a message that can't be read. After one that exceeds a limit the connection is closed, since its rest isn't
+// read.
+func (s *Server) refuse(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	var refused *turmericwall.LimitError
+	if errors.As(err, &refused) {
+		w.Header().Set("Connection", "close")
+		status = http.StatusRequestEntityTooLarge
+		if refused.Limit == turmericwall.LimitBufferMemory {
+			status = http.StatusServiceUnavailable
+		}
+		if s.config.OnReadRefused != nil {
+			s.config.OnReadRefused(refused)
+		}
+	}
+	http.Error(w, "the message can't be read: "+err.Error(), status)
+}
+
 // writeJSON answers with the message as JSON.
 func writeJSON(w http.ResponseWriter, message any) {
 	body, err := json.Marshal(message)
--- a/internal/once/twforward/forwarder.go
+++ b/internal/once/twforward/forwarder.go
@@ -26,6 +26,8 @@
 	ejectionTime = 2 * time.Second
 	// maxDials bounds the upstreams that are tried for one call.
 	maxDials = 3
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Forwarder implements turmericwall.Forwarder.
@@ -113,8 +115,8 @@
 	ctx context.Context, call turmericwall.ServiceCall, vm turmericwall.VM, connection net.Conn,
 ) (*http.Response, error) {
 	transport := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext:       dialOnce(connection),
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dialOnce(connection),
 	}
 	target := "http://" + vm.Address + call.Path
 	if call.Query != "" {
--- a/internal/operations/twoperations/server.go
+++ b/internal/operations/twoperations/server.go
@@ -15,7 +15,13 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twtrace"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout closes idle connections of operators and of the balancer, whose checks are a second apart.
+	idleTimeout = 20 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 16 << 10
+)
 
 // Server is the HTTP server of the operators' listener.
 type Server struct {
@@ -79,7 +85,9 @@
 	router.GET("/metrics", s.metrics)
 	router.GET("/explain", s.explain)
 	router.POST("/drain", s.drain)
-	s.server = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{
+		Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	return s
 }
 
--- a/internal/platform/twhttp/client.go
+++ b/internal/platform/twhttp/client.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twbody"
 )
 
 // Limits of one call to the platform.
@@ -23,12 +23,15 @@
 	// maxBodyBytes is the largest number of bytes that are read from a reply's body.
 	maxBodyBytes = 64 << 20
 	maxIdleConns = 32
+	// maxHeadBytes bounds the head of a reply, which has some hundred bytes.
+	maxHeadBytes = 16 << 10
 )
 
 // Client sends requests to the platform's service. Its methods may be called by several goroutines.
 type Client struct {
 	address  string
 	http     *http.Client
+	bodies   *twbody.Reader
 	bytesIn  metrics.Counter
 	messages metrics.Counter
 }
@@ -43,13 +46,14 @@
 
 // New returns a Client for the address of the config.
 func New(config Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: callTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: callTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	if config.Registry == nil {
 		config.Registry = metrics.NewRegistry()
 	}
 	return &Client{
 		address:  strings.TrimSuffix(config.Address, "/"),
 		http:     &http.Client{Transport: transport},
+		bodies:   twbody.New(twbody.Config{MaxBytes: maxBodyBytes}),
 		bytesIn:  metrics.GetOrRegisterCounter("control.platform.bytesIn", config.Registry),
 		messages: metrics.GetOrRegisterCounter("control.platform.messages", config.Registry),
 	}
@@ -107,7 +111,8 @@
 		return Reply{}, unavailable(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	content, release, err := c.bodies.Read(response.Body, response.ContentLength)
+	defer release()
 	if err != nil {
 		return Reply{}, unavailable(err)
 	}
