fix: bound what is held for slow readers, and tell the cut of an unread answer from an end

Cause: a call held up to 64 KiB of a plain answer and 512 KB of an event, in buffers that grow by doubling, and nothing bounded them together; what an engine wrote within the hold of events was held without a limit. A caller that doesn't read makes the daemon stop reading, and an engine that gives the answer up then was ejected, and counted as maybe ended under the request. Change: buffers beyond 8 KiB take memory of a budget of the daemon, within 512 KiB for a call. Without it a plain answer is streamed on from what was read, and an event fails without blame for the engine. A plain answer is copied through its buffer, large events aren't copied, and 16 KiB of events at most are held back. twunread follows the pauses between reads, without a clock; an answer that breaks off after more than a second of them (averaged over 3 s) has its own error. Its upstream is checked as before, and only a proved end is recorded; otherwise no ejection, no suspicion, no evidence, and endedBy=unread. A stream goes on elsewhere only if its engine was found alive, since an end that nobody counts could let a request end a fourth one. What exceeds a limit was sent by somebody alive: it is a failure of the upstream, but no end, also as the answer to a check. Ruled out: to forget a pause with the next byte. What an engine had written before it gave up still arrives after it. The fixture of twrelay's tests keeps its configuration, so that a test can set the memory; the table of twendcheck has one case more.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout+c.ownDelay())
 	defer cancel()
 	startedMillis, err := c.config.Query(ctx, upstream)
-	if isBrokenOff(err) && ctx.Err() == nil {
+	if isBrokenOff(err) && !exceedsLimit(err) && ctx.Err() == nil {
 		startedMillis, err = c.config.Query(ctx, upstream)
 	}
 	var sent *turmericwall.SendError
@@ -165,7 +165,7 @@
 		started.answered, started.startedMillis = true, startedMillis
 	case isSendError && sent.IncarnationReplaced:
 		started.gone = true
-	case isSendError && sent.Status != 0:
+	case isSendError && sent.Status != 0, exceedsLimit(err):
 		started.answered = true
 	case isSendError && ((sent.ConnectFailed && !sent.PathLost) || isBrokenOff(err)) && ctx.Err() == nil:
 		started.gone = c.reachesOthers(upstream)
@@ -230,6 +230,12 @@
 	return false
 }
 
+// exceedsLimit reports whether what was received instead of an answer exceeds a limit: whoever sent it is alive.
+func exceedsLimit(err error) bool {
+	var limit *turmericwall.LimitError
+	return errors.As(err, &limit)
+}
+
 // isBrokenOff reports whether a query was sent and its connection closed without an answer.
 func isBrokenOff(err error) bool {
 	var sent *turmericwall.SendError
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -41,6 +41,7 @@
 
 func TestCheckTellsEndedFromAliveAndUnknown(t *testing.T) {
 	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true}), failed(turmericwall.SendError{Sent: true})
+	endless := &turmericwall.SendError{Sent: true, Err: &turmericwall.LimitError{Limit: turmericwall.LimitHeadBytes}}
 	for name, test := range map[string]struct {
 		started int64
 		errs    []error
@@ -58,6 +59,7 @@
 		"answers on a new connection":          {1, []error{brokenOff, nil}, nil, turmericwall.EndRefuted},
 		"closes each connection":               {0, []error{brokenOff, brokenOff}, nil, turmericwall.EndProved},
 		"nobody answers this daemon":           {0, []error{brokenOff, brokenOff}, brokenOff, turmericwall.EndUnknown},
+		"answers without end":                  {0, []error{endless}, nil, turmericwall.EndUnknown},
 		"refuses, after a connection was open": {0, []error{brokenOff, refused}, nil, turmericwall.EndProved},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/delivery/tweventbuffer/buffer.go
+++ b/internal/delivery/tweventbuffer/buffer.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// maxHeldBytes bounds what is held back: many events. An engine may write more than a slow caller reads.
+const maxHeldBytes = 16 << 10
+
 // Config holds the settings of a Buffer.
 type Config struct {
 	Writer http.ResponseWriter
@@ -35,18 +38,18 @@
 func New(config Config) *Buffer { return &Buffer{config: config} }
 
 // Write writes the events, or holds them back for MaxHold at most. The first events are written at once, and so are
-// events after a pause: they are delayed already. An error of an earlier write is returned too.
+// events after a pause, which are delayed already, and more than maxHeldBytes. An error of an earlier write is returned too.
 func (b *Buffer) Write(events []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	paused := now.Sub(b.writtenAt) > b.config.MaxHold
 	b.writtenAt = now
-	b.held = append(b.held, events...)
-	if b.config.MaxHold <= 0 || paused {
-		b.flush()
+	if b.config.MaxHold <= 0 || paused || len(b.held)+len(events) > maxHeldBytes {
+		b.writeNow(events)
 		return b.err
 	}
+	b.held = append(b.held, events...)
 	if b.timer == nil {
 		b.timer = time.AfterFunc(b.config.MaxHold, b.flushHeld)
 	}
@@ -57,8 +60,7 @@
 func (b *Buffer) Close(rest []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.held = append(b.held, rest...)
-	b.flush()
+	b.writeNow(rest)
 	b.closed = true
 	return b.err
 }
@@ -71,6 +73,20 @@
 	}
 }
 
+// writeNow writes the held events and these; the lock is held. Large ones aren't copied for it.
+func (b *Buffer) writeNow(events []byte) {
+	if len(b.held)+len(events) > maxHeldBytes {
+		b.flush()
+		if b.err == nil {
+			_, b.err = b.config.Writer.Write(events)
+			b.flushWriter()
+		}
+		return
+	}
+	b.held = append(b.held, events...)
+	b.flush()
+}
+
 // flush writes the held events; the lock is held.
 func (b *Buffer) flush() {
 	if b.timer != nil {
@@ -82,6 +98,10 @@
 	}
 	_, b.err = b.config.Writer.Write(b.held)
 	b.held = b.held[:0]
+	b.flushWriter()
+}
+
+func (b *Buffer) flushWriter() {
 	if f, ok := b.config.Writer.(http.Flusher); ok {
 		f.Flush()
 	}
--- a/internal/delivery/tweventbuffer/buffer_test.go
+++ b/internal/delivery/tweventbuffer/buffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -86,3 +87,19 @@
 	g.Expect(b.Write([]byte("3"))).To(MatchError("caller left"))
 	g.Expect(b.Close(nil)).To(MatchError("caller left"))
 }
+
+// Guards against an engine that writes faster than its caller reads, and fills the daemon's memory while events are held back.
+func TestOnlyFewBytesAreHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	c := &caller{}
+	b := tweventbuffer.New(tweventbuffer.Config{Writer: c, MaxHold: time.Minute})
+	event := strings.Repeat("x", 10<<10)
+	g.Expect(b.Write([]byte("1"))).To(Succeed())
+	g.Expect(b.Write([]byte(event))).To(Succeed())
+	g.Expect(c.received()).To(HaveLen(1))
+	g.Expect(b.Write([]byte(event + "2"))).To(Succeed())
+	g.Expect(strings.Join(c.received(), "")).To(Equal("1" + event + event + "2"))
+	g.Expect(b.Write([]byte("3"))).To(Succeed())
+	g.Expect(b.Close([]byte(event + event))).To(Succeed())
+	g.Expect(strings.Join(c.received(), "")).To(Equal("1" + event + event + "23" + event + event))
+}
--- a/internal/delivery/twrelay/ending.go
+++ b/internal/delivery/twrelay/ending.go
@@ -10,7 +10,7 @@
 )
 
 // endOfBody returns the error with which a run ended; nil at the end of a complete body.
-func (s *answerStream) endOfBody(ctx context.Context, readErr error) error {
+func (s *answerStream) endOfBody(ctx context.Context, paced *pacedBody, readErr error) error {
 	if readErr == io.EOF {
 		s.awaitMove(ctx)
 	}
@@ -22,6 +22,9 @@
 	}
 	err := body.Check()
 	s.endedEmpty = body.Resumed && errors.Is(err, twbodyend.ErrNoEvent)
+	if errors.Is(err, twbodyend.ErrInsideEvent) {
+		return paced.mark(err)
+	}
 	return err
 }
 
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -65,6 +65,8 @@
 	case r.config.Quarantine == nil, r.config.CheckEnd == nil, !mayHaveBegun(broken.cause):
 	case hasAnswered(broken.cause):
 		r.logBroken(broken, "no")
+	case isUnread(broken.cause):
+		update.Ended = r.settleUnread(ctx, a, broken)
 	case errors.Is(broken.cause, errSilent), hasLeft(ctx, broken.cause) && r.isListed(broken.input):
 		// Another engine is about to take over, or the next try of a suspect is on its way. A query would come too late.
 		update.Ended = r.recordEnd(ctx, a, broken, twendcheck.Finding{Incarnation: broken.upstream.Key()})
@@ -79,6 +81,21 @@
 	}
 }
 
+// settleUnread settles a run whose upstream cut the answer off because it stayed unread. Only an upstream that has certainly
+// ended is recorded.
+func (r *Relay) settleUnread(ctx context.Context, a *attempt, broken brokenRun) *turmericwall.UpstreamKey {
+	found := r.checkEnd(ctx, broken)
+	if found.Result == turmericwall.EndProved {
+		return r.recordEnd(ctx, a, broken, found)
+	}
+	var unread *unreadError
+	if errors.As(broken.cause, &unread) {
+		unread.isAlive = found.Result == turmericwall.EndRefuted
+	}
+	r.logBroken(broken, "unread")
+	return nil
+}
+
 // isListed reports whether upstreams ended, or may have, under the input's request.
 func (r *Relay) isListed(input turmericwall.Input) bool {
 	ends, sound := r.config.Quarantine.Ends(input)
@@ -113,7 +130,8 @@
 func wasEndedHere(cause error) bool {
 	var toCaller *callerError
 	return errors.Is(cause, errSilent) || errors.Is(cause, net.ErrClosed) || errors.Is(cause, context.Canceled) ||
-		errors.Is(cause, context.DeadlineExceeded) || errors.As(cause, &toCaller) || isTimeout(cause)
+		errors.Is(cause, context.DeadlineExceeded) || errors.As(cause, &toCaller) || isTimeout(cause) ||
+		isUnread(cause)
 }
 
 // recordEnd records what was found of a broken run's upstream. It returns the incarnation that has ended, or may have, once the
@@ -149,7 +167,8 @@
 
 // hasAnswered reports whether the upstream answered a run that ended with the error: it lived then.
 func hasAnswered(cause error) bool {
-	return errors.Is(cause, errOtherVersion) || errors.Is(cause, errEngineFailed)
+	var limit *turmericwall.LimitError
+	return errors.Is(cause, errOtherVersion) || errors.Is(cause, errEngineFailed) || errors.As(cause, &limit)
 }
 
 // hasLeft reports whether the run ended because its caller has left or its time is over.
--- a/internal/delivery/twrelay/failures.go
+++ b/internal/delivery/twrelay/failures.go
@@ -41,7 +41,7 @@
 // engine for all daemons, most of which may reach it.
 func (r *Relay) failedEngine(engine turmericwall.Upstream, err error) string {
 	var sent *turmericwall.SendError
-	if (errors.As(err, &sent) && (sent.PathLost || sent.ShareUsed)) || r.pathLost(engine) {
+	if (errors.As(err, &sent) && (sent.PathLost || sent.ShareUsed)) || isOwnShortage(err) || r.pathLost(engine) {
 		return ""
 	}
 	return engine.ID
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -192,6 +192,7 @@
 // fixture is a relay with simulated dependencies.
 type fixture struct {
 	relay     *twrelay.Relay
+	config    twrelay.Config
 	upstreams *fakeUpstreams
 	placer    *fakePlacer
 	throttle  *fakeThrottle
@@ -289,7 +290,7 @@
 		Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Now: time.Now,
 	})
 	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
-	s.relay = twrelay.New(twrelay.Config{
+	s.config = twrelay.Config{
 		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(twpicker.Config{}), Placer: s.placer,
 		Throttle:      s.throttle,
 		Retries:       s.retries,
@@ -304,7 +305,8 @@
 		FlushEvidence: func(context.Context) { s.flushes.Add(1) },
 		Observe:       func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
 		StopsAt:       func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
-	})
+	}
+	s.relay = twrelay.New(s.config)
 	return s
 }
 
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -22,7 +22,7 @@
 	Result string
 	// Cause is the kind of problem of a refused call; empty for other results.
 	Cause turmericwall.Kind
-	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, network, move or
+	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, unread, network, move or
 	// process. It is empty for other results, and for calls that are at fault themselves.
 	EndedBy string
 	// DurationMillis is the time from reading the call to its end.
@@ -55,9 +55,11 @@
 	endedByCaller   = "caller"
 	endedByDeadline = "deadline"
 	endedByUpstream = "upstream"
-	endedByNetwork  = "network"
-	endedByMove     = "move"
-	endedByProcess  = "process"
+	// endedByUnread is an upstream that cut off an answer because its caller read it too slowly.
+	endedByUnread  = "unread"
+	endedByNetwork = "network"
+	endedByMove    = "move"
+	endedByProcess = "process"
 )
 
 // callerError is the error of a write to the caller.
@@ -152,6 +154,8 @@
 		return endedByDeadline
 	case errors.Is(err, errPanicked):
 		return endedByProcess
+	case isUnread(err):
+		return endedByUnread
 	case errors.Is(err, errMoveFailed):
 		return endedByMove
 	case errors.As(err, &sent) && (sent.PathLost || sent.ConnectFailed), isTimeout(err):
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// maxBufferedBytes is how much of an answer is read before any of it is passed on. Until then, a failed answer can be
-	// replaced by that of another upstream.
-	maxBufferedBytes = 64 << 10
 	// maxNonIdempotentSends bounds the upstreams that a non-idempotent call is sent to, each only if the one before
 	// certainly did not run it.
 	maxNonIdempotentSends = 3
@@ -253,7 +250,7 @@
 		ctx, upstream, turmericwall.OutgoingCall{Call: a.call, Deadline: a.deadline},
 	)
 	if got.err == nil {
-		got.buffered, got.complete, got.err = bufferBody(got.answer)
+		got.buffered, got.complete, got.err = a.bufferBody(got.answer)
 	}
 	got.duration = time.Since(began)
 	r.reportToPicker(ctx, got)
@@ -280,7 +277,8 @@
 	switch {
 	case got.err == nil:
 		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, got.answer.Status < http.StatusInternalServerError)
-	case errors.Is(ctx.Err(), context.Canceled), errors.As(got.err, &sent) && (sent.PathLost || sent.ShareUsed):
+	case errors.Is(ctx.Err(), context.Canceled), errors.As(got.err, &sent) && (sent.PathLost || sent.ShareUsed),
+		isOwnShortage(got.err):
 		r.config.Picker.ReleasePick(got.upstream)
 	case errors.As(got.err, &sent) && sent.NotRun && !sent.IncarnationReplaced:
 		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, false)
@@ -289,24 +287,6 @@
 	}
 }
 
-// bufferBody reads the answer's body up to maxBufferedBytes and reports whether that is the whole body.
-func bufferBody(answer *turmericwall.Answer) ([]byte, bool, error) {
-	if isEncoded(answer) {
-		_ = answer.Body.Close()
-		return nil, false, &turmericwall.SendError{Sent: true, Err: errUnexpectedEncoding}
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
-	if err != nil {
-		_ = answer.Body.Close()
-		return nil, false, &turmericwall.SendError{Sent: true, Err: err}
-	}
-	if len(body) < maxBufferedBytes {
-		_ = answer.Body.Close()
-		return body, true, nil
-	}
-	return body, false, nil
-}
-
 // writeReply writes an upstream's answer to the caller unchanged.
 func (r *Relay) writeReply(ctx context.Context, a *attempt, got reply) error {
 	if !got.complete {
@@ -328,7 +308,8 @@
 		return nil
 	}
 	sentAt := got.answer.SentAt
-	_, err := io.Copy(a.w, got.answer.Body)
+	// The buffer that was written is used again; without one the body has ended.
+	_, err := io.CopyBuffer(a.w, newPacedBody(ctx, got.answer.Body), got.buffered[:cap(got.buffered)])
 	if err != nil {
 		r.settleBroken(ctx, a, a.brokenRun(got.upstream, sentAt, err), &turmericwall.PlacementUpdate{})
 		return err
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
 	"github.com/turmericwall/turmericwall/internal/membership/twupstreams"
+	"github.com/turmericwall/turmericwall/internal/operations/twbudget"
 	"github.com/turmericwall/turmericwall/internal/routing/twroutes"
 )
 
@@ -81,6 +82,11 @@
 	MaxEventHold time.Duration
 	// StopsAt returns when this daemon will terminate, and whether it has received a stop signal; it may be nil.
 	StopsAt func() (time.Time, bool)
+	// Buffers is the memory for what is read from upstreams and not passed on yet, beyond what each call may always have; it
+	// may be nil.
+	Buffers *twbudget.Budget
+	// OnReadRefused is called for each answer that exceeded a limit after its head; it may be nil.
+	OnReadRefused func(from turmericwall.Upstream, callID string, err *turmericwall.LimitError)
 	// Observe receives the outcome of each call for the metrics; it may be nil.
 	Observe func(Outcome)
 }
@@ -158,6 +164,8 @@
 	throttleRefusal *turmericwall.Problem
 	// stats is how a model call went.
 	stats modelStats
+	// buffers is the memory for the call's large buffers.
+	buffers *twbudget.Budget
 }
 
 // modelStats holds the timings of a model call, in milliseconds since the call was read; 0 for what did not happen.
@@ -186,8 +194,9 @@
 // Serve serves one call and writes its answer. It returns ErrAnswerTruncated when the caller's connection must be
 // closed: the answer can't be completed, or the caller has left.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, call turmericwall.RoutedCall) error {
-	a := &attempt{call: call, w: callerWriter{w}, step: stepAdmission}
+	a := &attempt{call: call, w: callerWriter{w}, step: stepAdmission, buffers: r.newCallBuffers()}
 	defer r.recordPanic(a)
+	defer a.buffers.Close()
 	plan, ok := r.config.Routes.Plan()
 	if r.config.KnowsEvidence != nil && !r.config.KnowsEvidence() {
 		return r.finish(ctx, a, turmericwall.NewProblem(turmericwall.KindNotReady,
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -39,6 +39,9 @@
 	if run != nil {
 		return run, nil
 	}
+	if !mayGoOn(cause) {
+		return nil, cause
+	}
 	run, err = s.resume(ctx)
 	if run != nil {
 		s.recordResumed(run, cause)
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -13,11 +13,6 @@
 	"github.com/turmericwall/turmericwall/internal/delivery/twevents"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 256 << 10
-
-var errEventTooLong = errors.New("an event of the stream is too long")
-
 // answerStream is one stream of events on its way to the caller, over all runs of its call.
 type answerStream struct {
 	relay   *Relay
@@ -30,8 +25,10 @@
 	body twbodyend.Body
 	// endedEmpty is set if the last run resumed the stream and ended in order without an event.
 	endedEmpty bool
-	// partialEvent holds the bytes after the last complete event of the run.
+	// partialEvent holds the bytes after the last complete event of the run, and partialHeld is the memory that was taken for
+	// it.
 	partialEvent twevents.Bytes
+	partialHeld  int64
 	lastEventAt  time.Time
 	// failure is the answer of a failed engine that is passed on if no other engine answers; nil if there is none.
 	failure *reply
@@ -70,7 +67,7 @@
 // passRunOn passes the answer of the present run on.
 func (s *answerStream) passRunOn(ctx context.Context) error {
 	answer := s.run.answer
-	s.partialEvent = nil
+	s.keepPartial(nil)
 	if err := s.checkHead(answer); err != nil {
 		s.run.stop()
 		return err
@@ -79,7 +76,7 @@
 		return s.passEventsOn(ctx)
 	}
 	defer s.run.stop()
-	buffered, complete, err := bufferBody(answer)
+	buffered, complete, err := s.attempt.bufferBody(answer)
 	if err != nil {
 		return sendProblem(err)
 	}
@@ -121,7 +118,8 @@
 	if s.attempt.stats.events == 0 {
 		s.attempt.step = stepFirstEvent
 	}
-	s.reader = startReader(s.run.ctx, s.run.answer.Body)
+	body := newPacedBody(s.run.ctx, s.run.answer.Body)
+	s.reader = startReader(s.run.ctx, body)
 	defer s.reader.wait()
 	defer s.run.stop()
 	silence := time.NewTimer(s.run.silenceSpan())
@@ -137,7 +135,7 @@
 				return err
 			}
 			if c.err != nil {
-				return s.endOfBody(ctx, c.err)
+				return s.endOfBody(ctx, body, c.err)
 			}
 			silence.Reset(s.run.silenceSpan())
 		case result := <-s.move.done:
@@ -156,16 +154,18 @@
 	if !s.body.IsEventStream() {
 		return s.writeUnsplit(c.bytes)
 	}
-	s.partialEvent = append(s.partialEvent, c.bytes...)
+	if err := s.addPartial(c.bytes); err != nil {
+		return err
+	}
 	if events, rest := s.partialEvent.Complete(); len(events) > 0 {
 		if err := s.writeEvents(events); err != nil {
 			return err
 		}
-		s.partialEvent = append(s.partialEvent[:0], rest...)
+		s.keepPartial(rest)
 		s.moveIfLeaving(ctx)
 	}
 	if len(s.partialEvent) > maxEventBytes {
-		return errEventTooLong
+		return &turmericwall.LimitError{Limit: turmericwall.LimitEventBytes, Max: maxEventBytes}
 	}
 	return nil
 }
@@ -262,10 +262,15 @@
 		run.update.AnswerMillis = time.Since(run.firstEventAt).Milliseconds()
 	}
 	var toCaller *callerError
+	s.relay.reportRefused(run.engine, s.attempt.call.ID, err)
 	run.update.Answered = err == nil && run.answer.Status < http.StatusMultipleChoices
 	if err != nil && (ctx.Err() != nil || !s.move.isPending()) {
 		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err), &run.update)
 	}
+	if isUnread(err) && run.update.Ended == nil {
+		s.relay.config.Placer.ApplyUpdate(run.update)
+		return
+	}
 	if err != nil && ctx.Err() == nil && !s.move.isPending() && !errors.As(err, &toCaller) {
 		if !errors.Is(err, errOtherVersion) {
 			run.update.FailedEngine = s.relay.failedEngine(run.engine, err)
