--- a/events.go
+++ b/events.go
@@ -59,6 +59,7 @@
 	EventUpstreamBackOff    EventID = 7014
 	EventPathLost           EventID = 7015
 	EventPathRegained       EventID = 7016
+	EventReadRefused        EventID = 7017
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -124,6 +125,7 @@
 	EventUpstreamBackOff:    "Upstream back-off",
 	EventPathLost:           "Path lost",
 	EventPathRegained:       "Path regained",
+	EventReadRefused:        "Read refused",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/admission/twcapacity/capacity.go
+++ b/internal/admission/twcapacity/capacity.go
@@ -1,5 +1,5 @@
 // Package twcapacity decides which connections of callers a daemon accepts, by what its network link and processor carry in time,
-// and by how much the daemon delays by itself whatever passes through it.
+// by how much the daemon delays by itself whatever passes through it, and by the memory that slow readers take.
 package twcapacity
 
 import (
@@ -23,6 +23,8 @@
 	// maxOvershoot is how many times these delays may be before a connection that is established is reset: its call is on its way, and
 	// the pause after it gets longer instead.
 	maxOvershoot = 3
+	// heldShare is the share of the memory for buffers from which on a daemon doesn't listen. The rest is for the calls that are open.
+	heldShare = 0.75
 	// costSpan is the span over which the cost of a call is averaged.
 	costSpan = 4 * time.Second
 	// delayRetention is how long a delay may still explain what is slow: what waited in it may not have arrived yet.
@@ -38,6 +40,8 @@
 	LinkBytesPerSecond float64
 	// MaxConnections is how many connections of callers may be open; 0 sets no bound.
 	MaxConnections int
+	// MaxHeldBytes is the memory for what was read from upstreams and not passed on yet; 0 sets no bound.
+	MaxHeldBytes int64
 	// RecordMillis is the interval at which Record is called.
 	RecordMillis int64
 }
@@ -61,7 +65,9 @@
 	// sending and receiving are the directions of the link.
 	sending, receiving link
 	lag                time.Duration
-	recordedAt         time.Time
+	// held is the memory that slow readers take.
+	held       int64
+	recordedAt time.Time
 	// begun and ended are the numbers of calls, weighted by how recent they are.
 	begun, ended float64
 	// connections and calls are those that are open.
@@ -100,6 +106,13 @@
 	c.rotation.record(now, c.admits(now, 1))
 }
 
+// RecordHeld records the memory that is taken by what was read from upstreams and not passed on yet, since its readers are slow.
+func (c *Capacity) RecordHeld(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held = bytes
+}
+
 // IsShedding reports whether the daemon should get no new connections for the moment, since others have to carry them.
 func (c *Capacity) IsShedding(now time.Time) bool {
 	c.mu.Lock()
@@ -173,6 +186,9 @@
 	if c.calls >= minCallsOfLag && c.lagAt(now).Seconds() > overshoot*maxLag.Seconds() {
 		return false
 	}
+	if c.config.MaxHeldBytes > 0 && float64(c.held) >= heldShare*float64(c.config.MaxHeldBytes) {
+		return false
+	}
 	return c.sending.hasRoom(overshoot) && c.receiving.hasRoom(overshoot)
 }
 
--- a/internal/admission/twcapacity/capacity_test.go
+++ b/internal/admission/twcapacity/capacity_test.go
@@ -248,3 +248,19 @@
 	capacity.Record(at(5001), twcapacity.Traffic{}, 0)
 	g.Expect(capacity.OwnDelay(at(5002))).To(BeZero())
 }
+
+// Guards against new callers at a daemon whose memory slow ones take, and against an idle one that stays closed.
+func TestMemoryOfSlowReadersBoundsConnections(t *testing.T) {
+	g := NewWithT(t)
+	capacity := twcapacity.New(twcapacity.Config{RecordMillis: recordMillis, MaxHeldBytes: 1000})
+	capacity.BeginCall(false)
+	capacity.RecordHeld(700)
+	g.Expect(capacity.Admit(at(0))).To(BeTrue())
+	capacity.RecordHeld(800)
+	g.Expect([]bool{capacity.MayListen(at(0)), capacity.Admit(at(0)), capacity.HasRoom(at(0))}).To(Equal([]bool{false, false, false}))
+	capacity.RecordHeld(700)
+	g.Expect(capacity.MayListen(at(0))).To(BeTrue())
+	capacity.RecordHeld(800)
+	capacity.EndCall()
+	g.Expect(capacity.Admit(at(0))).To(BeTrue())
+}
