fix: let servers of peers and operators half-close a connection whose request they didn't read

Cause: the connection that bounds heads hid CloseWrite of the metered one, which http.Server calls after an answer to a request that it didn't read to its end: closed at once, the system resets the connection, and the answer (413, 503) may be lost. Change: CloseWrite is passed on.

--- a/internal/operations/twheadconn/conn.go
+++ b/internal/operations/twheadconn/conn.go
@@ -74,6 +74,14 @@
 	return 0, limitErr
 }
 
+// CloseWrite closes the sending side of the connection, so that a server's last answer isn't lost with what it didn't read.
+func (c *Conn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return c.Conn.Close()
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.mu.Lock()
