Estimate the pace of engines

Cause: nothing considers whether a decode engine keeps the longest allowed gap between two events. 93 of 738 streams had a gap over 300 ms with 30% of the engines three times as slow.

Change: twpace estimates the time for a token of each engine of a service. The common pace is a linear function of an engine's runs and memory, fitted to the reports on all engines; an engine has a factor to it, the weighted median of the factors of its last eight runs. Three runs give a full estimate, so that one late stream blames no engine. After a second without a report the factor's distance from 1 halves in every two seconds, and an engine that was slow is tried by one run at a time. The messages get the fields that carry the measurements; all of them may be missing.

Ruled out: fitting the common pace to all reports. Only reports on whole answers count for it, and slow ones by the square of their slowness less.

--- a/peering.go
+++ b/peering.go
@@ -177,6 +177,9 @@
 	Engine string
 	// AgeMillis is the time since the first event of the answer; negative while the prompt is prefilled.
 	AgeMillis int64
+	// PaceTokens were decoded in PaceMillis as the daemon last reported it, PaceAgeMillis ago; 0 if it did not yet.
+	PaceTokens                int
+	PaceMillis, PaceAgeMillis int64
 }
 
 // AdmitRequest requests sends to an upstream that states a rate from the rate coordinator, the daemon that counts the
--- a/placements.go
+++ b/placements.go
@@ -32,9 +32,12 @@
 	// has chosen the upstream Target.
 	Turn   bool
 	Target UpstreamKey
-	// Moving is set for a run whose engine is leaving: its prompt has been prefilled, so only a decode engine is
+	// Moving is set for a run whose engine is leaving or slow: its prompt has been prefilled, so only a decode engine is
 	// requested.
 	Moving bool
+	// SlowEngine is the ID of the engine that a moving run leaves because the engine has become slow; empty if it leaves
+	// for another reason.
+	SlowEngine string
 	// Avoid are the IDs of engines that failed this call.
 	Avoid []string
 	// Version is the only software version at which the call may run; empty if it may run at any.
@@ -107,6 +110,36 @@
 	AnswerMillis int64 `json:"AnswerMillis"`
 	// EventGapExceeded is set if the time between two events of the stream exceeded EventGapMillis of the request.
 	EventGapExceeded bool `json:"Paused"`
+	// PaceTokens were decoded in the latest PaceMillis. They are set while a stream's events are so far apart that its
+	// limit is near, and once when they no longer are.
+	PaceTokens int   `json:"PaceTokens,omitempty"`
+	PaceMillis int64 `json:"PaceMillis,omitempty"`
+	// OwnDelayMillis is by how much the daemon itself may have delayed the events that the report is about.
+	OwnDelayMillis int64 `json:"OwnDelay,omitempty"`
+}
+
+// EnginePace is the estimated pace of one engine.
+type EnginePace struct {
+	Engine string `json:"engine"`
+	// TokenMicros is the time for a token, and Percent how that compares with the service's engines at the same load.
+	TokenMicros int64 `json:"tokenMicros"`
+	Percent     int64 `json:"percent"`
+	// AgeMillis is the time since the last measurement.
+	AgeMillis int64 `json:"ageMillis"`
+	// Runs is the number of runs that are placed there.
+	Runs int `json:"runs"`
+	// Slow is set if the engine was slow when it was last measured.
+	Slow bool `json:"slow,omitempty"`
+}
+
+// PaceDecisions counts the placements that were decided by the pace of engines.
+type PaceDecisions struct {
+	// Avoided were placed elsewhere because the engine with the most free memory is too slow, Shortest on the engine with
+	// the shortest event gap because none keeps the limit.
+	Avoided, Shortest int64
+	// Moves are the moves of runs off slow engines, and RefusedMoves those that were not worth their cost or found no
+	// engine.
+	Moves, RefusedMoves int64
 }
 
 // CallCost is the mean engine time that one model call takes, in milliseconds of an engine that does nothing else.
