Place streams where they keep their event gap

The choice of a decode engine looks at memory only, and a local prefill assumes that an engine prefills at the pool's speed also while it is slow.

Change: an engine that was measured slow gets a stream only if it keeps 0.8 of the stream's gap with one more run and what is left of a prefill beside it. A call that fits on other engines only waits for an eighth of its target, or until it would be refused, and is then placed where the gap is shortest. Local prefills beside streams count the engine's slowness, keep the shortest gap of the streams that run there, and are not tried beyond it on a slow engine or beside another prefill. A run may leave an engine that doesn't keep its whole gap, one in 150 ms, while no other call waits for memory and at most 0.8 of it is in use.

Where all engines keep their pace the placements are the same, and without eventGapMillis nothing is estimated.

Ruled out: moving runs that are near their limit, but below it. The move itself was their only long gap.

--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -11,6 +11,7 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twcost"
 	"github.com/turmericwall/turmericwall/internal/placement/twejection"
 	"github.com/turmericwall/turmericwall/internal/placement/twinterference"
+	"github.com/turmericwall/turmericwall/internal/placement/twpace"
 )
 
 // Tuning holds the limits of the placement decisions.
@@ -115,6 +116,9 @@
 	cost *twcost.Cost
 	// ejections are the engines that get no calls because calls failed there.
 	ejections *twejection.Ejections
+	// pace estimates the pace of the engines, and paceDecisions counts what it decided.
+	pace          *twpace.Pace
+	paceDecisions turmericwall.PaceDecisions
 	// retryTimes are the retry times given to refused callers that have not passed yet.
 	retryTimes []time.Time
 }
@@ -159,6 +163,7 @@
 		callers: newCallers(), interference: twinterference.New(), cacheHitShare: initialCacheHitShare,
 		cost:             twcost.New(),
 		ejections:        twejection.New(),
+		pace:             twpace.New(),
 		bestPrefillSpeed: initialPrefillSpeed, decodeSpeed: initialDecodeSpeed, prefillSpeed: initialPrefillSpeed,
 	}
 }
@@ -232,7 +237,12 @@
 	}
 	e.runs[placed.Request.ID] = &run{
 		owner: placed.Request.Owner, work: placed.Request.Work, prefilling: placed.AgeMillis < 0,
-		firstTokenAt: now.Add(-time.Duration(placed.AgeMillis) * time.Millisecond),
+		firstTokenAt:   now.Add(-time.Duration(placed.AgeMillis) * time.Millisecond),
+		eventGapMillis: placed.Request.EventGapMillis,
+	}
+	a.recordPlaced(now, e, placed)
+	if placed.AgeMillis >= 0 {
+		a.pace.Begin(now, placed.Request.ID)
 	}
 	a.engineByCall[placed.Request.ID] = placed.Engine
 	e.memoryProjection = nil
@@ -277,17 +287,27 @@
 	if update.Prefilled {
 		a.recordPrefill(now, update)
 	}
+	a.recordPace(now, update)
 	if update.EventGapExceeded {
 		a.interference.RecordPause(update.ID)
 	}
 	if !update.Running {
+		a.pace.End(now, update.ID)
 		a.release(update.ID)
 	}
 }
 
 // SetPartial sets whether other daemons place calls on the same engines without this allocator. Prefill speeds are not
 // measured then, because the other daemons' prompts delay the measured ones.
-func (a *Allocator) SetPartial(partial bool) { a.partial = partial }
+func (a *Allocator) SetPartial(partial bool) {
+	if a.partial && !partial {
+		a.pace.Restart()
+		for _, e := range a.ordered {
+			e.slow = false
+		}
+	}
+	a.partial = partial
+}
 
 // Waiting returns the number of waiting calls.
 func (a *Allocator) Waiting() int { return len(a.waiting) }
@@ -301,10 +321,14 @@
 		return
 	}
 	a.interference.Unwatch(id)
+	a.pace.End(time.Time{}, id)
 	e := a.engines[at]
 	a.endPrefill(id, e.runs[id])
 	delete(e.runs, id)
 	e.memoryProjection = nil
+	if len(e.runs) == 0 {
+		e.minEventGapMillis = 0
+	}
 	if e.pool == a.decodes && len(e.runs) == 0 {
 		e.pool.setUsed(e, false)
 	}
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -99,8 +99,8 @@
 	return measured || e.pendingPrefillTokens(now, a.prefillSpeedOf(now, e)) > 0
 }
 
-// leastFilledDecode returns the decode engine whose projected peak of memory is lowest with the call; nil when the call
-// fits on none. startOn returns in how many milliseconds the answer would begin on an engine, and whether the engine
+// leastFilledDecode returns the decode engine whose projected peak of memory is lowest with the call, of those that keep
+// its event gap; if none does, the one with the shortest gap. It returns nil when the call fits on none. startOn returns in how many milliseconds the answer would begin on an engine, and whether the engine
 // can be used at all. prefillEngine is nil when the decode engine does the prefill itself.
 func (a *Allocator) leastFilledDecode(
 	st *decisionState, request turmericwall.PlaceRequest, prefillEngine *engine, startOn func(*engine) (float64, bool),
@@ -110,6 +110,7 @@
 		return nil
 	}
 	limitTokens := a.tuning.MemoryShare * float64(a.plan.MemoryTokens)
+	pace := a.newPaceChoice(request)
 	var best *engine
 	bestPeak := math.Inf(1)
 	consider := func(e *engine) bool {
@@ -132,13 +133,16 @@
 		if prefillEngine != nil && e.upstream.Zone != prefillEngine.upstream.Zone {
 			needed += crossZoneTransferPenalty * limitTokens
 		}
+		if !a.keepsPace(st, &pace, e, request, startMillis, needed) {
+			return false
+		}
 		if needed < bestPeak || (needed == bestPeak && e.upstream.ID < best.upstream.ID) {
 			best, bestPeak = e, needed
 		}
 		return true
 	}
 	a.considerEngines(a.decodes, a.decodes.sample(a.maxCandidates(st)), request.Version, consider)
-	return best
+	return pace.choose(st, best, bestPeak, request.EventGapMillis)
 }
 
 // decodeAfterPrefill returns the decode engine for a prompt whose prefill on another engine ends in startMillis; nil
@@ -146,17 +150,29 @@
 func (a *Allocator) decodeAfterPrefill(
 	st *decisionState, request turmericwall.PlaceRequest, prefillEngine *engine, startMillis float64,
 ) *engine {
+	if request.SlowEngine == "" && st.fitsOnlySlow(a.forecast(request), request) {
+		return nil
+	}
 	best := a.leastFilledDecode(st, request, prefillEngine, func(*engine) (float64, bool) { return startMillis, true })
-	if best == nil && len(request.Avoid) == 0 {
-		st.unplaced = append(st.unplaced, unplacedCall{forecast: a.forecast(request), version: request.Version})
+	if best != nil || len(request.Avoid) > 0 {
+		return best
 	}
-	return best
+	unplaced := unplacedCall{
+		forecast: a.forecast(request), version: request.Version, eventGapMillis: request.EventGapMillis,
+	}
+	if st.slowOnly {
+		st.onlySlow = append(st.onlySlow, unplaced)
+	} else {
+		st.unplaced = append(st.unplaced, unplaced)
+	}
+	return nil
 }
 
 // unplacedCall is a call that found no decode engine of the version; an empty version is any.
 type unplacedCall struct {
 	forecast
-	version turmericwall.SoftwareVersion
+	version        turmericwall.SoftwareVersion
+	eventGapMillis int64
 }
 
 // cannotFit reports whether a call that needs no more memory than this one was not placed in this decision. Memory only
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -20,6 +20,14 @@
 	evaluateAll bool
 	// occupancy is nil until a call needs it.
 	occupancy *occupancy
+	// slowOnly is set if the present call fits only on engines that don't keep its event gap, and onlySlow are the calls
+	// of the decision for which it was. acceptSlow is set when such an engine will do.
+	slowOnly, acceptSlow bool
+	onlySlow             []unplacedCall
+	// paceReason states what the pace of engines decided in the last choice of a decode engine: paceAvoided that engines
+	// with more free memory were left out, paceShortest that none keeps the event gap.
+	paceReason                string
+	paceAvoided, paceShortest bool
 }
 
 // Decide places the waiting calls that fit, refuses those that can't be on time, and keeps the others waiting.
@@ -36,7 +44,12 @@
 			d.Placed = append(d.Placed, placement)
 			continue
 		}
-		if refusal, ok := a.refuse(st, w, n-len(d.Placed)-len(d.Refused)); ok {
+		refusal, refused := a.refuse(st, w, n-len(d.Placed)-len(d.Refused))
+		if placement, ok := a.placeOnSlowEngine(st, w, refused); ok {
+			d.Placed = append(d.Placed, placement)
+			continue
+		}
+		if refused {
 			d.Refused = append(d.Refused, refusal)
 			continue
 		}
@@ -53,6 +66,7 @@
 // newDecisionState returns the state with which the waiting calls are compared.
 func (a *Allocator) newDecisionState(now time.Time) *decisionState {
 	a.markEjected(now)
+	a.settlePace(now)
 	return &decisionState{now: now}
 }
 
@@ -138,6 +152,7 @@
 // on time, unless it is late already: a late answer would take memory that another call needs to be on time.
 func (a *Allocator) place(st *decisionState, w *waitingCall) (turmericwall.Placement, bool) {
 	st.evaluateAll = w.request.Version != ""
+	st.slowOnly = false
 	if w.request.Moving {
 		return a.placeMovingRun(st, w)
 	}
@@ -198,7 +213,14 @@
 
 // placeMovingRun chooses a decode engine for a run whose engine is leaving. The run's prompt has been prefilled.
 func (a *Allocator) placeMovingRun(st *decisionState, w *waitingCall) (turmericwall.Placement, bool) {
+	if w.request.SlowEngine != "" && !a.leavesSlowEngine(st, w.request) {
+		a.recordPaceMove(st, w.request, false)
+		return turmericwall.Placement{}, false
+	}
 	decode := a.decodeAfterPrefill(st, w.request, nil, 0)
+	if w.request.SlowEngine != "" {
+		a.recordPaceMove(st, w.request, decode != nil)
+	}
 	if decode == nil {
 		return turmericwall.Placement{}, false
 	}
@@ -208,6 +230,7 @@
 	a.endPrefill(w.request.ID, r)
 	r.prefilling = false
 	r.firstTokenAt = st.now
+	a.pace.Begin(st.now, w.request.ID)
 	decode.memoryProjection = decode.project(st.now, a.decodeSpeedOf(decode), a.tuning.LengthQuantile)
 	return placement, true
 }
@@ -240,7 +263,10 @@
 	decode.runs[request.ID] = &run{
 		owner: request.Owner, work: request.Work, firstTokenAt: prefillEndsAt.Add(millis(a.tuning.FirstEventMarginMillis)),
 		prefillEngineID: prefillEngine.upstream.ID, prefilling: true, placedAt: st.now,
+		eventGapMillis: request.EventGapMillis,
 	}
+	a.recordPlaced(st.now, decode, turmericwall.PlacedCall{Request: request})
+	a.countPaceDecision(st)
 	added := a.forecast(request).profile(prefillMillis, decode.memoryProjection.speed)
 	decode.memoryProjection.add(added.shifted(decode.memoryProjection.elapsedMillis(st.now)))
 	needed := added.tokensAt(added.endMillis, decode.memoryProjection.speed)
@@ -253,7 +279,7 @@
 	length := expectedLength(request.Work.HintTokens, request.Work.MaxTokens, 0, a.tuning.ReserveQuantile)
 	placement := turmericwall.Placement{
 		ID: request.ID, Decode: decode.upstream, ReserveTokens: request.Work.PromptTokens + int(length),
-		PrefillEndsAt: prefillEndsAt, Late: w.late, Reason: "memory expected to suffice",
+		PrefillEndsAt: prefillEndsAt, Late: w.late, Reason: "memory expected to suffice" + st.paceReason,
 		Version: request.Version,
 	}
 	if prefillEngine != decode {
--- a/internal/placement/twallocator/engine.go
+++ b/internal/placement/twallocator/engine.go
@@ -40,6 +40,8 @@
 	// promptCached is set when the engine is expected to have the prompt in its cache. The duration of such a prefill
 	// is no measure of the engine's speed.
 	promptCached bool
+	// eventGapMillis is the longest time between two events of the stream; 0 means no limit.
+	eventGapMillis int64
 }
 
 // engine is the state of one engine.
@@ -75,6 +77,13 @@
 	backoffUntil time.Time
 	// fullRefusals counts the refusals for lack of memory since the last finished prefill, up to four.
 	fullRefusals int
+	// slow is set if the engine was slow when its pace was last measured, so that its event gap is checked.
+	slow bool
+	// minEventGapMillis is the shortest limit of the event gaps of the streams that ran here since the engine was idle; 0
+	// if none has one.
+	minEventGapMillis int64
+	// nextPaceMoveAt is when the next run may leave the engine because it is slow.
+	nextPaceMoveAt time.Time
 	// allocatedTokens is the memory of all runs that were placed here so far, including those that have ended.
 	allocatedTokens float64
 }
--- a/internal/placement/twallocator/engines.go
+++ b/internal/placement/twallocator/engines.go
@@ -149,5 +149,6 @@
 		delete(a.engineByCall, callID)
 	}
 	a.ejections.Remove(id)
+	a.pace.Remove(id)
 	delete(a.engines, id)
 }
--- a/internal/placement/twallocator/localprefill.go
+++ b/internal/placement/twallocator/localprefill.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twpace"
 )
 
 // localPrefillEngine returns a decode engine that prefills the call's prompt itself, and how many milliseconds that
@@ -29,6 +30,10 @@
 	if a.prefillFitsEventGap(now, e, w.request) {
 		return true
 	}
+	if e.slow || e.pendingPrefillTokens(now, a.prefillSpeedOf(now, e)) > 0 {
+		// What the streams beside earlier prefills showed was on engines that kept their pace.
+		return false
+	}
 	return !w.late && float64(len(e.runs))*a.interference.LateShare(now) < maxLateStreams
 }
 
@@ -42,9 +47,17 @@
 	if len(e.runs) == 0 || request.EventGapMillis <= 0 {
 		return true
 	}
+	limitMillis := request.EventGapMillis
+	if e.minEventGapMillis > 0 {
+		limitMillis = min(limitMillis, e.minEventGapMillis)
+	}
 	eventMillis := float64(max(a.plan.TokensPerEvent, 1)) / a.decodeSpeedOf(e)
-	speed := a.prefillSpeedOf(now, e)
-	limitTokens := (a.tuning.EventGapShare*float64(request.EventGapMillis) - eventMillis) * speed
+	if e.slow {
+		tokenMillis, _ := a.pace.TokenMillis(now, e.upstream.ID, twpace.Load{}, 0)
+		eventMillis = max(eventMillis, tokenMillis*float64(max(a.plan.TokensPerEvent, 1)))
+	}
+	speed := a.localPrefillSpeedOf(now, e)
+	limitTokens := (a.tuning.EventGapShare*float64(limitMillis) - eventMillis) * speed
 	return e.pendingPrefillTokens(now, speed)+float64(request.Work.PromptTokens) <= limitTokens
 }
 
--- a/internal/placement/twallocator/promptcache.go
+++ b/internal/placement/twallocator/promptcache.go
@@ -26,6 +26,11 @@
 	if memory.peak(added, a.tuning.Deviations) > a.tuning.MemoryShare*float64(a.plan.MemoryTokens) {
 		return turmericwall.Placement{}, false
 	}
+	pace := a.newPaceChoice(w.request)
+	if !a.keepsPace(st, &pace, e, w.request, prefillMillis, 0) {
+		return turmericwall.Placement{}, false
+	}
+	pace.choose(st, e, 0, w.request.EventGapMillis)
 	placement := a.reserve(st, w, e, e, prefillMillis)
 	placement.Reason = "its prompt is kept there"
 	e.prefillBacklog -= float64(tokens)
--- a/internal/placement/twallocator/speeds.go
+++ b/internal/placement/twallocator/speeds.go
@@ -42,6 +42,7 @@
 	}
 	r.prefilling = false
 	a.endPrefill(update.ID, r)
+	a.pace.Begin(now, update.ID)
 	r.firstTokenAt = now
 	e.memoryProjection = nil
 	a.callers.recordEngine(now, r.work, e)
@@ -54,6 +55,9 @@
 		return
 	}
 	a.ejections.RecordSuccess(now, r.prefillEngineID)
+	if prefillEngine == e {
+		a.recordLocalPrefill(now, e, r)
+	}
 	speed := a.prefillSpeedOf(now, prefillEngine)
 	if !a.partial {
 		if prefillEngine.role() == turmericwall.RolePrefill && prefillEngine.lastPrefillAt.After(r.placedAt) {
