Report the pace of runs to a new leader

A new leader knows no pace and would fill slow engines until their streams had been reported. The placed calls that each daemon reports to it now carry the last reported pace of the run: three numbers, under 70 bytes for a call, and none of a call without a limit of event gaps. The coordinator shows the estimates and counts the placements that they decided.

--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -119,9 +119,10 @@
 	now := time.Now()
 	list := make([]wirePlacedCall, 0, len(placedCalls))
 	for _, r := range placedCalls {
-		list = append(
-			list, wirePlacedCall{Request: encodePlaceRequest(now, r.Request), Engine: r.Engine, AgeMillis: r.AgeMillis},
-		)
+		list = append(list, wirePlacedCall{
+			Request: encodePlaceRequest(now, r.Request), Engine: r.Engine, AgeMillis: r.AgeMillis,
+			PaceTokens: r.PaceTokens, PaceMillis: r.PaceMillis, PaceAgeMillis: r.PaceAgeMillis,
+		})
 	}
 	return c.call(ctx, address, pathRuns, list, nil)
 }
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -33,6 +33,7 @@
 	GapMillis    int64                  `json:"gapMillis,omitempty"`
 	CallerMillis int64                  `json:"callerMillis"`
 	Moving       bool                   `json:"moving,omitempty"`
+	SlowEngine   string                 `json:"slowEngine,omitempty"`
 	Avoid        []string               `json:"avoid,omitempty"`
 	Account      string                 `json:"account,omitempty"`
 	Units        float64                `json:"units,omitempty"`
@@ -54,6 +55,10 @@
 	Request   wirePlaceRequest `json:"ask"`
 	Engine    string           `json:"engine"`
 	AgeMillis int64            `json:"ageMillis"`
+
+	PaceTokens    int   `json:"paceTokens,omitempty"`
+	PaceMillis    int64 `json:"paceMillis,omitempty"`
+	PaceAgeMillis int64 `json:"paceAgeMillis,omitempty"`
 }
 
 // wirePlaceReply is a placement or a refusal as it is sent.
@@ -83,6 +88,7 @@
 		GapMillis:    request.EventGapMillis,
 		CallerMillis: request.CallerDeadline.Sub(now).Milliseconds(),
 		Moving:       request.Moving,
+		SlowEngine:   request.SlowEngine,
 		Avoid:        request.Avoid,
 		Account:      request.Account,
 		Units:        request.Units,
@@ -108,6 +114,7 @@
 		EventGapMillis: request.GapMillis,
 		CallerDeadline: now.Add(time.Duration(request.CallerMillis) * time.Millisecond),
 		Moving:         request.Moving,
+		SlowEngine:     request.SlowEngine,
 		Avoid:          request.Avoid,
 		Account:        request.Account,
 		Units:          request.Units,
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -213,6 +213,7 @@
 	for _, r := range runs {
 		s.config.AdoptPlacedCall(turmericwall.PlacedCall{
 			Request: decodePlaceRequest(now, r.Request), Engine: r.Engine, AgeMillis: r.AgeMillis,
+			PaceTokens: r.PaceTokens, PaceMillis: r.PaceMillis, PaceAgeMillis: r.PaceAgeMillis,
 		})
 	}
 	writeJSON(w, struct{}{})
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -272,6 +272,29 @@
 	return c.service(service).allocator.EngineDemand(now)
 }
 
+// Paces returns the estimated pace of the service's engines, in ascending order of their ids.
+func (c *Coordinator) Paces(service string) []turmericwall.EnginePace {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(service).allocator.Paces(now)
+}
+
+// PaceDecisions returns how many placements the pace of engines decided, over all services.
+func (c *Coordinator) PaceDecisions() turmericwall.PaceDecisions {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var total turmericwall.PaceDecisions
+	for _, s := range c.services {
+		d := s.allocator.PaceDecisions()
+		total.Avoided += d.Avoided
+		total.Shortest += d.Shortest
+		total.Moves += d.Moves
+		total.RefusedMoves += d.RefusedMoves
+	}
+	return total
+}
+
 func (c *Coordinator) enqueue(request turmericwall.PlaceRequest) <-chan decision {
 	now := time.Now()
 	reply := make(chan decision, 1)
--- a/internal/placement/twdelegate/delegate.go
+++ b/internal/placement/twdelegate/delegate.go
@@ -56,6 +56,9 @@
 	prefillEndsAt time.Time
 	// started is set once the prefill has ended.
 	started bool
+	// pace is the part of the last report on the run that is about its pace, made at paceAt.
+	pace   turmericwall.PlacementUpdate
+	paceAt time.Time
 }
 
 // New returns a delegate. Run must be called for it to send reports.
@@ -96,9 +99,8 @@
 func (d *Delegate) ApplyUpdate(update turmericwall.PlacementUpdate) {
 	d.config.Local.ApplyUpdate(update)
 	d.mu.Lock()
-	if run, ok := d.placedCalls[update.ID]; ok && update.Running && update.Prefilled {
-		run.started = true
-		run.prefillEndsAt = time.Now()
+	if run, ok := d.placedCalls[update.ID]; ok && update.Running {
+		run.recordProgress(time.Now(), update)
 	}
 	if !update.Running {
 		delete(d.placedCalls, update.ID)
@@ -113,6 +115,23 @@
 	}
 }
 
+// recordProgress records the end of the call's prefill and the pace of its run.
+func (c *placedCall) recordProgress(now time.Time, update turmericwall.PlacementUpdate) {
+	if update.Prefilled {
+		c.started = true
+		c.prefillEndsAt = now
+	}
+	if c.request.EventGapMillis <= 0 {
+		return
+	}
+	if update.PaceTokens > 0 {
+		c.pace, c.paceAt = update, now
+	} else if update.AnswerTokens > 0 {
+		c.pace = turmericwall.PlacementUpdate{PaceTokens: update.AnswerTokens, PaceMillis: update.AnswerMillis}
+		c.paceAt = now
+	}
+}
+
 // Run sends the queued reports to the leader, and the placed calls to a new one, until ctx ends. It returns the error
 // of ctx.
 func (d *Delegate) Run(ctx context.Context) error {
@@ -212,9 +231,14 @@
 	}
 	placedCalls := make([]turmericwall.PlacedCall, 0, len(d.placedCalls))
 	for _, run := range d.placedCalls {
-		placedCalls = append(placedCalls, turmericwall.PlacedCall{
+		placed := turmericwall.PlacedCall{
 			Request: run.request, Engine: run.engine, AgeMillis: time.Since(run.prefillEndsAt).Milliseconds(),
-		})
+		}
+		if run.pace.PaceTokens > 0 {
+			placed.PaceTokens, placed.PaceMillis = run.pace.PaceTokens, run.pace.PaceMillis
+			placed.PaceAgeMillis = time.Since(run.paceAt).Milliseconds()
+		}
+		placedCalls = append(placedCalls, placed)
 	}
 	d.mu.Unlock()
 	if err := d.config.Peers.ReportPlacedCalls(ctx, leader.Address, placedCalls); err != nil {
