Report the pace of running streams and move them off slow engines

Cause: a run is reported 400 ms after its first event and at its end, so that an engine that becomes slow in between gets calls for seconds; only streams of leaving engines move.

Change: while the median of a run's last three events is over 0.4 of the route's event gap, its pace is reported each 500 ms, and once when it has fallen below 0.3; at most 20 such reports a second for a daemon. Events that were held up by a lost packet arrive together and share their gap. Reports state the daemon's own delay. The moved run stays the same run.

--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -33,7 +33,7 @@
 	errMoveFailed = errors.New("the run was stopped in order to be moved, and did not continue")
 )
 
-// streamMove is the state of a stream whose engine is leaving.
+// streamMove is the state of a stream whose engine is leaving or slow.
 type streamMove struct {
 	// running is set while the run is being moved; the result arrives on done.
 	running bool
@@ -45,6 +45,8 @@
 	requests, moves int
 	nextAt          time.Time
 	noticedAt       time.Time
+	// paceRequests counts the moves that were requested because the engine is slow.
+	paceRequests int
 }
 
 // isPending reports whether a move is under way or has stopped the run.
@@ -59,6 +61,9 @@
 	// stopped is set when the engine may have stopped the run.
 	stopped bool
 	err     error
+	// slow is set if the run leaves its engine because that one is slow: its events came eventMillis apart.
+	slow        bool
+	eventMillis int64
 }
 
 // moveRequest describes one move of a run.
@@ -68,6 +73,8 @@
 	sequence int
 	// work is the rest of the call: its prompt is what the run holds in memory.
 	work turmericwall.ModelWork
+	// slow is set if the run leaves its engine because that one is slow.
+	slow bool
 }
 
 // moveIfLeaving starts to move the run when its engine is leaving.
@@ -87,10 +94,7 @@
 	if m.moves >= maxMoves || now.Before(m.nextAt) {
 		return
 	}
-	m.running = true
-	m.requests++
-	request := moveRequest{from: s.run.engine, sequence: m.requests, work: s.attempt.remainingWork()}
-	go func() { m.done <- s.relay.moveRun(ctx, s.attempt, request) }()
+	s.startMove(ctx, false)
 }
 
 // recordMove records the result of a move. One that has not stopped the run is requested again later.
@@ -98,9 +102,16 @@
 	s.move.running = false
 	if result.err != nil && !result.stopped {
 		s.move.nextAt = time.Now().Add(moveRetryDelay)
+		if result.slow {
+			s.move.nextAt = time.Now().Add(paceMoveRetryDelay)
+		}
 		s.logMove(result)
 		return
 	}
+	if result.slow && s.move.noticedAt.IsZero() {
+		// A slow engine still takes its run back.
+		s.move.noticedAt = time.Now()
+	}
 	s.move.result = &result
 }
 
@@ -145,8 +156,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	slowEngine := ""
+	if request.slow {
+		slowEngine = request.from.ID
+	}
 	placement, err = r.placeAtVersion(ctx, turmericwall.PlaceRequest{
-		ID: fmt.Sprintf("%s/m%d", a.call.ID, request.sequence), Service: a.service.Name, Owner: r.config.Daemon,
+		SlowEngine: slowEngine,
+		ID:         fmt.Sprintf("%s/m%d", a.call.ID, request.sequence), Service: a.service.Name, Owner: r.config.Daemon,
 		Zone: request.from.Zone, Work: request.work, TargetDeadline: a.deadline, GiveUpDeadline: a.deadline,
 		CallerDeadline: a.call.Deadline, EventGapMillis: a.route.EventGapMillis, Moving: true,
 		Avoid: []string{request.from.ID}, Version: a.version,
@@ -292,6 +308,9 @@
 		Str("from", s.run.engine.ID).
 		Str("to", outcome.placement.Decode.ID).Int("lastEvent", s.attempt.lastEventID).
 		Str("fromVersion", string(s.run.engine.Version)).Str("toVersion", string(outcome.placement.Decode.Version))
+	if outcome.slow {
+		entry = entry.Str("cause", "slow").Int("eventMillis", outcome.eventMillis)
+	}
 	if outcome.err != nil {
 		entry = entry.Err(outcome.err)
 	}
--- a/internal/delivery/twrelay/progress.go
+++ b/internal/delivery/twrelay/progress.go
@@ -35,7 +35,7 @@
 	if limitMillis > 0 && millis > limitMillis && stats.maxEventGapMillis <= limitMillis && s.run.events > 0 {
 		s.relay.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
 			ID: s.run.placement.ID, Service: s.run.update.Service, Running: true,
-			EventGapExceeded: true,
+			EventGapExceeded: true, OwnDelayMillis: s.relay.config.OwnDelay().Milliseconds(),
 		})
 	}
 	stats.maxEventGapMillis = max(stats.maxEventGapMillis, millis)
@@ -67,7 +67,8 @@
 	run.speedReported = true
 	s.relay.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{
 		ID: run.placement.ID, Service: run.update.Service, Running: true,
-		AnswerTokens: (run.events - 1) * max(s.attempt.service.Engine.TokensPerEvent, 1),
-		AnswerMillis: now.Sub(run.firstEventAt).Milliseconds(),
+		AnswerTokens:   (run.events - 1) * max(s.attempt.service.Engine.TokensPerEvent, 1),
+		AnswerMillis:   now.Sub(run.firstEventAt).Milliseconds(),
+		OwnDelayMillis: s.relay.config.OwnDelay().Milliseconds(),
 	})
 }
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -87,7 +87,10 @@
 
 // Relay serves callers' calls.
 type Relay struct {
-	config Config
+	config    Config
+	startedAt time.Time
+	// nextPaceReport is the time since startedAt, in nanoseconds, from which on the pace of a run may be reported.
+	nextPaceReport atomic.Int64
 }
 
 // New returns a relay.
@@ -95,7 +98,7 @@
 	if config.OwnDelay == nil {
 		config.OwnDelay = func() time.Duration { return 0 }
 	}
-	return &Relay{config: config}
+	return &Relay{config: config, startedAt: time.Now()}
 }
 
 // attempt is the state of one call while it is served.
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -33,6 +33,8 @@
 	progressRecorded bool
 	// speedReported is set once the placer got an early report of the run's speed.
 	speedReported bool
+	// pace is how far apart the latest events are.
+	pace streamPace
 }
 
 // newModelRun returns a run that is placed. After an earlier run it resumes the stream after the last event passed on.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -163,6 +163,7 @@
 		}
 		s.partialEvent = append(s.partialEvent[:0], rest...)
 		s.moveIfLeaving(ctx)
+		s.moveIfSlow(ctx)
 	}
 	if len(s.partialEvent) > maxEventBytes {
 		return errEventTooLong
@@ -204,13 +205,14 @@
 		}
 	}
 	s.writeHeader()
-	now := time.Now()
+	now, previousAt := time.Now(), s.lastEventAt
 	s.recordArrival(now)
 	count = events.Count()
 	a.stats.events += count
 	s.run.events += count
 	a.lastEventID = max(a.lastEventID, events.LastID())
 	s.reportSpeed(now)
+	s.observePace(now, previousAt, int64(count))
 	s.relay.recordProgress(a, s.run)
 	return s.events.Write(events)
 }
