Show the pace of engines, and test its reports

The estimates are sorted outside the coordinator's lock, since a service may have 10,000 engines.

The tests of the peers' protocol compare the new fields too; they check no less than before.

--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -31,7 +31,7 @@
 		ID: "1/0", Service: "s", Owner: "o", Zone: "z", Work: turmericwall.ModelWork{PromptTokens: 10, Subject: "x"},
 		TargetDeadline: now.Add(time.Second), GiveUpDeadline: now.Add(2 * time.Second),
 		CallerDeadline: now.Add(3 * time.Second),
-		EventGapMillis: 300, Moving: true, Avoid: []string{"e"},
+		EventGapMillis: 300, Moving: true, SlowEngine: "e", Avoid: []string{"e"},
 	}
 }
 
@@ -115,8 +115,10 @@
 		Equal([]turmericwall.PlacementUpdate{{ID: "1", Running: true, Prefilled: true, PrefillMillis: 5}}),
 	)
 	g.Expect(c.ReportPlacedCalls(ctx, address, []turmericwall.PlacedCall{
-		{Request: placeRequest(), Engine: "d", AgeMillis: -40},
+		{Request: placeRequest(), Engine: "d", AgeMillis: -40, PaceTokens: 150, PaceMillis: 420, PaceAgeMillis: 30},
 	})).To(Succeed())
+	g.Expect([]int64{int64(adopted[0].PaceTokens), adopted[0].PaceMillis, adopted[0].PaceAgeMillis}).
+		To(Equal([]int64{150, 420, 30}))
 	g.Expect([]any{adopted[0].Engine, adopted[0].AgeMillis, adopted[0].Request.ID}).To(
 		Equal([]any{"d", int64(-40), "1/0"}))
 	got, err := c.Heartbeat(ctx, address, turmericwall.Heartbeat{
--- a/internal/operations/twmetrics/metrics.go
+++ b/internal/operations/twmetrics/metrics.go
@@ -3,9 +3,12 @@
 package twmetrics
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -30,12 +33,17 @@
 	mu       sync.Mutex
 	// namesByPrefix holds, for each prefix, the names that its counters are split by.
 	namesByPrefix map[string]map[string]bool
+	// namedGauges holds the function that reads the gauges of each prefix.
+	namedGauges map[string]func() map[string]int64
 }
 
 // New returns Metrics without any entry.
 func New() *Metrics {
 	// Counters and histograms need none of the library's background timers, which serve rates.
-	return &Metrics{registry: metrics.NewRegistry(), namesByPrefix: make(map[string]map[string]bool)}
+	return &Metrics{
+		registry: metrics.NewRegistry(), namesByPrefix: make(map[string]map[string]bool),
+		namedGauges: make(map[string]func() map[string]int64),
+	}
 }
 
 // Count adds n to the counter of that name.
@@ -79,6 +87,14 @@
 	metrics.NewRegisteredFunctionalGauge(name, m.registry, read)
 }
 
+// GaugeNamed registers gauges prefix_name whose values are read each time the metrics are served. Of more than
+// maxNamesPerPrefix the highest values are served.
+func (m *Metrics) GaugeNamed(prefix string, read func() map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.namedGauges[prefix] = read
+}
+
 // ServeHTTP writes one line for each value, sorted by name, and the time of the answer in Unix milliseconds.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -97,10 +113,29 @@
 			lines = append(lines, formatHistogram(name, v.Snapshot())...)
 		}
 	})
+	lines = append(lines, m.formatNamedGauges()...)
 	sort.Strings(lines)
 	return strings.Join(lines, "\n") + "\n" + fmt.Sprintf("scrapedAtMillis %d\n", time.Now().UnixMilli())
 }
 
+func (m *Metrics) formatNamedGauges() []string {
+	m.mu.Lock()
+	gauges := maps.Clone(m.namedGauges)
+	m.mu.Unlock()
+	var lines []string
+	for prefix, read := range gauges {
+		values := read()
+		names := slices.Collect(maps.Keys(values))
+		slices.SortFunc(names, func(x, y string) int {
+			return cmp.Or(cmp.Compare(values[y], values[x]), cmp.Compare(x, y))
+		})
+		for _, name := range names[:min(len(names), maxNamesPerPrefix)] {
+			lines = append(lines, fmt.Sprintf("%s_%s %d", prefix, name, values[name]))
+		}
+	}
+	return lines
+}
+
 func formatHistogram(name string, h metrics.Histogram) []string {
 	lines := []string{fmt.Sprintf("%s_count %d", name, h.Count())}
 	for i, value := range h.Percentiles(quantiles) {
--- a/internal/operations/twmetrics/metrics_test.go
+++ b/internal/operations/twmetrics/metrics_test.go
@@ -41,3 +41,21 @@
 	g.Expect(w.Body.String()).To(ContainSubstring("calls_other 36\n"))
 	g.Expect(w.Body.String()).NotTo(ContainSubstring("account99"))
 }
+
+// Without a bound, the metrics would grow with the engines; the slowest ones must be among them.
+func TestNamedGaugesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := twmetrics.New()
+	m.GaugeNamed("engine_pace_percent", func() map[string]int64 {
+		values := make(map[string]int64)
+		for i := range 100 {
+			values[fmt.Sprint("e", i)] = int64(i)
+		}
+		return values
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	g.Expect(w.Body.String()).To(ContainSubstring("engine_pace_percent_e99 99\n"))
+	g.Expect(w.Body.String()).To(ContainSubstring("engine_pace_percent_e36 36\n"))
+	g.Expect(w.Body.String()).NotTo(ContainSubstring("engine_pace_percent_e35 "))
+}
--- a/internal/placement/twallocator/pace.go
+++ b/internal/placement/twallocator/pace.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// Paces returns the estimated pace of the engines that were measured, in ascending order of their ids.
+// Paces returns the estimated pace of the engines that were measured, in no order.
 func (a *Allocator) Paces(now time.Time) []turmericwall.EnginePace { return a.pace.Estimates(now) }
 
 // PaceDecisions returns how many placements the pace of engines decided.
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -276,8 +278,10 @@
 func (c *Coordinator) Paces(service string) []turmericwall.EnginePace {
 	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.service(service).allocator.Paces(now)
+	list := c.service(service).allocator.Paces(now)
+	c.mu.Unlock()
+	slices.SortFunc(list, func(x, y turmericwall.EnginePace) int { return strings.Compare(x.Engine, y.Engine) })
+	return list
 }
 
 // PaceDecisions returns how many placements the pace of engines decided, over all services.
--- a/internal/placement/twdelegate/delegate_test.go
+++ b/internal/placement/twdelegate/delegate_test.go
@@ -224,6 +224,38 @@
 		Should(Equal(1))
 }
 
+// Guards against a new leader that fills slow engines because it knows no pace: each run's last one must reach it, and
+// only that of runs with a limit of event gaps.
+func TestNewLeaderReceivesThePaceOfRuns(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	s.setLeader("k", false)
+	for _, id := range []string{"1/0", "2/0"} {
+		request := placeRequest(id)
+		if id == "1/0" {
+			request.EventGapMillis = 300
+		}
+		_, err := s.delegate.Place(context.Background(), request)
+		g.Expect(err).NotTo(HaveOccurred())
+		s.delegate.ApplyUpdate(turmericwall.PlacementUpdate{
+			ID: id, Service: "s", Running: true, AnswerTokens: 300, AnswerMillis: 400,
+		})
+	}
+	s.delegate.ApplyUpdate(turmericwall.PlacementUpdate{
+		ID: "1/0", Service: "s", Running: true, PaceTokens: 150, PaceMillis: 450,
+	})
+	s.setLeader("next", true)
+	g.Eventually(func() int { _, runs, _ := s.leader.counts(); return runs }).Should(Equal(2))
+	for _, placed := range s.leader.placedCalls {
+		if placed.Request.ID == "2/0" {
+			g.Expect(placed.PaceTokens).To(BeZero())
+			continue
+		}
+		g.Expect([]int64{int64(placed.PaceTokens), placed.PaceMillis}).To(Equal([]int64{150, 450}))
+		g.Expect(placed.PaceAgeMillis).To(BeNumerically("<", 1000))
+	}
+}
+
 func TestEndsAreResentUntilLeaderIsReachable(t *testing.T) {
 	g := NewWithT(t)
 	s := newFixture(t)
--- a/internal/placement/twpace/pace.go
+++ b/internal/placement/twpace/pace.go
@@ -413,7 +413,7 @@
 	return millis, millis <= limitMillis && e.placed == 0
 }
 
-// Estimates returns the estimates of all engines in ascending order of their ids.
+// Estimates returns the estimates of all engines, in no order.
 func (p *Pace) Estimates(now time.Time) []turmericwall.EnginePace {
 	var list []turmericwall.EnginePace
 	for id, e := range p.engines {
@@ -427,6 +427,5 @@
 			AgeMillis:   now.Sub(e.at).Milliseconds(), Slow: e.isSlow(),
 		})
 	}
-	slices.SortFunc(list, func(x, y turmericwall.EnginePace) int { return cmp.Compare(x.Engine, y.Engine) })
 	return list
 }
--- a/placements.go
+++ b/placements.go
@@ -136,10 +136,12 @@
 type PaceDecisions struct {
 	// Avoided were placed elsewhere because the engine with the most free memory is too slow, Shortest on the engine with
 	// the shortest event gap because none keeps the limit.
-	Avoided, Shortest int64
+	Avoided  int64 `json:"avoided"`
+	Shortest int64 `json:"shortest"`
 	// Moves are the moves of runs off slow engines, and RefusedMoves those that were not worth their cost or found no
 	// engine.
-	Moves, RefusedMoves int64
+	Moves        int64 `json:"moves"`
+	RefusedMoves int64 `json:"refusedMoves"`
 }
 
 // CallCost is the mean engine time that one model call takes, in milliseconds of an engine that does nothing else.
