--- a/internal/delivery/twrelay/pace.go
+++ b/internal/delivery/twrelay/pace.go
@@ -20,7 +20,7 @@
 	// costs more than the gaps.
 	paceMoveShare = 0.85
 	// paceReportInterval is the time between two such reports on one run, and paceReportSpacing the one between those of
-	// all runs of the daemon. The reports of a daemon take 3 kB/s at most.
+	// all runs of the daemon. A report has some 250 bytes, so that those of a daemon take 5 kB/s at most.
 	paceReportInterval = 500 * time.Millisecond
 	paceReportSpacing  = 50 * time.Millisecond
 	// paceMoveRetryDelay is the time between two requests to move a run off a slow engine, and maxPaceMoveRequests how many
--- a/internal/placement/twallocator/pace.go
+++ b/internal/placement/twallocator/pace.go
@@ -244,6 +244,14 @@
 	return saved*meanLength(request.Work.HintTokens, request.Work.MaxTokens) > paceMoveCostMillis
 }
 
+// moveRefusalReason returns why a run isn't moved, for the log.
+func moveRefusalReason(request turmericwall.PlaceRequest) string {
+	if request.SlowEngine != "" {
+		return "the move is not worth its cost now, or no engine that keeps the event gap has room"
+	}
+	return "no engine has memory for the run"
+}
+
 // recordPaceMove records the outcome of a request to move a run off a slow engine.
 func (a *Allocator) recordPaceMove(st *decisionState, request turmericwall.PlaceRequest, placed bool) {
 	if !placed {
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -35,7 +35,7 @@
 		}, true
 	}
 	if w.request.Moving {
-		return Refusal{ID: w.request.ID, Reason: "no engine has memory for the run", RetryAt: st.now}, true
+		return Refusal{ID: w.request.ID, Reason: moveRefusalReason(w.request), RetryAt: st.now}, true
 	}
 	latest := w.request.TargetDeadline.Add(
 		-millis(a.tuning.FirstEventMarginMillis + float64(w.request.Work.PromptTokens)/a.poolPrefillSpeed(st.now)))
