--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -116,8 +116,10 @@
 	cost *twcost.Cost
 	// ejections are the engines that get no calls because calls failed there.
 	ejections *twejection.Ejections
-	// pace estimates the pace of the engines, and paceDecisions counts what it decided.
+	// pace estimates the pace of the engines, from the first call with a limit of event gaps on, which sets hasEventGaps;
+	// paceDecisions counts what it decided.
 	pace          *twpace.Pace
+	hasEventGaps  bool
 	paceDecisions turmericwall.PaceDecisions
 	// retryTimes are the retry times given to refused callers that have not passed yet.
 	retryTimes []time.Time
--- a/internal/placement/twallocator/pace.go
+++ b/internal/placement/twallocator/pace.go
@@ -149,6 +149,10 @@
 // recordPlaced records a placed call for the estimates of pace.
 func (a *Allocator) recordPlaced(now time.Time, e *engine, placed turmericwall.PlacedCall) {
 	request := placed.Request
+	a.hasEventGaps = a.hasEventGaps || request.EventGapMillis > 0
+	if !a.hasEventGaps {
+		return
+	}
 	if request.EventGapMillis > 0 && (e.minEventGapMillis == 0 || request.EventGapMillis < e.minEventGapMillis) {
 		e.minEventGapMillis = request.EventGapMillis
 	}
