Compare measurements of a run with the present common pace

Cause: a sample was a factor to the common pace as of its report. While few reports had been made, that pace was often the one of the reporting engine itself: an engine ten times as slow that reported first stayed at 100%.

Change: samples keep what was measured beside which load, and the factors are computed anew with each estimate. The rest of an answer counts only from 200 ms on if an earlier part was measured, so that a few last events don't replace it.

A test has the moves off a slow engine.

--- a/internal/placement/twallocator/pace_test.go
+++ b/internal/placement/twallocator/pace_test.go
@@ -15,64 +15,59 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twallocator"
 )
 
-// paceStream is one stream of the replay.
+// paceStream is one stream of the replay. Its events came lastGaps apart; progress are the tokens since the last one.
 type paceStream struct {
-	id, engine                 string
-	beginsAt, lastAt, reportAt time.Time
-	// progress are the tokens since the last event, done all of them.
-	progress, done float64
-	gaps           []int64
-	reported, late bool
-	// preempted is set while the engine has no memory for the stream.
-	preempted   bool
-	moveAt      time.Time
-	pausedUntil time.Time
+	id, engine             string
+	beginsAt, lastAt       time.Time
+	reportAt, moveAt       time.Time
+	progress, done         float64
+	lastGaps               [3]int64
+	speedReported, hadLong bool
 }
 
-// paceReplay replays streams on engines whose time for a token grows with their runs. A local prefill stops the engine's
-// other streams. Daemons report as twrelay does.
+// paceReplay replays streams on engines whose time for a token grows by runMillis with each run. A local prefill stops the
+// engine's streams. Daemons report as twrelay does; the share lost of the reports while a stream runs is lost.
 type paceReplay struct {
-	allocator *twallocator.Allocator
-	now       time.Time
-	factor    func(engine string, now time.Time) float64
-	streams   []*paceStream
-	busyUntil map[string]time.Time
-	// gapMillis is the routes' limit, and runMillis what each run adds to the time for a token.
-	gapMillis int64
-	runMillis float64
-	requested int
+	allocator             *twallocator.Allocator
+	now                   time.Time
+	random                *rand.Rand
+	factor                func(engine string, now time.Time) float64
+	streams               []*paceStream
+	busyUntil             map[string]time.Time
+	gapMillis             int64
+	runMillis, lost       float64
+	requested, refused    int
+	ended, hadLong, moves int
 	// placed has the decode engines of all calls in turn.
-	placed        []string
-	moves, ended  int
-	local         int
-	late, refused int
-	lost          func() bool
+	placed []string
 }
 
 const (
-	replayStride = 50
-	replayAnswer = 3500
-	replayTick   = 5 * time.Millisecond
-	replaySpeed  = 55.5
+	replayStride, replayPrompt, replayAnswer = 50, 5200, 3500
+	replayTick                               = 5 * time.Millisecond
+	replayPrefillSpeed                       = 55.5
 )
 
 func newPaceReplay(prefills, decodes int) *paceReplay {
 	r := &paceReplay{
 		allocator: twallocator.New(twallocator.DefaultTuning()), now: start, busyUntil: make(map[string]time.Time),
-		gapMillis: 300, runMillis: 0.05, factor: func(string, time.Time) float64 { return 1 }, lost: func() bool { return false },
+		random: rand.New(rand.NewPCG(3, 5)), gapMillis: 300, runMillis: 0.05,
+		factor: func(string, time.Time) float64 { return 1 },
 	}
 	r.allocator.SetPlan(turmericwall.EnginePlan{Slots: 12, MemoryTokens: 65_399, TokensPerEvent: replayStride})
 	r.allocator.SetEngines(start, engines(prefills, decodes))
 	return r
 }
 
-// call makes a call, and decide applies the decisions.
-func (r *paceReplay) call() {
-	request := placeRequest(fmt.Sprintf("c%05d", r.requested), r.now, 5200, replayAnswer)
-	request.EventGapMillis = r.gapMillis
-	r.requested++
-	r.allocator.Enqueue(r.now, request)
-	r.decide()
+// load makes calls at the rate, in calls per second, for a span.
+func (r *paceReplay) load(rate float64, span time.Duration) {
+	for end := r.now.Add(span); r.now.Before(end); r.requested++ {
+		r.advance(r.now.Add(time.Duration(math.Max(5, r.random.ExpFloat64()/rate*1000)) * time.Millisecond))
+		request := placeRequest(fmt.Sprintf("c%05d", r.requested), r.now, replayPrompt, replayAnswer)
+		request.EventGapMillis = r.gapMillis
+		r.allocator.Enqueue(r.now, request)
+		r.decide()
+	}
 }
 
 func (r *paceReplay) decide() {
@@ -86,34 +81,18 @@
 		if i := slices.IndexFunc(r.streams, func(s *paceStream) bool { return s.id+"/m" == p.ID }); i >= 0 {
 			s := r.streams[i]
 			r.allocator.ApplyUpdate(r.now, turmericwall.PlacementUpdate{ID: s.id})
-			s.id, s.engine, s.pausedUntil = p.ID, p.Decode.ID, r.now.Add(100*time.Millisecond)
+			s.id, s.engine, s.beginsAt = p.ID, p.Decode.ID, r.now.Add(100*time.Millisecond)
 			r.moves++
 			continue
 		}
 		r.placed = append(r.placed, p.Decode.ID)
-		prefillEngine, speed := p.Prefill.ID, replaySpeed
-		if prefillEngine == "" {
-			prefillEngine, speed = p.Decode.ID, replaySpeed/2
-			r.local++
+		engine, speed := p.Prefill.ID, replayPrefillSpeed
+		if engine == "" {
+			engine, speed = p.Decode.ID, replayPrefillSpeed/2
 		}
-		span := 5200.0 / speed * r.factor(prefillEngine, r.now)
-		beginsAt := later(r.now, r.busyUntil[prefillEngine]).Add(time.Duration(span) * time.Millisecond)
-		r.busyUntil[prefillEngine] = beginsAt
-		r.streams = append(r.streams, &paceStream{id: p.ID, engine: p.Decode.ID, beginsAt: beginsAt})
-	}
-}
-
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
-
-// report reports on a stream unless the report is lost.
-func (r *paceReplay) report(update turmericwall.PlacementUpdate) {
-	if !r.lost() {
-		r.allocator.ApplyUpdate(r.now, update)
+		span := time.Duration(replayPrompt/speed*r.factor(engine, r.now)) * time.Millisecond
+		r.busyUntil[engine] = r.now.Add(max(r.busyUntil[engine].Sub(r.now), 0) + span)
+		r.streams = append(r.streams, &paceStream{id: p.ID, engine: p.Decode.ID, beginsAt: r.busyUntil[engine]})
 	}
 }
 
@@ -121,104 +100,82 @@
 func (r *paceReplay) advance(to time.Time) {
 	for r.now.Before(to) {
 		r.now = r.now.Add(replayTick)
-		runs, memory := make(map[string]float64), make(map[string]float64)
+		runs := make(map[string]float64)
 		for _, s := range r.streams {
-			memory[s.engine] += 5200 + s.done
-			s.preempted = memory[s.engine] > 65_399
-			if !s.lastAt.IsZero() && !s.preempted {
+			if !s.lastAt.IsZero() {
 				runs[s.engine]++
 			}
 		}
-		kept := r.streams[:0]
-		for _, s := range slices.Clone(r.streams) {
-			if r.step(s, runs[s.engine]) {
-				kept = append(kept, s)
-			}
-		}
-		r.streams = kept
+		r.streams = slices.DeleteFunc(r.streams, func(s *paceStream) bool { return r.step(s, runs[s.engine]) })
 		r.decide()
 	}
 }
 
-// step lets a stream run for one tick; it returns false at its end.
+// step lets a stream run for one tick and reports whether it has ended.
 func (r *paceReplay) step(s *paceStream, runs float64) bool {
-	if s.preempted || r.now.Before(s.beginsAt) || r.now.Before(s.pausedUntil) || r.now.Before(r.busyUntil[s.engine]) {
-		return true
+	if r.now.Before(s.beginsAt) || r.now.Before(r.busyUntil[s.engine]) {
+		return false
 	}
 	if s.lastAt.IsZero() {
 		s.lastAt, s.reportAt = r.now, r.now.Add(400*time.Millisecond)
-		r.allocator.ApplyUpdate(r.now, turmericwall.PlacementUpdate{
-			ID: s.id, Running: true, Prefilled: true, PrefillMillis: r.now.Sub(s.beginsAt).Milliseconds(),
-		})
-		return true
+		r.allocator.ApplyUpdate(r.now, turmericwall.PlacementUpdate{ID: s.id, Running: true, Prefilled: true})
 	}
 	s.progress += float64(replayTick.Milliseconds()) / ((0.743 + r.runMillis*runs) * r.factor(s.engine, r.now))
 	if s.progress < replayStride {
-		return true
+		return false
 	}
 	s.progress -= replayStride
 	s.done += replayStride
-	s.gaps = append(s.gaps, r.now.Sub(s.lastAt).Milliseconds())
+	s.lastGaps = [3]int64{s.lastGaps[1], s.lastGaps[2], r.now.Sub(s.lastAt).Milliseconds()}
 	s.lastAt = r.now
 	r.observe(s)
 	if s.done < replayAnswer {
-		return true
+		return false
 	}
 	r.allocator.ApplyUpdate(r.now, turmericwall.PlacementUpdate{
 		ID: s.id, AnswerTokens: int(s.done), AnswerMillis: r.now.Sub(s.beginsAt).Milliseconds(),
 	})
 	r.ended++
-	if s.late {
-		r.late++
+	if s.hadLong {
+		r.hadLong++
 	}
-	return false
+	return true
 }
 
-// observe makes the reports on a stream after an event.
+// observe makes the reports on a stream after an event, and asks for a move off an engine that became slow.
 func (r *paceReplay) observe(s *paceStream) {
-	gap := s.gaps[len(s.gaps)-1]
-	if gap > 300 && !s.late {
-		s.late = true
-		r.report(turmericwall.PlacementUpdate{ID: s.id, Running: true, EventGapExceeded: true})
-	}
-	if r.now.Before(s.reportAt) || len(s.gaps) < 3 {
-		return
-	}
-	last := slices.Clone(s.gaps[len(s.gaps)-3:])
 	update := turmericwall.PlacementUpdate{ID: s.id, Running: true}
-	if !s.reported {
+	sum, median := s.lastGaps[0]+s.lastGaps[1]+s.lastGaps[2], slices.Sorted(slices.Values(s.lastGaps[:]))[1]
+	update.EventGapExceeded = s.lastGaps[2] > 300 && !s.hadLong
+	s.hadLong = s.hadLong || update.EventGapExceeded
+	switch due := !r.now.Before(s.reportAt); {
+	case due && !s.speedReported:
 		update.AnswerTokens, update.AnswerMillis = int(s.done), r.now.Sub(s.beginsAt).Milliseconds()
-	} else {
-		update.PaceTokens, update.PaceMillis = 3*replayStride, last[0]+last[1]+last[2]
+		s.speedReported = true
+	case due && median > 120:
+		update.PaceTokens, update.PaceMillis = 3*replayStride, sum
 	}
-	slices.Sort(last)
-	if !s.reported || last[1] > 120 {
-		r.report(update)
-		s.reported, s.reportAt = true, r.now.Add(500*time.Millisecond)
+	if update.AnswerTokens+update.PaceTokens > 0 {
+		s.reportAt = r.now.Add(500 * time.Millisecond)
+	}
+	if r.random.Float64() >= r.lost {
+		r.allocator.ApplyUpdate(r.now, update)
 	}
-	if last[1] > 255 && r.gapMillis > 0 && !s.moveAt.After(r.now) && len(s.id) < 8 {
+	if median > 255 && !s.moveAt.After(r.now) && !strings.HasSuffix(s.id, "/m") {
 		s.moveAt = r.now.Add(500 * time.Millisecond)
-		request := placeRequest(s.id+"/m", r.now, 5200+int(s.done), replayAnswer-int(s.done))
+		request := placeRequest(s.id+"/m", r.now, replayPrompt+int(s.done), replayAnswer-int(s.done))
 		request.Moving, request.SlowEngine, request.Avoid = true, s.engine, []string{s.engine}
 		r.allocator.Enqueue(r.now, request)
 	}
 }
 
-// load makes calls at the rate, in calls per second, for a span.
-func (r *paceReplay) load(random *rand.Rand, rate float64, span time.Duration) {
-	for end := r.now.Add(span); r.now.Before(end); {
-		r.advance(r.now.Add(time.Duration(math.Max(5, random.ExpFloat64()/rate*1000)) * time.Millisecond))
-		r.call()
-	}
-}
-
 // isThird reports whether the engine's number is a multiple of 3.
 func isThird(engine string) bool { return (engine[1]-'0'+engine[2]-'0')%3 == 0 }
 
-// thirdSlow makes a third of the engines three times as slow from a time on.
-func thirdSlow(from, until time.Time) func(string, time.Time) float64 {
+// thirdSlow makes a third of the engines three times as slow between two times.
+func thirdSlow(from, until time.Duration) func(string, time.Time) float64 {
 	return func(engine string, now time.Time) float64 {
-		if now.Before(from) || now.After(until) || !isThird(engine) {
+		if now.Before(start.Add(from)) || now.After(start.Add(until)) || !isThird(engine) {
 			return 1
 		}
 		return 3
@@ -229,62 +186,48 @@
 // streams had a gap over 300 ms. Lost reports must not change that.
 func TestStreamsKeepTheirEventGapBesideSlowEngines(t *testing.T) {
 	cases := []struct {
-		name                 string
-		prefills             int
-		runMillis, lossShare float64
+		name                  string
+		prefills              int
+		rate, runMillis, lost float64
 	}{
-		{"local prefills", 3, 0.05, 0},
-		{"full engines are too slow by themselves", 6, 0.2, 0},
-		{"reports are lost", 6, 0.2, 0.2},
+		{"local prefills", 3, 31.8, 0.1, 0},
+		{"full engines are too slow by themselves", 6, 25, 0.25, 0},
+		{"reports are lost", 6, 25, 0.25, 0.2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			random := rand.New(rand.NewPCG(3, 5))
 			r := newPaceReplay(c.prefills, 30)
-			r.runMillis = c.runMillis
-			r.factor = thirdSlow(start.Add(5*time.Second), start.Add(time.Hour))
-			r.lost = func() bool { return random.Float64() < c.lossShare }
-			r.load(random, 31.8, 10*time.Second)
-			r.load(random, 1.7*31.8, 3*time.Second)
-			r.load(random, 31.8, 10*time.Second)
+			r.runMillis, r.lost, r.factor = c.runMillis, c.lost, thirdSlow(5*time.Second, time.Hour)
+			r.load(c.rate, 10*time.Second)
+			r.load(1.7*c.rate, 3*time.Second)
+			r.load(c.rate, 10*time.Second)
 			r.advance(r.now.Add(15 * time.Second))
 			t.Logf("requested %d, ended %d, with a long gap %d, refused %d, moved %d, %+v",
-				r.requested, r.ended, r.late, r.refused, r.moves, r.allocator.PaceDecisions())
-			g.Expect(r.late).To(BeNumerically("<", r.ended/20))
+				r.requested, r.ended, r.hadLong, r.refused, r.moves, r.allocator.PaceDecisions())
+			NewWithT(t).Expect(r.hadLong).To(BeNumerically("<", r.ended/20))
 		})
 	}
 }
 
 // Guards against a slow engine that gets no calls after it has recovered.
 func TestRecoveredEngineGetsCallsAgain(t *testing.T) {
-	g := NewWithT(t)
-	random := rand.New(rand.NewPCG(3, 5))
 	r := newPaceReplay(6, 30)
-	r.factor = thirdSlow(start.Add(3*time.Second), start.Add(10*time.Second))
-	r.load(random, 40, 10*time.Second)
-	r.load(random, 40, 8*time.Second)
+	r.runMillis, r.factor = 0.2, thirdSlow(3*time.Second, 10*time.Second)
+	r.load(25, 18*time.Second)
 	before := len(r.placed)
-	r.load(random, 40, 5*time.Second)
-	onRecovered := 0
-	for _, engine := range r.placed[before:] {
-		if isThird(engine) {
-			onRecovered++
-		}
-	}
-	t.Logf("%d of %d calls", onRecovered, len(r.placed)-before)
-	g.Expect(onRecovered).To(BeNumerically(">", (len(r.placed)-before)/4))
+	r.load(25, 5*time.Second)
+	recovered := slices.DeleteFunc(slices.Clone(r.placed[before:]), func(engine string) bool { return !isThird(engine) })
+	NewWithT(t).Expect(len(recovered)).To(BeNumerically(">", (len(r.placed)-before)/4))
 }
 
 // Guards against changed placements where all engines keep their pace, and where no route states a longest event gap.
 func TestPlacementIsUnchangedWhileEnginesKeepTheirPace(t *testing.T) {
 	replay := func(gapMillis int64) *paceReplay {
-		random := rand.New(rand.NewPCG(3, 5))
 		r := newPaceReplay(12, 30)
 		r.gapMillis = gapMillis
 		// Sound engines of one service differ in speed by 0.55 to 1.2 of the mean.
 		r.factor = func(engine string, _ time.Time) float64 { return 1 / (0.55 + 0.65*float64(engine[2]-'0')/9) }
-		r.load(random, 31.8, 10*time.Second)
+		r.load(31.8, 10*time.Second)
 		return r
 	}
 	g := NewWithT(t)
@@ -297,14 +240,48 @@
 // Guards against a call that is refused, or waits, because no engine keeps the pace.
 func TestCallIsPlacedWhereTheGapIsShortest(t *testing.T) {
 	g := NewWithT(t)
-	random := rand.New(rand.NewPCG(3, 5))
-	r := newPaceReplay(2, 3)
-	r.factor = func(engine string, _ time.Time) float64 { return 8 + float64(engine[2]-'0') }
-	r.load(random, 2, 8*time.Second)
-	r.advance(r.now.Add(4 * time.Second))
-	r.call()
+	r := newPaceReplay(2, 9)
+	r.factor = func(engine string, _ time.Time) float64 {
+		if engine[0] == 'p' {
+			return 1
+		}
+		return 8 + float64(engine[2]-'0')
+	}
+	r.load(2, 10*time.Second)
 	g.Expect(r.refused).To(BeZero())
 	g.Expect(r.placed).To(HaveLen(r.requested))
-	g.Expect(r.placed[len(r.placed)-1]).To(Equal("d00"))
+	counts := make(map[string]int)
+	for _, engine := range r.placed {
+		counts[engine]++
+	}
+	g.Expect(counts["d00"]).To(BeNumerically(">", counts["d08"]))
 	g.Expect(r.allocator.PaceDecisions().Shortest).To(BeNumerically(">", 0))
 }
+
+// Guards against runs that stay on an engine that became ten times as slow, against all of them leaving it at once, and
+// against moves off an engine that keeps the gap.
+func TestRunsLeaveASlowEngineOneByOne(t *testing.T) {
+	g := NewWithT(t)
+	a := newAllocator(1, 4)
+	now := start.Add(400 * time.Millisecond)
+	for i := range 12 {
+		id, tokens := fmt.Sprintf("r%d", i), 400
+		if i%4 == 0 {
+			tokens = 40
+		}
+		placed := turmericwall.PlacedCall{Request: placeRequest(id, start, 5000, 3000), Engine: fmt.Sprintf("d%02d", i%4)}
+		a.Adopt(start, placed)
+		a.ApplyUpdate(now, turmericwall.PlacementUpdate{ID: id, Running: true, AnswerTokens: tokens, AnswerMillis: 400})
+	}
+	move := func(id, from string, at time.Duration) []turmericwall.Placement {
+		request := placeRequest(id+"/m", now, 5400, 2600)
+		request.Moving, request.SlowEngine, request.Avoid = true, from, []string{from}
+		a.Enqueue(now.Add(at), request)
+		return a.Decide(now.Add(at)).Placed
+	}
+	g.Expect(move("r1", "d01", 0)).To(BeEmpty(), "it keeps the gap")
+	g.Expect(move("r0", "d00", 0)).To(HaveLen(1))
+	g.Expect(move("r4", "d00", 50*time.Millisecond)).To(BeEmpty(), "another run has just left")
+	g.Expect(move("r4", "d00", 200*time.Millisecond)).To(HaveLen(1))
+	g.Expect(a.PaceDecisions()).To(Equal(turmericwall.PaceDecisions{Moves: 2, RefusedMoves: 2}))
+}
--- a/internal/placement/twpace/pace.go
+++ b/internal/placement/twpace/pace.go
@@ -32,6 +32,9 @@
 	maxHalfLife     = 16 * time.Second
 	// maxSampleMillis bounds the weight of one report, so that the report on a long answer doesn't outweigh the present.
 	maxSampleMillis = 500
+	// minPartMillis is the shortest part of an answer that counts: a few events before the end would replace the run's
+	// longer measurement.
+	minPartMillis = 200
 	// minFactor and maxFactor bound one sample.
 	minFactor, maxFactor = 0.2, 20
 	// gapSpan is the time within which the gaps of two streams of one engine have one cause. A lost packet delays the
@@ -110,11 +113,17 @@
 	reportedAt     time.Time
 }
 
-// sample is the factor of one run.
+// sample is one measurement of a run: tokens took millis beside the mean load, whose prefills took prefillMillis.
 type sample struct {
 	run            string
-	factor, millis float64
 	at             time.Time
+	tokens, millis float64
+	load           meanLoad
+}
+
+// expectedMillis returns how long the tokens take at the common pace.
+func (s sample) expectedMillis(common *curve) float64 {
+	return s.tokens*common.at(s.load.runs, s.load.memoryTokens) + s.load.prefillMillis
 }
 
 // New returns a pace without estimates.
@@ -204,6 +213,9 @@
 	tokens, millis := report.Tokens, report.Millis
 	if report.Total {
 		tokens, millis = tokens-r.totalTokens, millis-r.totalMillis
+		if r.totalMillis > 0 && millis < minPartMillis {
+			return false
+		}
 		r.totalTokens, r.totalMillis = report.Tokens, report.Millis
 		if r.departed {
 			return false
@@ -218,22 +230,15 @@
 	r.engine.load.advance(now)
 	mean := r.engine.load.since(r.mark)
 	// The part that a report covers may be shorter than the time since the last report.
-	prefillMillis := mean.prefillMillis * math.Min(1, float64(millis)/math.Max(mean.spanMillis, 1))
+	mean.prefillMillis *= math.Min(1, float64(millis)/math.Max(mean.spanMillis, 1))
 	r.mark = r.engine.load
 	r.reportedAt = now
 	r.millisPerToken = float64(millis) / float64(tokens)
-	decodeMillis := math.Max(float64(millis)-prefillMillis, 0)
-	common := p.common.at(mean.runs, mean.memoryTokens)
-	if report.Total {
+	if report.Total || p.common.count == 0 {
 		// Runs on slow engines are reported more often, and would make their pace the common one.
-		p.common.add(mean.runs, mean.memoryTokens, decodeMillis/float64(tokens))
-	}
-	if common == 0 {
-		common = p.common.mean
-	}
-	if expected := float64(tokens)*common + prefillMillis; common > 0 {
-		p.sample(now, r, float64(millis)/expected, expected)
+		p.common.add(mean.runs, mean.memoryTokens, (float64(millis)-mean.prefillMillis)/float64(tokens))
 	}
+	p.sample(r, sample{at: now, tokens: float64(tokens), millis: float64(millis), load: mean})
 	return true
 }
 
@@ -252,13 +257,9 @@
 	}
 	e.load.advance(now)
 	mean := e.load.since(r.mark)
-	share := math.Min(1, float64(millis)/math.Max(mean.spanMillis, 1))
-	expected := float64(tokens)*p.common.at(mean.runs, mean.memoryTokens) + mean.prefillMillis*share
-	if expected <= 0 {
-		return false
-	}
+	mean.prefillMillis *= math.Min(1, float64(millis)/math.Max(mean.spanMillis, 1))
 	for _, late := range []*run{other, r} {
-		p.sample(now, late, float64(millis)/expected, expected)
+		p.sample(late, sample{at: now, tokens: float64(tokens), millis: float64(millis), load: mean})
 	}
 	return true
 }
@@ -297,9 +298,11 @@
 		p.common.addExpected(float64(r.engine.load.runs), r.engine.load.memoryTokens, r.millisPerToken, median)
 	}
 	for _, r := range runs {
-		expected := p.common.at(float64(r.engine.load.runs), r.engine.load.memoryTokens)
-		if expected > 0 && now.Sub(r.reportedAt) < sampleValidity {
-			p.sample(r.reportedAt, r, r.millisPerToken/expected, maxSampleMillis)
+		if now.Sub(r.reportedAt) < sampleValidity {
+			p.sample(r, sample{
+				at: r.reportedAt, tokens: maxSampleMillis / r.millisPerToken, millis: maxSampleMillis,
+				load: meanLoad{runs: float64(r.engine.load.runs), memoryTokens: r.engine.load.memoryTokens},
+			})
 		}
 	}
 	var slow []string
@@ -312,13 +315,13 @@
 	return slow
 }
 
-// sample records the factor of one run, which replaces an earlier one of the same run, and estimates the engine's anew.
-func (p *Pace) sample(now time.Time, r *run, factor, millis float64) {
-	e := r.engine
-	added := sample{
-		run: r.id, at: now, factor: math.Min(math.Max(factor, minFactor), maxFactor),
-		millis: math.Min(millis, maxSampleMillis),
+// sample records a measurement of one run, which replaces an earlier one of the same run, and estimates the engine anew.
+func (p *Pace) sample(r *run, added sample) {
+	if added.expectedMillis(&p.common) <= 0 {
+		return
 	}
+	e, now := r.engine, added.at
+	added.run = r.id
 	e.samples = slices.DeleteFunc(e.samples, func(s sample) bool {
 		return s.run == r.id || now.Sub(s.at) > sampleValidity
 	})
@@ -328,7 +331,7 @@
 	e.samples = append(e.samples, added)
 	before, wasTrial := e.factorAt(now), e.isSlow() && now.Sub(e.at) > freshSpan
 	confidence := math.Min(1, float64(len(e.samples))/minSamples)
-	e.factor = before + (medianFactor(now, e.samples)-before)*confidence
+	e.factor = before + (p.medianFactor(now, e.samples)-before)*confidence
 	if now.After(e.at) {
 		e.at = now
 	}
@@ -340,22 +343,25 @@
 	}
 }
 
-// medianFactor returns the median of the factors, weighted by age and by how much was measured.
-func medianFactor(now time.Time, samples []sample) float64 {
-	ordered := slices.Clone(samples)
-	slices.SortFunc(ordered, func(x, y sample) int { return cmp.Compare(x.factor, y.factor) })
-	weight := func(s sample) float64 {
-		return s.millis * math.Exp2(-float64(now.Sub(s.at))/float64(sampleHalfLife))
-	}
-	total := 0.0
-	for _, s := range ordered {
-		total += weight(s)
+// medianFactor returns the median of the samples' factors to the common pace, weighted by age and by how much was
+// measured.
+func (p *Pace) medianFactor(now time.Time, samples []sample) float64 {
+	type weighted struct{ factor, weight float64 }
+	ordered, total := make([]weighted, 0, maxSamples), 0.0
+	for _, s := range samples {
+		factor := s.millis / math.Max(s.expectedMillis(&p.common), 1)
+		age := float64(now.Sub(s.at)) / float64(sampleHalfLife)
+		w := weighted{
+			factor: math.Min(math.Max(factor, minFactor), maxFactor),
+			weight: math.Min(s.millis, maxSampleMillis) * math.Exp2(-age),
+		}
+		ordered, total = append(ordered, w), total+w.weight
 	}
+	slices.SortFunc(ordered, func(x, y weighted) int { return cmp.Compare(x.factor, y.factor) })
 	sum := 0.0
-	for _, s := range ordered {
-		sum += weight(s)
-		if sum >= total/2 {
-			return s.factor
+	for _, w := range ordered {
+		if sum += w.weight; sum >= total/2 {
+			return w.factor
 		}
 	}
 	return ordered[len(ordered)-1].factor
--- a/internal/placement/twpace/pace_test.go
+++ b/internal/placement/twpace/pace_test.go
@@ -122,12 +122,11 @@
 	for !keepsAt(secondTrial) {
 		secondTrial += 100
 	}
-	for i := range 3 {
+	for range 3 {
 		trial = begin(p, at(secondTrial), "e", 1)
 		secondTrial += 400
 		report(p, at(secondTrial), trial, 400, 1)
 		p.End(at(secondTrial), trial[0])
-		t.Log(i, p.Factor(at(secondTrial), "e"))
 	}
 	g.Expect(p.IsSlow("e")).To(BeFalse(), "recovered")
 	_, keeps := p.TokenMillis(at(secondTrial), "e", twpace.Load{Runs: 4, MemoryTokens: 24_000}, limit)
