End the runs of a removed engine one by one

Removing an engine from the estimates went through all runs of the service, which a leader of 10,000 engines would do for each one that restarts. The allocator knows the engine's runs and ends them. The reason in the log says that no engine with room keeps the event gap, since others may.

--- a/internal/placement/twallocator/pace.go
+++ b/internal/placement/twallocator/pace.go
@@ -110,7 +110,7 @@
 	case best == nil && c.best != nil && (c.acceptSlow || !c.anyKeeps):
 		best = c.best
 		st.paceShortest = true
-		st.paceReason = fmt.Sprintf(", no engine keeps the event gap of %d ms, the shortest is %.0f ms",
+		st.paceReason = fmt.Sprintf(", no engine with room keeps the event gap of %d ms, the shortest is %.0f ms",
 			limitMillis, c.gapMillis)
 	}
 	return best
--- a/internal/placement/twpace/pace.go
+++ b/internal/placement/twpace/pace.go
@@ -190,19 +190,8 @@
 	}
 }
 
-// Remove removes an engine that is no longer listed, or was restarted, with its runs.
-func (p *Pace) Remove(id string) {
-	e, ok := p.engines[id]
-	if !ok {
-		return
-	}
-	for runID, r := range p.runs {
-		if r.engine == e {
-			delete(p.runs, runID)
-		}
-	}
-	delete(p.engines, id)
-}
+// Remove removes an engine that is no longer listed, or was restarted. Its runs must have ended.
+func (p *Pace) Remove(id string) { delete(p.engines, id) }
 
 // Record records a report on a run. It returns false if the report is no measurement.
 func (p *Pace) Record(now time.Time, report Report) bool {
