--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -102,21 +102,25 @@
 	return measured || e.prefills.Tokens() > 0 || e.pendingPrefillTokens(now, a.prefillSpeedOf(now, e)) > 0
 }
 
-// leastFilledDecode returns the decode engine whose projected peak of memory is lowest with the call; nil when the call
-// fits on none. startOn returns in how many milliseconds the answer would begin on an engine, and whether the engine
-// can be used at all. prefillEngine is nil when the decode engine does the prefill itself.
+// leastFilledDecode returns the decode engine whose projected peak of memory is lowest with the call, of those that keep
+// its event gap; if none of the service does, the one with the shortest gap. It returns nil when the call fits on
+// none. demand is the memory that the call will need. startOn returns in how many milliseconds the answer would begin
+// on an engine, and whether the engine can be used at all. prefillEngine is nil when the decode engine does the prefill
+// itself.
 func (a *Allocator) leastFilledDecode(
-	st *decisionState, request turmericwall.PlaceRequest, prefillEngine *engine, startOn func(*engine) (float64, bool),
+	st *decisionState, request turmericwall.PlaceRequest, demand forecast, prefillEngine *engine,
+	startOn func(*engine) (float64, bool),
 ) *engine {
-	demand := a.forecast(request)
-	if st.cannotFit(demand, request.Version) {
-		return nil
-	}
 	limitTokens := a.tuning.MemoryShare * float64(a.plan.MemoryTokens)
+	pace := a.newPaceChoice(request)
 	var best *engine
 	bestPeak := math.Inf(1)
 	consider := func(e *engine) bool {
-		if !a.acceptsCall(st.now, e, request) || len(e.runs) >= a.slotLimit(e) {
+		if !a.acceptsCall(st.now, e, request) {
+			return false
+		}
+		a.see(st, &pace, e, request)
+		if len(e.runs) >= a.slotLimit(e) {
 			return false
 		}
 		startMillis, ok := startOn(e)
@@ -135,13 +139,16 @@
 		if prefillEngine != nil && e.upstream.Zone != prefillEngine.upstream.Zone {
 			needed += crossZoneTransferPenalty * limitTokens
 		}
+		if !a.keepsPace(st, &pace, e, request, startMillis, needed) {
+			return false
+		}
 		if needed < bestPeak || (needed == bestPeak && e.upstream.ID < best.upstream.ID) {
 			best, bestPeak = e, needed
 		}
 		return true
 	}
 	a.considerEngines(a.decodes, a.decodes.sample(a.maxCandidates(st)), request.Version, consider)
-	return best
+	return pace.choose(st, best, bestPeak, request.EventGapMillis)
 }
 
 // decodeAfterPrefill returns the decode engine for a prompt whose prefill on another engine ends in startMillis; nil
@@ -149,24 +156,38 @@
 func (a *Allocator) decodeAfterPrefill(
 	st *decisionState, request turmericwall.PlaceRequest, prefillEngine *engine, startMillis float64,
 ) *engine {
-	best := a.leastFilledDecode(st, request, prefillEngine, func(*engine) (float64, bool) { return startMillis, true })
-	if best == nil && len(request.Avoid) == 0 {
-		st.unplaced = append(st.unplaced, unplacedCall{forecast: a.forecast(request), version: request.Version})
+	demand := a.forecast(request)
+	if st.cannotFit(demand, request) {
+		return nil
+	}
+	best := a.leastFilledDecode(st, request, demand, prefillEngine,
+		func(*engine) (float64, bool) { return startMillis, true })
+	if best != nil || len(request.Avoid) > 0 {
+		return best
+	}
+	unplaced := unplacedCall{forecast: demand, version: request.Version}
+	if st.paceExcluded {
+		unplaced.eventGapMillis = request.EventGapMillis
 	}
-	return best
+	st.unplaced = append(st.unplaced, unplaced)
+	return nil
 }
 
 // unplacedCall is a call that found no decode engine of the version; an empty version is any.
 type unplacedCall struct {
 	forecast
 	version turmericwall.SoftwareVersion
+	// eventGapMillis is the call's limit if engines with room don't keep it; 0 if none has room.
+	eventGapMillis int64
 }
 
 // cannotFit reports whether a call that needs no more memory than this one was not placed in this decision. Memory only
 // fills up during a decision, so this one needn't be tried; under high load this spares most of the work.
-func (s *decisionState) cannotFit(demand forecast, version turmericwall.SoftwareVersion) bool {
+func (s *decisionState) cannotFit(demand forecast, request turmericwall.PlaceRequest) bool {
+	gapMillis := request.EventGapMillis
 	for _, f := range s.unplaced {
-		if (f.version == "" || f.version == version) && demand.heldTokens >= f.heldTokens && demand.growth >= f.growth {
+		if (f.version == "" || f.version == request.Version) && demand.heldTokens >= f.heldTokens &&
+			demand.growth >= f.growth && (f.eventGapMillis == 0 || (0 < gapMillis && gapMillis <= f.eventGapMillis)) {
 			return true
 		}
 	}
--- a/internal/placement/twallocator/engines.go
+++ b/internal/placement/twallocator/engines.go
@@ -147,8 +147,10 @@
 	}
 	for callID, r := range e.runs {
 		a.endPrefill(callID, r)
+		a.pace.End(time.Time{}, callID)
 		delete(a.engineByCall, callID)
 	}
 	a.ejections.Remove(id)
+	a.pace.Remove(id)
 	delete(a.engines, id)
 }
--- a/internal/placement/twprefills/prefills.go
+++ b/internal/placement/twprefills/prefills.go
@@ -92,6 +92,9 @@
 // Tokens returns the tokens of the open prefills.
 func (p *Prefills) Tokens() int { return p.tokens }
 
+// Open returns the number of open prefills.
+func (p *Prefills) Open() int { return len(p.open) }
+
 // OverdueMillis returns by how many milliseconds the oldest prefill is overdue, or 0. An engine prefills one prompt after
 // another, so that the others are waiting behind the oldest.
 func (p *Prefills) OverdueMillis(now time.Time) float64 {
