placements: state when a call was read, whether its prefill was lost, and what was short

Cause: the leader knows a call only from when its request arrives. It can't tell how long the caller has been held, nor that a second placement follows a lost prefill, and a refusal says what was short only in its text.

Change: PlaceRequest.ReceivedAt (sent as an age, left out if it is zero) and PrefillLost, the latter explicit rather than read from the attempt's number in the ID: an attempt that was never sent lost nothing. Refusals carry a RefusalCause from the leader to the outcome's log line (refusedFor). Moved runs name their account, without a charge. All fields may be missing, so that daemons of the previous release are understood.

--- a/decisions.go
+++ b/decisions.go
@@ -105,6 +105,21 @@
 	EnginesConsidered int
 }
 
+// RefusalCause is what was short when a call was refused.
+type RefusalCause string
+
+// The causes of refusals.
+const (
+	// RefusedForMemory means that no decode engine had memory in time, RefusedForPrefill that no engine could have prefilled
+	// the prompt in time.
+	RefusedForMemory  RefusalCause = "memory"
+	RefusedForPrefill RefusalCause = "prefill"
+	// RefusedAsLate means that a retry was late already, and that calls that can be on time need what becomes free.
+	RefusedAsLate RefusalCause = "late"
+	// RefusedForShare means that the call's client account used more than its share while others needed the rest.
+	RefusedForShare RefusalCause = "share"
+)
+
 // Refusal refuses one attempt.
 type Refusal struct {
 	Attempt string
@@ -117,6 +132,8 @@
 	VersionGone bool
 	// Quarantined is set if the call's input ends engines.
 	Quarantined bool
+	// Cause is what was short; empty for other refusals.
+	Cause RefusalCause
 }
 
 // Sweep requests that the attempt be cancelled at the engine unless its owner still needs it. The caller of Step
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -82,6 +82,7 @@
 	request := turmericwall.PlaceRequest{
 		ID: a.call.ID + "/" + attemptNumber, Service: a.service.Name, Owner: r.config.Daemon,
 		Zone: r.config.Zone, Work: a.call.Work, TargetDeadline: a.call.ReceivedAt.Add(a.target()),
+		ReceivedAt: a.call.ReceivedAt, PrefillLost: a.prefillSent,
 		GiveUpDeadline: a.deadline,
 		CallerDeadline: a.call.Deadline, Avoid: slices.Concat(a.avoid, closed),
 		EventGapMillis: a.route.EventGapMillis, Account: a.call.Account, Units: a.quotaUnits,
@@ -94,7 +95,8 @@
 		// The call was charged with its first run, and its caller waits for the next event like for a first one.
 		request.Units = 0
 		request.Work = a.remainingWork()
-		request.TargetDeadline = time.Now().Add(a.target())
+		request.ReceivedAt = time.Now()
+		request.TargetDeadline = request.ReceivedAt.Add(a.target())
 	}
 	placement, err := r.placeAtVersion(ctx, request)
 	if err != nil {
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -148,7 +148,7 @@
 	placement, err = r.placeAtVersion(ctx, turmericwall.PlaceRequest{
 		ID: fmt.Sprintf("%s/m%d", a.call.ID, request.sequence), Service: a.service.Name, Owner: r.config.Daemon,
 		Zone: request.from.Zone, Work: request.work, TargetDeadline: a.deadline, GiveUpDeadline: a.deadline,
-		CallerDeadline: a.call.Deadline, EventGapMillis: a.route.EventGapMillis, Moving: true,
+		CallerDeadline: a.call.Deadline, EventGapMillis: a.route.EventGapMillis, Moving: true, Account: a.call.Account,
 		Avoid: []string{request.from.ID}, Version: a.version,
 		Fingerprint: string(a.fingerprint()), StreamFingerprint: a.takenUpStream(), Parts: r.listedParts(a),
 	})
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -22,6 +22,8 @@
 	Result string
 	// Cause is the kind of problem of a refused call; empty for other results.
 	Cause turmericwall.Kind
+	// RefusedFor is what was short when the leader refused the call; empty for other results.
+	RefusedFor turmericwall.RefusalCause
 	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, network, move or
 	// process. It is empty for other results, and for calls that are at fault themselves.
 	EndedBy string
@@ -109,6 +111,7 @@
 			status == http.StatusUnauthorized {
 			outcome.Result = "refused"
 			outcome.Cause = problemKind(err)
+			outcome.RefusedFor = refusedFor(err)
 			outcome.EndedBy = ""
 		}
 	}
@@ -187,6 +190,15 @@
 	return p.Kind()
 }
 
+// refusedFor returns what was short when the leader refused the call with the error, or "".
+func refusedFor(err error) turmericwall.RefusalCause {
+	var p *turmericwall.Problem
+	if !errors.As(err, &p) {
+		return ""
+	}
+	return p.RefusedFor()
+}
+
 // record writes the line of the call's outcome and reports it for the metrics.
 func (r *Relay) record(a *attempt, outcome Outcome, status int, err error) {
 	event := turmericwall.EventRequestAnswered
@@ -204,6 +216,9 @@
 	if err != nil {
 		entry = entry.Str("step", string(a.step)).Err(err)
 	}
+	if outcome.RefusedFor != "" {
+		entry = entry.Str("refusedFor", string(outcome.RefusedFor))
+	}
 	if outcome.EndedBy != "" {
 		entry = entry.Str("endedBy", outcome.EndedBy)
 	}
--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -94,8 +94,8 @@
 	if reply.Refused {
 		return turmericwall.Placement{}, turmericwall.NewRefusalProblem(turmericwall.Refusal{
 			Attempt: request.ID, Reason: reply.Reason, Permanent: reply.Never, VersionGone: reply.VersionGone,
-			Quarantined: reply.Quarantined,
-			RetryAt:     now.Add(time.Duration(reply.RetryMillis) * time.Millisecond),
+			Quarantined: reply.Quarantined, Cause: reply.Cause,
+			RetryAt: now.Add(time.Duration(reply.RetryMillis) * time.Millisecond),
 		})
 	}
 	return turmericwall.Placement{
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -32,11 +32,14 @@
 	GiveUpMillis int64                  `json:"giveUpMillis"`
 	GapMillis    int64                  `json:"gapMillis,omitempty"`
 	CallerMillis int64                  `json:"callerMillis"`
-	Moving       bool                   `json:"moving,omitempty"`
-	Avoid        []string               `json:"avoid,omitempty"`
-	Account      string                 `json:"account,omitempty"`
-	Units        float64                `json:"units,omitempty"`
-	Priority     int                    `json:"priority,omitempty"`
+	// HeldMillis is the time since the call was read. Without it the call counts as read when it arrives.
+	HeldMillis  int64    `json:"heldMillis,omitempty"`
+	PrefillLost bool     `json:"prefillLost,omitempty"`
+	Moving      bool     `json:"moving,omitempty"`
+	Avoid       []string `json:"avoid,omitempty"`
+	Account     string   `json:"account,omitempty"`
+	Units       float64  `json:"units,omitempty"`
+	Priority    int      `json:"priority,omitempty"`
 
 	Version turmericwall.SoftwareVersion `json:"version,omitempty"`
 	TakesUp bool                         `json:"takesUp,omitempty"`
@@ -70,18 +73,26 @@
 	RetryMillis   int64                 `json:"retryMillis,omitempty"`
 	VersionGone   bool                  `json:"versionGone,omitempty"`
 	Quarantined   bool                  `json:"quarantined,omitempty"`
+	// Cause is what was short when the call was refused.
+	Cause turmericwall.RefusalCause `json:"cause,omitempty"`
 	// Version is the version that was required. A leader of an earlier build leaves it out, and doesn't keep to it.
 	Version turmericwall.SoftwareVersion `json:"version,omitempty"`
 }
 
 // encodePlaceRequest returns the request as it is sent at the time now.
 func encodePlaceRequest(now time.Time, request turmericwall.PlaceRequest) wirePlaceRequest {
+	held := int64(0)
+	if !request.ReceivedAt.IsZero() {
+		held = max(now.Sub(request.ReceivedAt).Milliseconds(), 0)
+	}
 	return wirePlaceRequest{
 		ID: request.ID, Service: request.Service, Owner: request.Owner, Zone: request.Zone, Work: request.Work,
 		TargetMillis: request.TargetDeadline.Sub(now).Milliseconds(),
 		GiveUpMillis: request.GiveUpDeadline.Sub(now).Milliseconds(),
 		GapMillis:    request.EventGapMillis,
 		CallerMillis: request.CallerDeadline.Sub(now).Milliseconds(),
+		HeldMillis:   held,
+		PrefillLost:  request.PrefillLost,
 		Moving:       request.Moving,
 		Avoid:        request.Avoid,
 		Account:      request.Account,
@@ -101,12 +112,18 @@
 
 // decodePlaceRequest returns a request that was received at the time now.
 func decodePlaceRequest(now time.Time, request wirePlaceRequest) turmericwall.PlaceRequest {
+	var receivedAt time.Time
+	if request.HeldMillis > 0 {
+		receivedAt = now.Add(-time.Duration(request.HeldMillis) * time.Millisecond)
+	}
 	return turmericwall.PlaceRequest{
 		ID: request.ID, Service: request.Service, Owner: request.Owner, Zone: request.Zone, Work: request.Work,
 		TargetDeadline: now.Add(time.Duration(request.TargetMillis) * time.Millisecond),
 		GiveUpDeadline: now.Add(time.Duration(request.GiveUpMillis) * time.Millisecond),
 		EventGapMillis: request.GapMillis,
 		CallerDeadline: now.Add(time.Duration(request.CallerMillis) * time.Millisecond),
+		ReceivedAt:     receivedAt,
+		PrefillLost:    request.PrefillLost,
 		Moving:         request.Moving,
 		Avoid:          request.Avoid,
 		Account:        request.Account,
--- a/internal/membership/twpeerhttp/server.go
+++ b/internal/membership/twpeerhttp/server.go
@@ -182,7 +182,7 @@
 			OverLimit: p.Kind() == turmericwall.KindOverLimit, Reason: p.Detail(),
 			RetryMillis: max(p.RetryAt().Sub(now).Milliseconds(), 0),
 			VersionGone: errors.Is(err, turmericwall.ErrVersionGone),
-			Quarantined: errors.Is(err, turmericwall.ErrQuarantined),
+			Quarantined: errors.Is(err, turmericwall.ErrQuarantined), Cause: p.RefusedFor(),
 		})
 		return
 	}
--- a/placements.go
+++ b/placements.go
@@ -20,6 +20,11 @@
 	Units   float64
 	// Priority orders the waiting calls; 0 goes first.
 	Priority int
+	// ReceivedAt is when the daemon read the call, or when its caller began to wait for the next event; zero if that was
+	// just now, or an earlier build of the daemon doesn't state it.
+	ReceivedAt time.Time
+	// PrefillLost is set if the call was placed before and its prefill was lost, so that it keeps its turn.
+	PrefillLost bool
 	// TargetDeadline is when the first event of the answer must arrive to be on time. It may have passed for a retry.
 	TargetDeadline time.Time
 	// GiveUpDeadline is when a call that still waits is refused.
--- a/problem.go
+++ b/problem.go
@@ -52,6 +52,8 @@
 	outcome Outcome
 	retryAt time.Time
 	cause   error
+	// refusedFor is what was short when the leader refused the call; empty for other problems.
+	refusedFor RefusalCause
 }
 
 // NewProblem returns a problem with the outcome OutcomeNotRun.
@@ -68,6 +70,7 @@
 		return NewProblem(KindTooLarge, r.Reason, "shorten the prompt or ask for fewer tokens")
 	}
 	p := NewProblem(KindOverloaded, r.Reason, "come back at the time given").WithRetryAt(r.RetryAt)
+	p.refusedFor = r.Cause
 	if r.VersionGone {
 		return p.WithCause(ErrVersionGone)
 	}
@@ -113,6 +116,9 @@
 // Outcome returns whether the request may have run.
 func (p *Problem) Outcome() Outcome { return p.outcome }
 
+// RefusedFor returns what was short when the leader refused the call; empty for other problems.
+func (p *Problem) RefusedFor() RefusalCause { return p.refusedFor }
+
 // RetryAt returns when to retry; zero if a retry does not help.
 func (p *Problem) RetryAt() time.Time { return p.retryAt }
 
