platform: account weights, and shares of accounts in metrics and status

accountWeights in the settings states weights by account; without it the accounts' limits are their weights if all have one in the same unit, and otherwise all are equal. GET /status lists share, use and waiting calls of each account at the daemon that places its calls; the metrics have the same as gauges for 64 accounts at most, and count refusals by what was short.

--- a/internal/operations/twmetrics/metrics.go
+++ b/internal/operations/twmetrics/metrics.go
@@ -3,9 +3,12 @@
 package twmetrics
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -30,12 +33,17 @@
 	mu       sync.Mutex
 	// namesByPrefix holds, for each prefix, the names that its counters are split by.
 	namesByPrefix map[string]map[string]bool
+	// gaugesByPrefix reads the values of gauges by name.
+	gaugesByPrefix map[string]func() map[string]int64
 }
 
 // New returns Metrics without any entry.
 func New() *Metrics {
 	// Counters and histograms need none of the library's background timers, which serve rates.
-	return &Metrics{registry: metrics.NewRegistry(), namesByPrefix: make(map[string]map[string]bool)}
+	return &Metrics{
+		registry: metrics.NewRegistry(), namesByPrefix: make(map[string]map[string]bool),
+		gaugesByPrefix: make(map[string]func() map[string]int64),
+	}
 }
 
 // Count adds n to the counter of that name.
@@ -79,6 +87,32 @@
 	metrics.NewRegisteredFunctionalGauge(name, m.registry, read)
 }
 
+// GaugesNamed registers gauges prefix_name whose values are read by name each time the metrics are served. Of more than
+// maxNamesPerPrefix names, those with the largest values are served.
+func (m *Metrics) GaugesNamed(prefix string, read func() map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gaugesByPrefix[prefix] = read
+}
+
+// formatGaugesNamed returns the lines of the gauges that are read by name.
+func (m *Metrics) formatGaugesNamed() []string {
+	m.mu.Lock()
+	readers := maps.Clone(m.gaugesByPrefix)
+	m.mu.Unlock()
+	var lines []string
+	for prefix, read := range readers {
+		values := read()
+		names := slices.SortedFunc(maps.Keys(values), func(x, y string) int {
+			return cmp.Or(cmp.Compare(values[y], values[x]), cmp.Compare(x, y))
+		})
+		for _, name := range names[:min(len(names), maxNamesPerPrefix)] {
+			lines = append(lines, fmt.Sprintf("%s_%s %d", prefix, name, values[name]))
+		}
+	}
+	return lines
+}
+
 // ServeHTTP writes one line for each value, sorted by name, and the time of the answer in Unix milliseconds.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -86,7 +120,7 @@
 }
 
 func (m *Metrics) formatText() string {
-	var lines []string
+	lines := m.formatGaugesNamed()
 	m.registry.Each(func(name string, value any) {
 		switch v := value.(type) {
 		case metrics.Counter:
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -34,6 +34,9 @@
 	Quarantine turmericwall.CallQuarantine
 	// RefreshEvidence learns what other daemons and the store know of input that ends upstreams; it may be nil.
 	RefreshEvidence func(ctx context.Context)
+	// Weights returns the weights of client accounts in the shares of engines; those that are not listed have weight 1.
+	// The map is replaced and never changed. It may be nil, so that all are equal.
+	Weights func() map[string]float64
 	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
 	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
 }
@@ -264,6 +267,13 @@
 	return c.service(service).allocator.Waiting()
 }
 
+// Shares returns the share and the use of each client account with calls of the service here.
+func (c *Coordinator) Shares(service string) []turmericwall.AccountShare {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(service).allocator.Shares()
+}
+
 // EngineDemand returns the shortage and surplus of engines of each role for the service's calls.
 func (c *Coordinator) EngineDemand(service string) turmericwall.EngineDemand {
 	now := time.Now()
@@ -340,6 +350,9 @@
 	if plan, ok := c.config.Service(service); ok && plan.Engine != nil {
 		s.allocator.SetPlan(*plan.Engine)
 	}
+	if c.config.Weights != nil {
+		s.allocator.SetWeights(c.config.Weights())
+	}
 	leading := c.config.IsLeader()
 	if leading && !c.wasLeader {
 		c.decideFrom = now.Add(takeoverDelay)
@@ -394,6 +407,6 @@
 	}
 	return turmericwall.NewRefusalProblem(turmericwall.Refusal{
 		Attempt: r.ID, Reason: r.Reason, RetryAt: r.RetryAt, Permanent: r.Permanent,
-		VersionGone: r.VersionGone,
+		VersionGone: r.VersionGone, Cause: r.Cause,
 	})
 }
