twshares: adopt placed calls in any order, and go through accounts faster; tests

Cause: a new leader raised each account to those whose calls were reported before, so that the account reported first seemed to have used least.

Change: calls that are adopted within a second are charged from the same floor.

--- a/internal/membership/twpeerhttp/peer_test.go
+++ b/internal/membership/twpeerhttp/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -35,6 +36,28 @@
 	}
 }
 
+// Guards against a leader that doesn't learn for how long the caller has been held and that its prefill was lost, and a
+// daemon that doesn't learn what was short. Both are left out by daemons of the previous release.
+func TestHeldCallsAndCausesOfRefusalsAreSent(t *testing.T) {
+	g := NewWithT(t)
+	want := placeRequest()
+	want.ReceivedAt, want.PrefillLost, want.Account = time.Now().Add(-3*time.Second), true, "a"
+	address := serve(t, twpeerhttp.Config{
+		IsLeader: func() bool { return true },
+		Place: func(_ context.Context, got turmericwall.PlaceRequest) (turmericwall.Placement, error) {
+			g.Expect(got.ReceivedAt).To(BeTemporally("~", want.ReceivedAt, 200*time.Millisecond))
+			g.Expect(got.PrefillLost).To(BeTrue())
+			g.Expect(got.Account).To(Equal("a"))
+			return turmericwall.Placement{}, turmericwall.NewRefusalProblem(
+				turmericwall.Refusal{Reason: "r", Cause: turmericwall.RefusedForShare, RetryAt: time.Now()})
+		},
+	})
+	_, err := twpeerhttp.NewClient(nil).Place(context.Background(), address, want)
+	var problem *turmericwall.Problem
+	g.Expect(errors.As(err, &problem)).To(BeTrue())
+	g.Expect(problem.RefusedFor()).To(Equal(turmericwall.RefusedForShare))
+}
+
 func TestPlacementKeepsItsFieldsAndDeadlines(t *testing.T) {
 	g := NewWithT(t)
 	want := placeRequest()
--- a/internal/operations/twmetrics/metrics_test.go
+++ b/internal/operations/twmetrics/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -27,6 +28,23 @@
 	g.Expect(w.Body.String()).To(MatchRegexp(`latencyMillis_plain\{quantile="0.9"\} (89|90|91)\n`))
 }
 
+// Guards against gauges of accounts that are not served, or grow with the names in the configuration.
+func TestGaugesByNameAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := twmetrics.New()
+	m.GaugesNamed("waiting", func() map[string]int64 {
+		values := make(map[string]int64)
+		for i := range 100 {
+			values[fmt.Sprint("account", i)] = int64(i)
+		}
+		return values
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	g.Expect(w.Body.String()).To(ContainSubstring("waiting_account99 99\n"))
+	g.Expect(strings.Count(w.Body.String(), "waiting_")).To(Equal(64))
+}
+
 // Without a bound, the number of metrics would grow with the names in the configuration.
 func TestCountersOfAPrefixAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -294,7 +294,7 @@
 		firstTokenAt: now.Add(-time.Duration(placed.AgeMillis) * time.Millisecond),
 	}
 	a.engineByCall[placed.Request.ID] = placed.Engine
-	a.shares.Place(now, a.sizeOf(placed.Request, a.forecast(placed.Request)), placed.AgeMillis < 0)
+	a.shares.Adopt(now, a.sizeOf(placed.Request, a.forecast(placed.Request)), placed.AgeMillis < 0)
 	e.memoryProjection = nil
 	a.updateUsed(now, e)
 	a.callers.recordAttempt(now, placed.Request)
--- a/internal/placement/twshares/level.go
+++ b/internal/placement/twshares/level.go
@@ -29,7 +29,7 @@
 	s.reservesRound = s.round
 	s.reserves, s.meanRates = [resources]float64{}, [resources]float64{}
 	weights := 0.0
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		weights += a.weight
 		for r := range resources {
 			s.meanRates[r] += a.rates[r]
@@ -38,7 +38,7 @@
 	for r := range resources {
 		s.meanRates[r] /= math.Max(weights, math.SmallestNonzeroFloat64)
 	}
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		for r := range resources {
 			s.reserves[r] += math.Min(a.rates[r], s.meanRates[r]*a.weight)
 		}
@@ -82,7 +82,7 @@
 	level := 0.0
 	for range maxLevelRounds {
 		below, weights := 0.0, 0.0
-		for _, a := range s.accounts {
+		for _, a := range s.list {
 			demand := a.used[r] + a.wanted[r]
 			if demand <= level*a.weight {
 				below += demand
--- a/internal/placement/twshares/shares.go
+++ b/internal/placement/twshares/shares.go
@@ -28,6 +28,8 @@
 	// rateDecayMillis is the time in which an earlier arrival's weight falls to 1/e in the rate of an account. A shorter
 	// one would take single calls of small accounts for their rate.
 	rateDecayMillis = 2000
+	// adoptionSpan is how long daemons take to report their placed calls to a new leader.
+	adoptionSpan = time.Second
 	// minDecaySpan is the shortest time between two updates of counters and rates.
 	minDecaySpan = 10 * time.Millisecond
 	// idleRetention is how long an idle account is kept. By then its lead has decayed to under 1/1000.
@@ -69,8 +71,10 @@
 // Shares keeps the counters and the use of all accounts. It has no clock of its own and is not safe for concurrent use.
 type Shares struct {
 	accounts map[string]*account
-	runs     map[string]*run
-	weights  map[string]float64
+	// list are the same accounts. Going through them is far faster than through a map.
+	list    []*account
+	runs    map[string]*run
+	weights map[string]float64
 	// active is the number of accounts with waiting or placed calls.
 	active int
 	// activeWeight is the sum of the weights of these accounts.
@@ -78,6 +82,10 @@
 	// floor is the lowest counter of the active accounts when an account last became active or counters decayed.
 	floor     float64
 	decayedAt time.Time
+	// adoptedAt is when calls of other daemons were first adopted in the present span, and adoptionFloor the floor at that
+	// time.
+	adoptedAt     time.Time
+	adoptionFloor float64
 	// used is the use by all accounts, runCount the number of placed calls that use the resource.
 	used     [resources]float64
 	runCount [resources]int
@@ -126,7 +134,7 @@
 func (s *Shares) SetWeights(weights map[string]float64) {
 	s.weights = weights
 	s.activeWeight = 0
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		a.weight = s.weightOf(a.name)
 		if a.isActive() {
 			s.activeWeight += a.weight
@@ -147,7 +155,7 @@
 // Enqueue records that a call waits. isRetry is set if the caller was refused before, so that the call adds nothing to
 // what the account sends.
 func (s *Shares) Enqueue(now time.Time, call Call, isRetry bool) {
-	a := s.activate(now, call.Account)
+	a := s.activeAccount(now, call.Account)
 	a.waiting++
 	for r := range resources {
 		a.wanted[r] += call.needs(r)
@@ -170,13 +178,36 @@
 	s.deactivate(a)
 }
 
+// Adopt records a call that another daemon placed. Unlike with Place, an account without calls here is not raised above
+// those whose calls were adopted in the same span: a new leader learns the calls in any order, and the counters are to tell
+// what each account uses.
+func (s *Shares) Adopt(now time.Time, call Call, prefilling bool) {
+	if _, ok := s.runs[call.ID]; ok {
+		return
+	}
+	s.decay(now)
+	if now.Sub(s.adoptedAt) > adoptionSpan {
+		s.updateFloor()
+		s.adoptedAt, s.adoptionFloor = now, s.floor
+	}
+	a := s.account(now, call.Account)
+	if !a.isActive() {
+		s.activate(a, s.adoptionFloor)
+	}
+	s.place(now, a, call, prefilling)
+}
+
 // Place records that a call was placed, and charges what it is expected to cost to its account. prefilling is set until
 // EndPrefill.
 func (s *Shares) Place(now time.Time, call Call, prefilling bool) {
 	if _, ok := s.runs[call.ID]; ok {
 		return
 	}
-	a := s.activate(now, call.Account)
+	s.place(now, s.activeAccount(now, call.Account), call, prefilling)
+}
+
+// place charges a call that was placed to its account.
+func (s *Shares) place(now time.Time, a *account, call Call, prefilling bool) {
 	a.runs++
 	r := &run{call: call, account: a, charged: call.cost() / a.weight, placedAt: now}
 	r.prefilling = prefilling && !call.Local
@@ -275,28 +306,41 @@
 	return a, ok
 }
 
-// activate returns the account, whose counter is raised to the lowest active one if it was idle.
-func (s *Shares) activate(now time.Time, name string) *account {
+// activeAccount returns the account of that name, which is about to get a call. Its counter is raised to the lowest active
+// one if it was idle.
+func (s *Shares) activeAccount(now time.Time, name string) *account {
 	s.decay(now)
+	a := s.account(now, name)
+	if !a.isActive() {
+		s.updateFloor()
+		s.activate(a, s.floor)
+	}
+	return a
+}
+
+// account returns the account of that name, or the one as which its calls count.
+func (s *Shares) account(now time.Time, name string) *account {
 	a, ok := s.accounts[name]
-	if !ok && len(s.accounts) >= maxAccounts {
+	if !ok && len(s.accounts) >= maxAccounts-1 {
 		name = ""
 		a, ok = s.accounts[name]
 	}
 	if !ok {
 		a = &account{name: name, weight: s.weightOf(name)}
 		s.accounts[name] = a
+		s.list = append(s.list, a)
 	}
 	a.lastUsedAt = now
-	if !a.isActive() {
-		s.updateFloor()
-		a.counter = math.Max(a.counter, s.floor)
-		s.active++
-		s.activeWeight += a.weight
-	}
 	return a
 }
 
+// activate records that an idle account gets a call.
+func (s *Shares) activate(a *account, floor float64) {
+	a.counter = math.Max(a.counter, floor)
+	s.active++
+	s.activeWeight += a.weight
+}
+
 // deactivate records that the account may be idle now.
 func (s *Shares) deactivate(a *account) {
 	if a.isActive() {
@@ -304,20 +348,23 @@
 	}
 	s.active--
 	s.activeWeight -= a.weight
+	if s.active == 0 {
+		s.activeWeight = 0
+	}
 	a.used, a.wanted = [resources]float64{}, [resources]float64{}
 	s.floor = math.Max(s.floor, s.lowestActive(a.counter))
 }
 
 // updateFloor sets the floor to the lowest counter of the active accounts. Without any it stays.
 func (s *Shares) updateFloor() {
-	if s.active > 0 {
-		s.floor = s.lowestActive(math.Inf(1))
+	if lowest := s.lowestActive(math.Inf(1)); !math.IsInf(lowest, 1) {
+		s.floor = lowest
 	}
 }
 
 // lowestActive returns the lowest counter of the active accounts, or bound if that is lower.
 func (s *Shares) lowestActive(bound float64) float64 {
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		if a.isActive() {
 			bound = math.Min(bound, a.counter)
 		}
@@ -339,7 +386,8 @@
 	s.updateFloor()
 	lead := math.Exp(-float64(span.Milliseconds()) / leadDecayMillis)
 	rate := math.Exp(-float64(span.Milliseconds()) / rateDecayMillis)
-	for name, a := range s.accounts {
+	kept := s.list[:0]
+	for _, a := range s.list {
 		if a.counter > s.floor {
 			a.counter = s.floor + (a.counter-s.floor)*lead
 		}
@@ -347,7 +395,11 @@
 			a.rates[r] *= rate
 		}
 		if !a.isActive() && now.Sub(a.lastUsedAt) > idleRetention {
-			delete(s.accounts, name)
+			delete(s.accounts, a.name)
+			continue
 		}
+		kept = append(kept, a)
 	}
+	clear(s.list[len(kept):])
+	s.list = kept
 }
--- a/internal/placement/twshares/status.go
+++ b/internal/placement/twshares/status.go
@@ -10,7 +10,7 @@
 // Status returns the share and the use of each account with calls, ordered by name; nothing if no call has an account.
 func (s *Shares) Status() []turmericwall.AccountShare {
 	var list []turmericwall.AccountShare
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		if !a.isActive() {
 			continue
 		}
