twallocator: name share and use in refusals, and explain them

Cause: a refusal because of a share named the account, but not the numbers that decided it.

Change: the reason has the account's share and its use of the resource; a call that was placed after it had left room says so in its reason; explain states what was short and whose share decided.

--- a/internal/operations/twexplain/end.go
+++ b/internal/operations/twexplain/end.go
@@ -43,6 +43,9 @@
 // describeOutcome states who ended the request, and at which step.
 func describeOutcome(l line) string {
 	text := l.message + " at " + l.daemon
+	if cause, ok := l.fields["refusedFor"].(string); ok {
+		text += describeRefusal(cause, l.fields["account"])
+	}
 	if by, ok := l.fields["endedBy"].(string); ok {
 		text += ", ended by " + by
 	}
@@ -52,6 +55,21 @@
 	return text
 }
 
+// describeRefusal states what was short when the leader refused the request, and whose share decided.
+func describeRefusal(cause string, account any) string {
+	switch turmericwall.RefusalCause(cause) {
+	case turmericwall.RefusedForShare:
+		return fmt.Sprintf(", because the account %v used more than its share while others needed the rest", account)
+	case turmericwall.RefusedForMemory:
+		return ", because no decode engine had memory in time"
+	case turmericwall.RefusedForPrefill:
+		return ", because no engine could have prefilled the prompt in time"
+	case turmericwall.RefusedAsLate:
+		return ", because it was a retry that was late already, and others needed what became free"
+	}
+	return ", for lack of " + cause
+}
+
 // stepAfter returns the step that followed a line of a request.
 func stepAfter(l line) string {
 	switch {
--- a/internal/operations/twexplain/explain_test.go
+++ b/internal/operations/twexplain/explain_test.go
@@ -53,6 +53,11 @@
 		{"task failed", sent + `{"daemon":"a","event":1005,"time":"2026-04-01T00:00:03.000Z","message":"Task failed"}` +
 			"\n" + started, "whose process ended with it after a failed task"},
 		{"another daemon started", sent + strings.Replace(started, `"a"`, `"b"`, 1), "still open"},
+		{
+			"refused because of a share", `{"daemon":"a","event":2002,"request":"id1","account":"big","refusedFor":"share",` +
+				`"step":"placement","time":"2026-04-01T00:00:03.000Z","message":"Request refused"}` + "\n",
+			"Request refused at a, because the account big used more than its share while others needed the rest, step placement",
+		},
 		{
 			"broken off", sent + `{"daemon":"a","event":2004,"request":"id1","endedBy":"network","step":"events",` +
 				`"time":"2026-04-01T00:00:03.000Z","message":"Request failed"}` + "\n" + started,
--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -143,6 +143,9 @@
 	targetPassed bool
 	// mustYield is set when the last decision left room for other accounts instead of placing the call.
 	mustYield bool
+	// hasYielded is set once a decision did so, and yieldedResource is of what.
+	hasYielded      bool
+	yieldedResource twshares.Resource
 	// isRetry is set when the caller was refused before.
 	isRetry bool
 	// late is set when the first event can't arrive by the target deadline any more.
--- a/internal/placement/twallocator/bench_test.go
+++ b/internal/placement/twallocator/bench_test.go
@@ -13,7 +13,7 @@
 // the peak a leader makes some hundred such decisions per second, with a fifth of a core.
 func BenchmarkDecide(b *testing.B) {
 	for _, decodes := range []int{15, 50, 1000, 10_000} {
-		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9) })
+		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 1) })
 	}
 }
 
@@ -31,7 +31,14 @@
 	}
 }
 
-func benchmarkDecide(b *testing.B, decodes, runs int) {
+// BenchmarkDecideAccounts is BenchmarkDecide with calls of 100 accounts.
+func BenchmarkDecideAccounts(b *testing.B) {
+	for _, decodes := range []int{15, 10_000} {
+		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 100) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, decodes, runs, accounts int) {
 	tuning := twallocator.DefaultTuning()
 	tuning.MaxWaitMillis = 1e7
 	allocator := twallocator.New(tuning)
@@ -39,9 +46,10 @@
 	allocator.SetEngines(start, engines(3, decodes))
 	id := func(i, j int) string { return fmt.Sprintf("r%d-%d", i, j) }
 	adoptRun := func(i, j int) {
+		request := placeRequest(id(i, j), start, 8000, 3500)
+		request.Account = fmt.Sprint("account", (i*runs+j)%accounts)
 		allocator.Adopt(start, turmericwall.PlacedCall{
-			Request: placeRequest(id(i, j), start, 8000, 3500), Engine: fmt.Sprintf("d%02d", i),
-			AgeMillis: int64(100 * j),
+			Request: request, Engine: fmt.Sprintf("d%02d", i), AgeMillis: int64(100 * j),
 		})
 	}
 	for i := range decodes {
@@ -51,6 +59,7 @@
 	}
 	for i := range 60 {
 		request := placeRequest(fmt.Sprintf("w%d", i), start, 6000, 4000)
+		request.Account = fmt.Sprint("account", i%accounts)
 		request.TargetDeadline = start.Add(time.Hour)
 		request.GiveUpDeadline = start.Add(time.Hour)
 		allocator.Enqueue(start, request)
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -335,6 +335,9 @@
 		PrefillEndsAt: prefillEndsAt, Late: w.late, Reason: "memory expected to suffice",
 		Version: request.Version,
 	}
+	if w.hasYielded {
+		placement.Reason += ", after room was left to other accounts"
+	}
 	if prefillEngine != decode {
 		placement.Prefill = prefillEngine.upstream
 	}
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -198,8 +198,9 @@
 	missing, cause := "no engine has memory in time", turmericwall.RefusedForMemory
 	switch {
 	case w.mustYield:
-		missing, cause = fmt.Sprintf("the client account %s uses more than its share while others need the rest",
-			w.request.Account), turmericwall.RefusedForShare
+		share, usage := a.shares.PartsOf(w.request.Account, w.yieldedResource)
+		missing, cause = fmt.Sprintf("the client account %s uses %.0f%% where its share is %.0f%%, and others need the rest",
+			w.request.Account, 100*usage, 100*share), turmericwall.RefusedForShare
 	case w.noPrefillInTime:
 		missing, cause = "no engine reads the prompt in time", turmericwall.RefusedForPrefill
 	case w.late && w.isRetry:
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -94,6 +94,7 @@
 	missing := a.shares.Used(twshares.Memory) + w.size.PromptTokens + w.size.AnswerTokens + reserve - full
 	w.mustYield = a.shares.MustYield(w.request.Account, twshares.Memory, missing)
 	if w.mustYield {
+		w.hasYielded, w.yieldedResource = true, twshares.Memory
 		a.decodeShortage.record(st.now)
 	}
 	return w.mustYield
@@ -111,6 +112,7 @@
 	left := float64(w.request.TargetDeadline.Sub(st.now).Milliseconds()) - a.tuning.FirstEventMarginMillis
 	w.mustYield = a.shares.MustYield(w.request.Account, twshares.Prefill, (fastest.millis+reserveMillis-left)*speed)
 	if w.mustYield {
+		w.hasYielded, w.yieldedResource = true, twshares.Prefill
 		a.prefillShortage.record(st.now)
 	}
 	return w.mustYield
--- a/internal/placement/twshares/status.go
+++ b/internal/placement/twshares/status.go
@@ -30,6 +30,19 @@
 	return list
 }
 
+// PartsOf returns the account's share, its part of the weights of the accounts with calls, and its part of their use of a
+// resource, both from 0 to 1.
+func (s *Shares) PartsOf(account string, r Resource) (share, usage float64) {
+	a, ok := s.find(account)
+	if !ok || !a.isActive() {
+		return 0, 0
+	}
+	if s.used[r] > 0 {
+		usage = a.used[r] / s.used[r]
+	}
+	return a.weight / s.activeWeight, usage
+}
+
 // Weights returns the weights of accounts: the stated ones, which are 1 for an account that is not listed; without any, the
 // accounts' limits if all have one in the same unit, relative to their mean; otherwise none, so that all are equal.
 func Weights(accounts []turmericwall.ClientAccount, stated map[string]float64) map[string]float64 {
