--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -59,12 +59,12 @@
 	if !availableAt.After(latest) && st.now.Before(latest) && a.keepsWaiting(st, w, availableAt, latest) {
 		return Refusal{}, false
 	}
+	reason, cause := a.refusalReason(st, w, callsAhead, availableAt)
 	if !w.late {
 		// The caller's retry will be late.
 		at, _ := a.lateRoomAt(st, a.inflow)
 		availableAt = laterOf(availableAt, at)
 	}
-	reason, cause := a.refusalReason(st, w, callsAhead, availableAt)
 	return Refusal{
 		ID: w.request.ID, Reason: reason, Cause: cause, RetryAt: a.scheduleRetry(st, w, availableAt),
 	}, true
@@ -116,7 +116,8 @@
 	}
 	if !w.late && a.shares.IsFarAbove(w.request.Account, twshares.Memory) {
 		latest = st.now.Add(time.Duration(aboveShareWaitShare * float64(latest.Sub(st.now))))
-		return !availableAt.After(latest)
+		w.mustYield, w.yieldedResource = availableAt.After(latest), twshares.Memory
+		return !w.mustYield
 	}
 	if st.now.After(w.expectedAt.Add(millis(slipShare * w.spanMillis()))) {
 		return false
