twallocator: count a call's target from when it was read

Cause: the target of a second placement was counted from the caller's first attempt, less the time since: a call whose prefill was lost after 500 ms of a target of 1,000 ms had none of it left and counted as late, behind all others.

Change: attempts are remembered by when their daemon read them. A call placed anew keeps its target. Weights are passed to the allocator once for each version of the plan, not with each report.

--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -199,21 +199,17 @@
 		a.addWaiting(now, &waitingCall{request: request, isRetry: true})
 		return
 	}
-	received := request.ReceivedAt
-	if received.IsZero() || received.After(now) {
-		received = now
-	}
-	target := request.TargetDeadline.Sub(now)
-	span := max(request.TargetDeadline.Sub(received), 0)
-	first, isRetry := a.callers.recordAttempt(now, request)
+	receivedAt := receivedAt(now, request)
+	span := request.TargetDeadline.Sub(receivedAt)
+	first, isRetry := a.callers.recordAttempt(now, receivedAt, request)
 	isRetry = isRetry || request.PrefillLost
 	if request.Version != "" {
 		// The stream has begun, so that its caller waits for the next event and not since its first attempt.
-		first, isRetry = now, false
+		first, isRetry = receivedAt, false
 	}
-	request.TargetDeadline = first.Add(target)
+	request.TargetDeadline = first.Add(span)
 	a.addWaiting(now, &waitingCall{
-		request: request, isRetry: isRetry, receivedAt: received, targetDeadline: received.Add(span),
+		request: request, isRetry: isRetry, receivedAt: receivedAt, targetDeadline: receivedAt.Add(max(span, 0)),
 	})
 	a.cost.RecordCall(twcost.Call{
 		PromptTokens: float64(request.Work.PromptTokens),
@@ -222,6 +218,14 @@
 	})
 }
 
+// receivedAt returns when the call was read, which is now for a call whose daemon doesn't state it.
+func receivedAt(now time.Time, request turmericwall.PlaceRequest) time.Time {
+	if request.ReceivedAt.IsZero() || request.ReceivedAt.After(now) {
+		return now
+	}
+	return request.ReceivedAt
+}
+
 // addWaiting adds a call that waits for its placement.
 func (a *Allocator) addWaiting(now time.Time, w *waitingCall) {
 	w.enqueuedAt = now
@@ -300,7 +304,7 @@
 	a.shares.Adopt(now, a.sizeOf(placed.Request, a.forecast(placed.Request)), placed.AgeMillis < 0)
 	e.memoryProjection = nil
 	a.updateUsed(now, e)
-	a.callers.recordAttempt(now, placed.Request)
+	a.callers.recordAttempt(now, receivedAt(now, placed.Request), placed.Request)
 	if placed.AgeMillis >= 0 {
 		a.callers.recordEngine(now, placed.Request.Work, e)
 	}
--- a/internal/placement/twallocator/callers.go
+++ b/internal/placement/twallocator/callers.go
@@ -40,20 +40,22 @@
 
 func newCallers() *callers { return &callers{bySubject: make(map[string]caller)} }
 
-// recordAttempt returns when the caller made its first attempt, and whether that was before this one. Attempts belong
-// to one caller when the subject of the prompt and the caller's deadline are the same.
-func (c *callers) recordAttempt(now time.Time, request turmericwall.PlaceRequest) (time.Time, bool) {
+// recordAttempt returns when the caller made its first attempt, and whether that was before this one, which was read at
+// receivedAt. Attempts belong to one caller when the subject of the prompt and the caller's deadline are the same.
+func (c *callers) recordAttempt(
+	now, receivedAt time.Time, request turmericwall.PlaceRequest,
+) (first time.Time, isRetry bool) {
 	c.expire(now)
 	if request.Work.Subject == "" {
-		return now, false
+		return receivedAt, false
 	}
 	known, ok := c.bySubject[request.Work.Subject]
 	if ok && !known.firstAttemptAt.IsZero() && known.deadline.Sub(request.CallerDeadline).Abs() < deadlineTolerance {
 		return known.firstAttemptAt, true
 	}
-	known.firstAttemptAt, known.deadline = now, request.CallerDeadline
+	known.firstAttemptAt, known.deadline = receivedAt, request.CallerDeadline
 	c.bySubject[request.Work.Subject] = known
-	return now, false
+	return receivedAt, false
 }
 
 // recordEngine records the decode engine that holds the caller's prompt and decodes its answer.
--- a/internal/placement/twallocator/shares_test.go
+++ b/internal/placement/twallocator/shares_test.go
@@ -75,6 +75,24 @@
 	g.Expect(a.Decide(start).Placed[0].ID).To(Equal("lost/1"))
 }
 
+// Guards against a call that counts as late when its prefill is lost, because the time since it was read is deducted twice
+// from its target.
+func TestCallWhosePrefillWasLostIsLateAfterItsTargetOnly(t *testing.T) {
+	g := NewWithT(t)
+	a := newAllocator(2, 2)
+	request := accountRequest("a/0", "small", start)
+	request.ReceivedAt = start
+	a.Enqueue(start, request)
+	g.Expect(a.Decide(start).Placed).To(HaveLen(1))
+	later := start.Add(500 * time.Millisecond)
+	a.ApplyUpdate(later, turmericwall.PlacementUpdate{ID: "a/0", NotRun: true})
+	request.ID, request.PrefillLost = "a/1", true
+	a.Enqueue(later, request)
+	d := a.Decide(later)
+	g.Expect(d.Placed).To(HaveLen(1))
+	g.Expect(d.Placed[0].Late).To(BeFalse())
+}
+
 // Guards against less urgent calls that take the last capacity because their account has used little.
 func TestPriorityGoesBeforeShares(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -34,9 +34,10 @@
 	Quarantine turmericwall.CallQuarantine
 	// RefreshEvidence learns what other daemons and the store know of input that ends upstreams; it may be nil.
 	RefreshEvidence func(ctx context.Context)
-	// Weights returns the weights of client accounts in the shares of engines; those that are not listed have weight 1.
-	// The map is replaced and never changed. It may be nil, so that all are equal.
-	Weights func() map[string]float64
+	// Weights returns the weights of client accounts in the shares of engines, and the version of the plan that they are for;
+	// accounts that are not listed have weight 1. The map is replaced and never changed. Weights may be nil, so that all are
+	// equal.
+	Weights func() (planVersion int64, weights map[string]float64)
 	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
 	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
 }
@@ -64,7 +65,9 @@
 	// engines is the list of engines that the allocator has.
 	engines []turmericwall.Upstream
 	pending map[string]chan decision
-	timer   *time.Timer
+	// weightsVersion is the version of the plan that the allocator has the accounts' weights of.
+	weightsVersion int64
+	timer          *time.Timer
 	// lastDecisionAt is when the allocator last decided.
 	lastDecisionAt time.Time
 }
@@ -351,7 +354,10 @@
 		s.allocator.SetPlan(*plan.Engine)
 	}
 	if c.config.Weights != nil {
-		s.allocator.SetWeights(c.config.Weights())
+		if version, weights := c.config.Weights(); version != s.weightsVersion {
+			s.weightsVersion = version
+			s.allocator.SetWeights(weights)
+		}
 	}
 	leading := c.config.IsLeader()
 	if leading && !c.wasLeader {
