twshares: compare the shares of calls of one priority

Cause: an urgent call of an account far above its share left room for what others were likely to send, also for less urgent calls, though less urgent work yields.

Change: each priority has counters of its own. Room is left for calls that are as urgent or more, and the engine that is kept for a waiting call is kept from less urgent ones too.

--- a/clients.go
+++ b/clients.go
@@ -63,9 +63,11 @@
 	Units int64 `json:"units"`
 }
 
-// AccountShare is the share of one account in the engines of a service and what its calls use of them.
+// AccountShare is the share of one account in the engines of a service among the calls of one priority, and what its calls
+// use of them.
 type AccountShare struct {
-	Account string `json:"account"`
+	Account  string `json:"account"`
+	Priority int    `json:"priority"`
 	// Share is the account's part of the weights of the accounts with calls, and Usage its part of the memory that calls
 	// are expected to need, both from 0 to 1.
 	Share float64 `json:"share"`
--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -238,7 +238,7 @@
 // sizeOf returns the call's size for the shares.
 func (a *Allocator) sizeOf(request turmericwall.PlaceRequest, need forecast) twshares.Call {
 	return twshares.Call{
-		ID: request.ID, Account: request.Account, PromptTokens: need.heldTokens, AnswerTokens: need.growth,
+		ID: request.ID, Account: request.Account, Priority: request.Priority, PromptTokens: need.heldTokens, AnswerTokens: need.growth,
 		HeldMillis: need.growth / a.decodeSpeed,
 	}
 }
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -127,7 +127,7 @@
 			st.recordClosest(e, needed)
 			return false
 		}
-		if a.isEarmarked(st, e, request.Account) {
+		if a.isEarmarked(st, e) {
 			return false
 		}
 		if e.upstream.Zone != request.Zone {
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twshares"
 )
 
 // decisionIntervalMillis is the time until waiting calls are tried again, 1/50 of a target of one second.
@@ -17,8 +18,9 @@
 	now time.Time
 	// unplaced are the calls that found no decode engine in this decision.
 	unplaced []unplacedCall
-	// demand is the forecast of the present call.
+	// demand is the forecast of the present call, and size its size for the shares.
 	demand forecast
+	size   twshares.Call
 	// fastestPrefill is the prefill engine that was the fastest for the last call.
 	fastestPrefill *engine
 	// evaluateAll is set for a call that requires a version: a sample may have no engine of it.
@@ -188,7 +190,7 @@
 // on time, unless it is late already: a late answer would take memory that another call needs to be on time.
 func (a *Allocator) place(st *decisionState, w *waitingCall) (turmericwall.Placement, bool) {
 	st.closest, st.closestPeak = nil, math.Inf(1)
-	st.demand = w.demand
+	st.demand, st.size = w.demand, w.size
 	st.evaluateAll = w.request.Version != ""
 	if w.request.Moving {
 		return a.placeMovingRun(st, w)
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -114,7 +114,7 @@
 		// A prefill backlog shrinks no faster than the time that is left.
 		return false
 	}
-	if !w.late && a.shares.IsFarAbove(w.request.Account, twshares.Memory) {
+	if !w.late && a.shares.IsFarAbove(w.size, twshares.Memory) {
 		latest = st.now.Add(time.Duration(aboveShareWaitShare * float64(latest.Sub(st.now))))
 		w.mustYield, w.yieldedResource = availableAt.After(latest), twshares.Memory
 		return !w.mustYield
@@ -199,7 +199,7 @@
 	missing, cause := "no engine has memory in time", turmericwall.RefusedForMemory
 	switch {
 	case w.mustYield:
-		share, usage := a.shares.PartsOf(w.request.Account, w.yieldedResource)
+		share, usage := a.shares.PartsOf(w.size, w.yieldedResource)
 		missing, cause = fmt.Sprintf("the client account %s uses %.0f%% where its share is %.0f%%, and others need the rest",
 			w.request.Account, 100*usage, 100*share), turmericwall.RefusedForShare
 	case w.noPrefillInTime:
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -90,9 +90,9 @@
 	if full <= 0 {
 		return false
 	}
-	reserve := math.Min(a.shares.Reserve(w.request.Account, twshares.Memory, reserveSpanShare*w.spanMillis()), maxReserveShare*full)
+	reserve := math.Min(a.shares.Reserve(w.size, twshares.Memory, reserveSpanShare*w.spanMillis()), maxReserveShare*full)
 	missing := a.shares.Used(twshares.Memory) + w.size.PromptTokens + w.size.AnswerTokens + reserve - full
-	w.mustYield = a.shares.MustYield(w.request.Account, twshares.Memory, missing)
+	w.mustYield = a.shares.MustYield(w.size, twshares.Memory, missing)
 	if w.mustYield {
 		w.hasYielded, w.yieldedResource = true, twshares.Memory
 		a.decodeShortage.record(st.now)
@@ -107,10 +107,10 @@
 	if w.late || fastest.engine == nil || speed == 0 || !a.shares.Competing() {
 		return false
 	}
-	reserveMillis := math.Min(a.shares.Reserve(w.request.Account, twshares.Prefill, reserveSpanShare*w.spanMillis())/speed,
+	reserveMillis := math.Min(a.shares.Reserve(w.size, twshares.Prefill, reserveSpanShare*w.spanMillis())/speed,
 		maxReserveShare*w.spanMillis())
 	left := float64(w.request.TargetDeadline.Sub(st.now).Milliseconds()) - a.tuning.FirstEventMarginMillis
-	w.mustYield = a.shares.MustYield(w.request.Account, twshares.Prefill, (fastest.millis+reserveMillis-left)*speed)
+	w.mustYield = a.shares.MustYield(w.size, twshares.Prefill, (fastest.millis+reserveMillis-left)*speed)
 	if w.mustYield {
 		w.hasYielded, w.yieldedResource = true, twshares.Prefill
 		a.prefillShortage.record(st.now)
@@ -134,10 +134,10 @@
 	return float64(w.targetDeadline.Sub(w.receivedAt).Milliseconds())
 }
 
-// earmark is a decode engine that is kept for a call of the account, which waits for memory there.
+// earmark is a decode engine that is kept for a call, which waits for memory there.
 type earmark struct {
-	engine  *engine
-	account string
+	engine *engine
+	call   twshares.Call
 }
 
 // recordClosest records an engine that has too little memory for the present call, with the peak that it would have.
@@ -150,17 +150,17 @@
 // earmark keeps the engine that has most of the memory that a call needs for that call.
 //
 // Smaller calls of accounts that surge would otherwise take what becomes free on each engine, so that a larger call of
-// another account waits in vain, although it goes first.
+// another account, or a more urgent one, waits in vain, although it goes first.
 func (a *Allocator) earmark(st *decisionState, w *waitingCall) {
 	if st.closest != nil && a.shares.Competing() {
-		st.earmarks = append(st.earmarks, earmark{engine: st.closest, account: w.request.Account})
+		st.earmarks = append(st.earmarks, earmark{engine: st.closest, call: w.size})
 	}
 }
 
-// isEarmarked reports whether the engine is kept for a call of another account, to which the account has to leave it.
-func (a *Allocator) isEarmarked(st *decisionState, e *engine, account string) bool {
+// isEarmarked reports whether the engine is kept for another call, to which the present one has to leave it.
+func (a *Allocator) isEarmarked(st *decisionState, e *engine) bool {
 	for _, kept := range st.earmarks {
-		if kept.engine == e && a.shares.MustYieldTo(account, kept.account, twshares.Memory) {
+		if kept.engine == e && a.shares.MustYieldTo(st.size, kept.call, twshares.Memory) {
 			return true
 		}
 	}
--- a/internal/placement/twshares/level.go
+++ b/internal/placement/twshares/level.go
@@ -11,10 +11,9 @@
 // in a crowd the accounts that keep to their share were served alike with one and two.
 const farDeviations = 2
 
-// Reserve returns how much of a resource the other accounts are likely to need within the span, in tokens: what they send,
-// each up to its part of what all send. An account that is far above its share leaves so much room when capacity is short, so
-// that the calls of others that arrive next find it.
-func (s *Shares) Reserve(account string, r Resource, spanMillis float64) float64 {
+// reserve returns the rate at which accounts send, each up to its part of what all send, in tokens per millisecond, but for
+// the account.
+func (s *class) reserve(account string, r Resource) float64 {
 	if s.reservesRound != s.round {
 		s.measureReserves()
 	}
@@ -22,10 +21,10 @@
 	if a, ok := s.find(account); ok {
 		rate -= math.Min(a.rates[r], s.meanRates[r]*a.weight)
 	}
-	return math.Max(rate, 0) * spanMillis
+	return math.Max(rate, 0)
 }
 
-func (s *Shares) measureReserves() {
+func (s *class) measureReserves() {
 	s.reservesRound = s.round
 	s.reserves, s.meanRates = [resources]float64{}, [resources]float64{}
 	weights := 0.0
@@ -45,11 +44,11 @@
 	}
 }
 
-// MustYield reports whether a call of the account has to leave the resource to others: shortfall tokens are missing, and
+// mustYield reports whether a call of the account has to leave the resource to others: shortfall tokens are missing, and
 // the account uses far more than its share. The share is the max-min fair one by weight: what accounts below theirs don't
 // use is divided among the others.
-func (s *Shares) MustYield(account string, r Resource, shortfall float64) bool {
-	if shortfall <= 0 || !s.Competing() {
+func (s *class) mustYield(account string, r Resource, shortfall float64) bool {
+	if shortfall <= 0 || !s.isCompeting() {
 		return false
 	}
 	a, ok := s.find(account)
@@ -63,22 +62,22 @@
 	return s.isFarAbove(a, r, share)
 }
 
-// IsFarAbove reports whether the account uses far more of the resource than its part of what all accounts use.
-func (s *Shares) IsFarAbove(account string, r Resource) bool {
+// isAccountFarAbove reports whether the account uses far more of the resource than its part of what all accounts use.
+func (s *class) isAccountFarAbove(account string, r Resource) bool {
 	a, ok := s.find(account)
-	return ok && s.Competing() && s.isFarAbove(a, r, s.used[r]/s.activeWeight*a.weight)
+	return ok && s.isCompeting() && s.isFarAbove(a, r, s.used[r]/s.activeWeight*a.weight)
 }
 
 // isFarAbove reports whether the account uses more of the resource than the share by more than the use varies by chance,
 // when calls arrive independently of each other.
-func (s *Shares) isFarAbove(a *account, r Resource, share float64) bool {
+func (s *class) isFarAbove(a *account, r Resource, share float64) bool {
 	meanNeed := s.used[r] / float64(max(s.runCount[r], 1))
 	return a.used[r] > share+farDeviations*math.Sqrt(math.Max(share, meanNeed)*meanNeed)
 }
 
 // level returns the use per weight up to which all accounts together use the capacity: accounts that use or want less keep
 // what they have, and the others are cut to the level.
-func (s *Shares) level(r Resource, capacity float64) float64 {
+func (s *class) level(r Resource, capacity float64) float64 {
 	level := 0.0
 	for range maxLevelRounds {
 		below, weights := 0.0, 0.0
@@ -102,9 +101,9 @@
 	return math.Max(level, math.SmallestNonzeroFloat64)
 }
 
-// MustYieldTo reports whether a call of the account has to leave the resource to a call of the other account, which waits
+// mustYieldTo reports whether a call of the account has to leave the resource to a call of the other account, which waits
 // for it: the account uses far more of it than its share, and than the other one uses, both by weight.
-func (s *Shares) MustYieldTo(account, other string, r Resource) bool {
+func (s *class) mustYieldTo(account, other string, r Resource) bool {
 	a, ok := s.find(account)
 	b, found := s.find(other)
 	if !ok || !found || a == b {
--- a/internal/placement/twshares/shares.go
+++ b/internal/placement/twshares/shares.go
@@ -10,396 +10,182 @@
 package twshares
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
-)
 
-const (
-	// answerCost is the cost of an answer token in prompt tokens. Prices of model services and published work on fair
-	// queueing of model calls count an answer token as two or more prompt tokens.
-	answerCost = 2
-	// heldCost is the cost of a token that is held in memory for a second, in prompt tokens. The engines that this was
-	// written for hold 65,399 to 75,158 tokens and prefill 55,556 in a second, so that a token held for a second takes
-	// as much of an engine's time as 0.74 to 0.85 prefilled tokens.
-	heldCost = 0.8
-	// leadDecayMillis is the time in which an account's lead over the lowest counter falls to 1/e: about the duration of
-	// a stream, so that the order follows what accounts use at present.
-	leadDecayMillis = 4000
-	// rateDecayMillis is the time in which an earlier arrival's weight falls to 1/e in the rate of an account. A shorter
-	// one would take single calls of small accounts for their rate.
-	rateDecayMillis = 2000
-	// adoptionSpan is how long daemons take to report their placed calls to a new leader.
-	adoptionSpan = time.Second
-	// minDecaySpan is the shortest time between two updates of counters and rates.
-	minDecaySpan = 10 * time.Millisecond
-	// idleRetention is how long an idle account is kept. By then its lead has decayed to under 1/1000.
-	idleRetention = 30 * time.Second
-	// maxAccounts bounds the accounts that are kept; calls of further ones count as calls without an account.
-	maxAccounts = 4096
+	"github.com/turmericwall/turmericwall"
 )
 
-// Resource is what calls use of the engines.
-type Resource int
-
-// The resources, in tokens: the memory of decode engines, and the backlog of prefill engines.
-const (
-	Memory Resource = iota
-	Prefill
-	resources
-)
-
-// Call is the size of one call. Its answer and the time for which it holds memory are expected values.
-type Call struct {
-	ID, Account                            string
-	PromptTokens, AnswerTokens, HeldMillis float64
-	// Local is set for a placed call whose decode engine prefills the prompt itself.
-	Local bool
-}
+// maxPriority bounds the classes; calls of a lower urgency are of the same one.
+const maxPriority = 15
 
-func (c Call) cost() float64 {
-	return c.PromptTokens + answerCost*c.AnswerTokens + heldCost*(c.PromptTokens+c.AnswerTokens/2)*c.HeldMillis/1000
-}
-
-// needs returns what the call uses of a resource.
-func (c Call) needs(r Resource) float64 {
-	if r == Prefill {
-		return c.PromptTokens
-	}
-	return c.PromptTokens + c.AnswerTokens
-}
-
-// Shares keeps the counters and the use of all accounts. It has no clock of its own and is not safe for concurrent use.
+// Shares keeps the counters and the use of all accounts. Calls of one priority are compared with each other: less urgent
+// ones go after them whatever their accounts have used, and leave room for them. It has no clock of its own and is not safe
+// for concurrent use.
 type Shares struct {
-	accounts map[string]*account
-	// list are the same accounts. Going through them is far faster than through a map.
-	list    []*account
-	runs    map[string]*run
 	weights map[string]float64
-	// active is the number of accounts with waiting or placed calls.
-	active int
-	// activeWeight is the sum of the weights of these accounts.
-	activeWeight float64
-	// floor is the lowest counter of the active accounts when an account last became active or counters decayed.
-	floor     float64
-	decayedAt time.Time
-	// adoptedAt is when calls of other daemons were first adopted in the present span, and adoptionFloor the floor at that
-	// time.
-	adoptedAt     time.Time
-	adoptionFloor float64
-	// used is the use by all accounts, runCount the number of placed calls that use the resource.
-	used     [resources]float64
-	runCount [resources]int
-	round    int
-	// levels are the levels of the round, by resource; 0 while they are unknown.
-	levels [resources]float64
-	// reserves are the rates at which the accounts send, each up to its part, in tokens per millisecond; they are known for
-	// the round reservesRound.
-	reserves      [resources]float64
-	meanRates     [resources]float64
-	reservesRound int
-}
-
-// account is the state of one account.
-type account struct {
-	name          string
-	weight        float64
-	counter       float64
-	waiting, runs int
-	// used is the use by placed calls, wanted the need of waiting ones, rates what arrives, in tokens per millisecond.
-	used, wanted, rates [resources]float64
-	// tag is the virtual start of the account's next waiting call in the round.
-	tag        float64
-	round      int
-	lastUsedAt time.Time
-}
-
-func (a *account) isActive() bool { return a.waiting+a.runs > 0 }
-
-// run is a placed call.
-type run struct {
-	call       Call
-	account    *account
-	charged    float64
-	placedAt   time.Time
-	prefilling bool
+	// classes are those of the priorities that calls had, the most urgent one first.
+	classes []*class
 }
 
 // New returns shares without accounts, all of which have the same weight.
-func New() *Shares {
-	return &Shares{accounts: make(map[string]*account), runs: make(map[string]*run), round: 1}
+func New() *Shares { return &Shares{} }
+
+// class returns the class of the call's priority.
+func (s *Shares) class(call Call) *class {
+	priority := min(max(call.Priority, 0), maxPriority)
+	for _, c := range s.classes {
+		if c.priority == priority {
+			return c
+		}
+	}
+	c := &class{
+		priority: priority, accounts: make(map[string]*account), runs: make(map[string]*run), round: 1, weights: s.weights,
+	}
+	s.classes = append(s.classes, c)
+	slices.SortFunc(s.classes, func(x, y *class) int { return cmp.Compare(x.priority, y.priority) })
+	return c
 }
 
 // SetWeights sets the weights of accounts; those that are not listed have weight 1. The map is kept, and must not be
 // changed.
 func (s *Shares) SetWeights(weights map[string]float64) {
 	s.weights = weights
-	s.activeWeight = 0
-	for _, a := range s.list {
-		a.weight = s.weightOf(a.name)
-		if a.isActive() {
-			s.activeWeight += a.weight
-		}
+	for _, c := range s.classes {
+		c.setWeights(weights)
 	}
 }
 
-func (s *Shares) weightOf(name string) float64 {
-	if w, ok := s.weights[name]; ok && w > 0 {
-		return w
+// Competing reports whether calls of several accounts, of one priority, are waiting or placed. Without that, no call has to
+// leave room.
+func (s *Shares) Competing() bool {
+	for _, c := range s.classes {
+		if c.isCompeting() {
+			return true
+		}
 	}
-	return 1
+	return false
 }
 
-// Competing reports whether calls of several accounts are waiting or placed. With a single one, no call has to leave room.
-func (s *Shares) Competing() bool { return s.active > 1 }
-
 // Enqueue records that a call waits. isRetry is set if the caller was refused before, so that the call adds nothing to
 // what the account sends.
 func (s *Shares) Enqueue(now time.Time, call Call, isRetry bool) {
-	a := s.activeAccount(now, call.Account)
-	a.waiting++
-	for r := range resources {
-		a.wanted[r] += call.needs(r)
-		if !isRetry {
-			a.rates[r] += call.needs(r) / rateDecayMillis
-		}
-	}
+	s.class(call).enqueue(now, call, isRetry)
 }
 
 // Dequeue records that a call no longer waits, because it was placed, was refused or is withdrawn.
-func (s *Shares) Dequeue(call Call) {
-	a, ok := s.find(call.Account)
-	if !ok || a.waiting == 0 {
-		return
-	}
-	a.waiting--
-	for r := range resources {
-		a.wanted[r] = math.Max(a.wanted[r]-call.needs(r), 0)
-	}
-	s.deactivate(a)
-}
-
-// Adopt records a call that another daemon placed. Unlike with Place, an account without calls here is not raised above
-// those whose calls were adopted in the same span: a new leader learns the calls in any order, and the counters are to tell
-// what each account uses.
-func (s *Shares) Adopt(now time.Time, call Call, prefilling bool) {
-	if _, ok := s.runs[call.ID]; ok {
-		return
-	}
-	s.decay(now)
-	if now.Sub(s.adoptedAt) > adoptionSpan {
-		s.updateFloor()
-		s.adoptedAt, s.adoptionFloor = now, s.floor
-	}
-	a := s.account(now, call.Account)
-	if !a.isActive() {
-		s.activate(a, s.adoptionFloor)
-	}
-	s.place(now, a, call, prefilling)
-}
+func (s *Shares) Dequeue(call Call) { s.class(call).dequeue(call) }
 
 // Place records that a call was placed, and charges what it is expected to cost to its account. prefilling is set until
 // EndPrefill.
 func (s *Shares) Place(now time.Time, call Call, prefilling bool) {
-	if _, ok := s.runs[call.ID]; ok {
-		return
-	}
-	s.place(now, s.activeAccount(now, call.Account), call, prefilling)
+	s.class(call).recordPlaced(now, call, prefilling)
 }
 
-// place charges a call that was placed to its account.
-func (s *Shares) place(now time.Time, a *account, call Call, prefilling bool) {
-	a.runs++
-	r := &run{call: call, account: a, charged: call.cost() / a.weight, placedAt: now}
-	r.prefilling = prefilling && !call.Local
-	a.counter += r.charged
-	s.runs[call.ID] = r
-	s.addUse(r, Memory, 1)
-	if r.prefilling {
-		s.addUse(r, Prefill, 1)
-	}
+// Adopt records a call that another daemon placed. Unlike with Place, an account without calls here is not raised above
+// those whose calls were adopted in the same span: a new leader learns the calls in any order, and the counters are to tell
+// what each account uses.
+func (s *Shares) Adopt(now time.Time, call Call, prefilling bool) {
+	s.class(call).adopt(now, call, prefilling)
 }
 
 // EndPrefill records that the prompt of a placed call was prefilled.
 func (s *Shares) EndPrefill(id string) {
-	if r, ok := s.runs[id]; ok && r.prefilling {
-		r.prefilling = false
-		s.addUse(r, Prefill, -1)
+	for _, c := range s.classes {
+		c.endPrefill(id)
 	}
 }
 
 // Settle replaces the expected cost of a call that ends by its actual one. A call that has not run costs nothing.
 func (s *Shares) Settle(now time.Time, id string, answerTokens float64, notRun bool) {
-	r, ok := s.runs[id]
-	if !ok {
-		return
+	for _, c := range s.classes {
+		c.settle(now, id, answerTokens, notRun)
 	}
-	actual := 0.0
-	if !notRun {
-		ended := r.call
-		ended.HeldMillis = float64(now.Sub(r.placedAt).Milliseconds())
-		if answerTokens == 0 && r.call.HeldMillis > 0 {
-			answerTokens = r.call.AnswerTokens * math.Min(ended.HeldMillis/r.call.HeldMillis, 1)
-		}
-		ended.AnswerTokens = answerTokens
-		actual = ended.cost() / r.account.weight
-	}
-	r.account.counter += actual - r.charged
-	r.charged = actual
 }
 
 // End records that a placed call no longer uses anything.
 func (s *Shares) End(id string) {
-	r, ok := s.runs[id]
-	if !ok {
-		return
+	for _, c := range s.classes {
+		c.end(id)
 	}
-	s.EndPrefill(id)
-	s.addUse(r, Memory, -1)
-	delete(s.runs, id)
-	r.account.runs--
-	s.deactivate(r.account)
 }
 
-func (s *Shares) addUse(r *run, resource Resource, sign int) {
-	n := float64(sign) * r.call.needs(resource)
-	r.account.used[resource] += n
-	s.used[resource] += n
-	s.runCount[resource] += sign
-	if s.runCount[resource] == 0 {
-		// Sums of rounded numbers would otherwise leave a rest.
-		s.used[resource] = 0
+// Used returns the use of a resource by all accounts, in tokens.
+func (s *Shares) Used(r Resource) float64 {
+	used := 0.0
+	for _, c := range s.classes {
+		used += c.used[r]
 	}
-	s.levels[resource] = 0
+	return used
 }
 
-// Used returns the use of a resource by all accounts, in tokens.
-func (s *Shares) Used(r Resource) float64 { return s.used[r] }
-
 // BeginRound begins the order of the waiting calls of one decision.
 func (s *Shares) BeginRound(now time.Time) {
-	s.round++
-	s.levels = [resources]float64{}
-	s.decay(now)
-}
-
-// Tag returns the virtual start of a waiting call: the account's counter after those of its calls that got a tag before it in
-// this round. Calls go in the order of their tags.
-func (s *Shares) Tag(call Call) float64 {
-	a, ok := s.find(call.Account)
-	if !ok {
-		return s.floor
-	}
-	if a.round != s.round {
-		a.round, a.tag = s.round, a.counter
+	for _, c := range s.classes {
+		c.beginRound(now)
 	}
-	tag := a.tag
-	a.tag += call.cost() / a.weight
-	return tag
 }
 
-// find returns the account of that name, or the one as which its calls count.
-func (s *Shares) find(name string) (*account, bool) {
-	if a, ok := s.accounts[name]; ok {
-		return a, true
-	}
-	a, ok := s.accounts[""]
-	return a, ok
-}
-
-// activeAccount returns the account of that name, which is about to get a call. Its counter is raised to the lowest active
-// one if it was idle.
-func (s *Shares) activeAccount(now time.Time, name string) *account {
-	s.decay(now)
-	a := s.account(now, name)
-	if !a.isActive() {
-		s.updateFloor()
-		s.activate(a, s.floor)
-	}
-	return a
-}
-
-// account returns the account of that name, or the one as which its calls count.
-func (s *Shares) account(now time.Time, name string) *account {
-	a, ok := s.accounts[name]
-	if !ok && len(s.accounts) >= maxAccounts-1 {
-		name = ""
-		a, ok = s.accounts[name]
-	}
-	if !ok {
-		a = &account{name: name, weight: s.weightOf(name)}
-		s.accounts[name] = a
-		s.list = append(s.list, a)
+// Tag returns the virtual start of a waiting call: the account's counter after those of its calls that got a tag before it in
+// this round. Calls of one priority go in the order of their tags.
+func (s *Shares) Tag(call Call) float64 { return s.class(call).tag(call) }
+
+// Reserve returns how much of a resource the other accounts are likely to need within the span, in tokens, for calls that
+// are as urgent or more: what they send, each up to its part of what all send. An account that is far above its share leaves
+// so much room when capacity is short, so that the calls of others that arrive next find it.
+func (s *Shares) Reserve(call Call, r Resource, spanMillis float64) float64 {
+	own, rate := s.class(call), 0.0
+	for _, c := range s.classes {
+		if c.priority <= own.priority {
+			rate += c.reserve(call.Account, r)
+		}
 	}
-	a.lastUsedAt = now
-	return a
+	return rate * spanMillis
 }
 
-// activate records that an idle account gets a call.
-func (s *Shares) activate(a *account, floor float64) {
-	a.counter = math.Max(a.counter, floor)
-	s.active++
-	s.activeWeight += a.weight
+// MustYield reports whether a call has to leave the resource to others: shortfall tokens are missing, and the call's account
+// uses far more than its share. The share is the max-min fair one by weight: what accounts below theirs don't use is divided
+// among the others.
+func (s *Shares) MustYield(call Call, r Resource, shortfall float64) bool {
+	return s.class(call).mustYield(call.Account, r, shortfall)
 }
 
-// deactivate records that the account may be idle now.
-func (s *Shares) deactivate(a *account) {
-	if a.isActive() {
-		return
-	}
-	s.active--
-	s.activeWeight -= a.weight
-	if s.active == 0 {
-		s.activeWeight = 0
+// MustYieldTo reports whether a call has to leave the resource to another one that waits for it: that one is more urgent, or
+// the call's account uses far more of the resource than its share, and than the other's account uses, both by weight.
+func (s *Shares) MustYieldTo(call, other Call, r Resource) bool {
+	own, others := s.class(call), s.class(other)
+	if own != others {
+		return others.priority < own.priority
 	}
-	a.used, a.wanted = [resources]float64{}, [resources]float64{}
-	s.floor = math.Max(s.floor, s.lowestActive(a.counter))
+	return own.mustYieldTo(call.Account, other.Account, r)
 }
 
-// updateFloor sets the floor to the lowest counter of the active accounts. Without any it stays.
-func (s *Shares) updateFloor() {
-	if lowest := s.lowestActive(math.Inf(1)); !math.IsInf(lowest, 1) {
-		s.floor = lowest
-	}
+// IsFarAbove reports whether the call's account uses far more of the resource than its part of what all accounts use.
+func (s *Shares) IsFarAbove(call Call, r Resource) bool {
+	return s.class(call).isAccountFarAbove(call.Account, r)
 }
 
-// lowestActive returns the lowest counter of the active accounts, or bound if that is lower.
-func (s *Shares) lowestActive(bound float64) float64 {
-	for _, a := range s.list {
-		if a.isActive() {
-			bound = math.Min(bound, a.counter)
-		}
-	}
-	return bound
+// PartsOf returns the share of the call's account, its part of the weights of the accounts with calls, and its part of their
+// use of a resource, both from 0 to 1.
+func (s *Shares) PartsOf(call Call, r Resource) (share, usage float64) {
+	return s.class(call).partsOf(call.Account, r)
 }
 
-// decay lets the leads of counters and the rates of accounts decay, and removes accounts that were idle for long.
-func (s *Shares) decay(now time.Time) {
-	if s.decayedAt.IsZero() {
-		s.decayedAt = now
-		return
+// Status returns the share and the use of each account with calls, ordered by name and priority; nothing if no call has an
+// account.
+func (s *Shares) Status() []turmericwall.AccountShare {
+	var list []turmericwall.AccountShare
+	named := false
+	for _, c := range s.classes {
+		list = append(list, c.status()...)
 	}
-	span := now.Sub(s.decayedAt)
-	if span < minDecaySpan {
-		return
+	for _, share := range list {
+		named = named || share.Account != ""
 	}
-	s.decayedAt = now
-	s.updateFloor()
-	lead := math.Exp(-float64(span.Milliseconds()) / leadDecayMillis)
-	rate := math.Exp(-float64(span.Milliseconds()) / rateDecayMillis)
-	kept := s.list[:0]
-	for _, a := range s.list {
-		if a.counter > s.floor {
-			a.counter = s.floor + (a.counter-s.floor)*lead
-		}
-		for r := range resources {
-			a.rates[r] *= rate
-		}
-		if !a.isActive() && now.Sub(a.lastUsedAt) > idleRetention {
-			delete(s.accounts, a.name)
-			continue
-		}
-		kept = append(kept, a)
+	if !named {
+		return nil
 	}
-	clear(s.list[len(kept):])
-	s.list = kept
+	slices.SortStableFunc(list, func(x, y turmericwall.AccountShare) int { return cmp.Compare(x.Account, y.Account) })
+	return list
 }
--- a/internal/placement/twshares/shares_test.go
+++ b/internal/placement/twshares/shares_test.go
@@ -124,7 +124,7 @@
 	use(s, start, "surging", 60)
 	yields := func(account string, missing float64) bool {
 		s.BeginRound(start)
-		return s.MustYield(account, twshares.Memory, missing)
+		return s.MustYield(call("x", account), twshares.Memory, missing)
 	}
 	g.Expect(yields("surging", 100_000)).To(BeFalse(), "nobody else has calls")
 	for n := range 10 {
@@ -134,12 +134,28 @@
 	g.Expect(yields("surging", 300_000)).To(BeTrue())
 	g.Expect(yields("account3", 300_000)).To(BeFalse())
 	g.Expect(yields("idle", 300_000)).To(BeFalse())
-	g.Expect(s.MustYieldTo("surging", "account3", twshares.Memory)).To(BeTrue())
-	g.Expect(s.MustYieldTo("account3", "surging", twshares.Memory)).To(BeFalse())
+	g.Expect(s.MustYieldTo(call("x", "surging"), call("y", "account3"), twshares.Memory)).To(BeTrue())
+	g.Expect(s.MustYieldTo(call("y", "account3"), call("x", "surging"), twshares.Memory)).To(BeFalse())
 	s.SetWeights(map[string]float64{"surging": 200})
 	g.Expect(yields("surging", 300_000)).To(BeFalse(), "it has the weight for it")
 }
 
+// Guards against urgent calls that leave room for less urgent ones, because their account has used more.
+func TestLessUrgentCallsYield(t *testing.T) {
+	g := NewWithT(t)
+	s := twshares.New()
+	use(s, start, "large", 40)
+	lessUrgent := call("x", "small")
+	lessUrgent.Priority = 2
+	s.Enqueue(start, lessUrgent, false)
+	s.BeginRound(start)
+	urgent := call("y", "large")
+	g.Expect(s.MustYieldTo(urgent, lessUrgent, twshares.Memory)).To(BeFalse())
+	g.Expect(s.MustYieldTo(lessUrgent, urgent, twshares.Memory)).To(BeTrue())
+	g.Expect(s.Reserve(urgent, twshares.Memory, 1000)).To(BeZero())
+	g.Expect(s.MustYield(urgent, twshares.Memory, 300_000)).To(BeFalse())
+}
+
 // Guards against a leader whose memory grows with the names of accounts.
 func TestNumberOfAccountsIsBounded(t *testing.T) {
 	g := NewWithT(t)
@@ -190,8 +206,8 @@
 		s.BeginRound(now)
 		for _, w := range waiting {
 			s.Tag(w)
-			s.Reserve(w.Account, twshares.Memory, 200)
-			s.MustYield(w.Account, twshares.Memory, 100_000)
+			s.Reserve(w, twshares.Memory, 200)
+			s.MustYield(w, twshares.Memory, 100_000)
 		}
 	}
 }
--- a/internal/placement/twshares/status.go
+++ b/internal/placement/twshares/status.go
@@ -1,38 +1,27 @@
 package twshares
 
-import (
-	"slices"
-	"strings"
+import "github.com/turmericwall/turmericwall"
 
-	"github.com/turmericwall/turmericwall"
-)
-
-// Status returns the share and the use of each account with calls, ordered by name; nothing if no call has an account.
-func (s *Shares) Status() []turmericwall.AccountShare {
+// status returns the share and the use of each account with calls.
+func (s *class) status() []turmericwall.AccountShare {
 	var list []turmericwall.AccountShare
 	for _, a := range s.list {
 		if !a.isActive() {
 			continue
 		}
 		status := turmericwall.AccountShare{
-			Account: a.name, Share: a.weight / s.activeWeight, Waiting: a.waiting, Placed: a.runs,
+			Account: a.name, Priority: s.priority, Waiting: a.waiting, Placed: a.runs,
 			MemoryTokens: int64(a.used[Memory]), PrefillTokens: int64(a.used[Prefill]), LeadTokens: int64(a.counter - s.floor),
 		}
-		if s.used[Memory] > 0 {
-			status.Usage = a.used[Memory] / s.used[Memory]
-		}
+		status.Share, status.Usage = s.partsOf(a.name, Memory)
 		list = append(list, status)
 	}
-	if len(list) == 1 && list[0].Account == "" {
-		return nil
-	}
-	slices.SortFunc(list, func(x, y turmericwall.AccountShare) int { return strings.Compare(x.Account, y.Account) })
 	return list
 }
 
-// PartsOf returns the account's share, its part of the weights of the accounts with calls, and its part of their use of a
+// partsOf returns the account's share, its part of the weights of the accounts with calls, and its part of their use of a
 // resource, both from 0 to 1.
-func (s *Shares) PartsOf(account string, r Resource) (share, usage float64) {
+func (s *class) partsOf(account string, r Resource) (share, usage float64) {
 	a, ok := s.find(account)
 	if !ok || !a.isActive() {
 		return 0, 0
