--- a/internal/placement/twallocator/shares_test.go
+++ b/internal/placement/twallocator/shares_test.go
@@ -93,6 +93,26 @@
 	g.Expect(d.Placed[0].Late).To(BeFalse())
 }
 
+// Guards against an account that counts as far above its share for good, because the ends of its calls were lost or their
+// daemon or engine has terminated.
+func TestUseEndsWithoutAReportOfTheEnd(t *testing.T) {
+	for name, end := range map[string]func(a *twallocator.Allocator){
+		"end lost":       func(a *twallocator.Allocator) { a.Sweep(start.Add(2 * time.Minute)) },
+		"daemon lost":    func(a *twallocator.Allocator) { a.ReleaseOwner("o") },
+		"engine removed": func(a *twallocator.Allocator) { a.SetEngines(start, engines(2, 0)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a := newAllocator(2, 1)
+			a.Enqueue(start, accountRequest("a", "large", start))
+			a.Decide(start)
+			g.Expect(a.Shares()).To(HaveLen(1))
+			end(a)
+			g.Expect(a.Shares()).To(BeEmpty())
+		})
+	}
+}
+
 // Guards against less urgent calls that take the last capacity because their account has used little.
 func TestPriorityGoesBeforeShares(t *testing.T) {
 	g := NewWithT(t)
