twallocator: copy less for each waiting call

Cause: each waiting call copied its request and an empty placement several times although nothing could be placed.

Change: the engine that may have the prompt cached is looked up first; the time of a prefill is computed from the number of tokens.

--- a/internal/placement/twallocator/callers.go
+++ b/internal/placement/twallocator/callers.go
@@ -84,7 +84,7 @@
 }
 
 // cachedPrompt returns what is known of the engine that may still have the call's prompt in its cache.
-func (c *callers) cachedPrompt(request turmericwall.PlaceRequest) caller {
+func (c *callers) cachedPrompt(request *turmericwall.PlaceRequest) caller {
 	return c.bySubject[request.Work.Subject]
 }
 
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -201,8 +201,10 @@
 	if a.mustYieldMemory(st, w) {
 		return turmericwall.Placement{}, false
 	}
-	if placement, ok := a.placeOnCachedPrompt(st, w); ok {
-		return placement, true
+	if e, tokens := a.engineWithPrompt(st, &w.request); e != nil {
+		if placement, ok := a.placeOnCachedPrompt(st, w, e, tokens); ok {
+			return placement, true
+		}
 	}
 	if a.waitsForMemory(st, w) {
 		w.noPrefillInTime = false
@@ -239,7 +241,7 @@
 	e := st.fastestPrefill
 	return e != nil && !w.late && !a.mixed && len(w.request.Avoid) == 0 && st.cannotFit(st.demand, w.request.Version) &&
 		a.acceptsCall(st.now, e, w.request) &&
-		a.meetsTarget(st.now, w, a.prefillMillis(st.now, e, w.request)+prefillOverheadMillis)
+		a.meetsTarget(st.now, w, a.prefillMillisOf(st.now, e, w.request.Work.PromptTokens)+prefillOverheadMillis)
 }
 
 // finishesInTime reports whether the option's prefill engine finishes the call's prompt in time.
@@ -302,8 +304,12 @@
 
 // prefillMillis returns in how many milliseconds the engine would finish the call's prompt, its backlog included.
 func (a *Allocator) prefillMillis(now time.Time, e *engine, request turmericwall.PlaceRequest) float64 {
+	return a.prefillMillisOf(now, e, request.Work.PromptTokens)
+}
+
+func (a *Allocator) prefillMillisOf(now time.Time, e *engine, promptTokens int) float64 {
 	speed := a.prefillSpeedOf(now, e)
-	return (e.pendingPrefillTokens(now, speed)+float64(request.Work.PromptTokens))/speed + prefillOverheadMillis
+	return (e.pendingPrefillTokens(now, speed)+float64(promptTokens))/speed + prefillOverheadMillis
 }
 
 // reserve records a placed call on its engines. prefillEngine is decode when the decode engine does the prefill itself.
--- a/internal/placement/twallocator/promptcache.go
+++ b/internal/placement/twallocator/promptcache.go
@@ -6,13 +6,14 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// placeOnCachedPrompt places a retry on the decode engine that still has the caller's prompt in its cache.
+// placeOnCachedPrompt places a retry on the decode engine that still has tokens of the caller's prompt in its cache.
 //
 // When a daemon is killed, all its callers retry at once at other daemons. If their prompts were prefilled again, they
 // would queue before the prompts of new calls and all of them would be late.
-func (a *Allocator) placeOnCachedPrompt(st *decisionState, w *waitingCall) (turmericwall.Placement, bool) {
-	e, tokens := a.engineWithPrompt(st, w.request)
-	if e == nil || !a.acceptsCall(st.now, e, w.request) || len(e.runs) >= a.slotLimit(e) {
+func (a *Allocator) placeOnCachedPrompt(
+	st *decisionState, w *waitingCall, e *engine, tokens int,
+) (turmericwall.Placement, bool) {
+	if !a.acceptsCall(st.now, e, w.request) || len(e.runs) >= a.slotLimit(e) {
 		return turmericwall.Placement{}, false
 	}
 	speed := a.prefillSpeedOf(st.now, e)
@@ -36,7 +37,7 @@
 
 // engineWithPrompt returns the decode engine that still has the call's prompt in its cache, and how many tokens of it;
 // nil when there is none.
-func (a *Allocator) engineWithPrompt(st *decisionState, request turmericwall.PlaceRequest) (*engine, int) {
+func (a *Allocator) engineWithPrompt(st *decisionState, request *turmericwall.PlaceRequest) (*engine, int) {
 	if !a.promptsStayCached(st.now) {
 		return nil, 0
 	}
