--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -12,6 +12,7 @@
 	"github.com/turmericwall/turmericwall/internal/placement/twejection"
 	"github.com/turmericwall/turmericwall/internal/placement/twinterference"
 	"github.com/turmericwall/turmericwall/internal/placement/twpace"
+	"github.com/turmericwall/turmericwall/internal/placement/twshares"
 )
 
 // Tuning holds the limits of the placement decisions.
@@ -121,6 +122,12 @@
 	pace          *twpace.Pace
 	hasEventGaps  bool
 	paceDecisions turmericwall.PaceDecisions
+	// shares are the shares of client accounts in the engines, and memoryFull the need of the placed calls, as a share of
+	// the decode memory, at which calls find no decode engine any more.
+	shares     *twshares.Shares
+	memoryFull float64
+	// inflow is what calls that can be on time were placed with lately.
+	inflow inflow
 	// retryTimes are the retry times given to refused callers that have not passed yet.
 	retryTimes []time.Time
 }
@@ -129,6 +136,22 @@
 type waitingCall struct {
 	request    turmericwall.PlaceRequest
 	enqueuedAt time.Time
+	// receivedAt is when the daemon read this try, and targetDeadline the target deadline counted from that.
+	receivedAt, targetDeadline time.Time
+	// expectedAt is when the call was expected to be placed as it was first compared with the others.
+	expectedAt time.Time
+	// demand is the memory that the call will need once its prompt is prefilled.
+	demand forecast
+	// size is the call's size for the shares, and tag its place in the order of the accounts.
+	size twshares.Call
+	tag  float64
+	// targetPassed is set once the call, being late, was found to be worth waiting beyond its target.
+	targetPassed bool
+	// mustYield is set when the last decision left room for other accounts instead of placing the call.
+	mustYield bool
+	// hasYielded is set once a decision did so, and yieldedResource is of what.
+	hasYielded      bool
+	yieldedResource twshares.Resource
 	// isRetry is set when the caller was refused before.
 	isRetry bool
 	// late is set when the first event can't arrive by the target deadline any more.
@@ -147,6 +170,8 @@
 	Permanent bool
 	// VersionGone is set when no engine of the version that the call requires is listed.
 	VersionGone bool
+	// Cause is what was short.
+	Cause turmericwall.RefusalCause
 }
 
 // Decisions are the results of one call of Decide.
@@ -163,7 +188,8 @@
 		tuning: tuning, engines: make(map[string]*engine), engineByCall: make(map[string]string),
 		prefills: &pool{}, decodes: &pool{},
 		callers: newCallers(), interference: twinterference.New(), cacheHitShare: initialCacheHitShare,
-		cost:             twcost.New(),
+		cost:   twcost.New(),
+		shares: twshares.New(), memoryFull: initialMemoryFull,
 		ejections:        twejection.New(),
 		pace:             twpace.New(),
 		bestPrefillSpeed: initialPrefillSpeed, decodeSpeed: initialDecodeSpeed, prefillSpeed: initialPrefillSpeed,
@@ -177,17 +203,21 @@
 // attempt.
 func (a *Allocator) Enqueue(now time.Time, request turmericwall.PlaceRequest) {
 	if request.Moving {
-		a.waiting = append(a.waiting, &waitingCall{request: request, enqueuedAt: now})
+		a.addWaiting(now, &waitingCall{request: request, isRetry: true})
 		return
 	}
-	target := request.TargetDeadline.Sub(now)
-	first, isRetry := a.callers.recordAttempt(now, request)
+	receivedAt := receivedAt(now, request)
+	span := request.TargetDeadline.Sub(receivedAt)
+	first, isRetry := a.callers.recordAttempt(now, receivedAt, request)
+	isRetry = isRetry || request.PrefillLost
 	if request.Version != "" {
 		// The stream has begun, so that its caller waits for the next event and not since its first attempt.
-		first, isRetry = now, false
+		first, isRetry = receivedAt, false
 	}
-	request.TargetDeadline = first.Add(target)
-	a.waiting = append(a.waiting, &waitingCall{request: request, enqueuedAt: now, isRetry: isRetry})
+	request.TargetDeadline = first.Add(span)
+	a.addWaiting(now, &waitingCall{
+		request: request, isRetry: isRetry, receivedAt: receivedAt, targetDeadline: receivedAt.Add(max(span, 0)),
+	})
 	a.cost.RecordCall(twcost.Call{
 		PromptTokens: float64(request.Work.PromptTokens),
 		AnswerTokens: meanLength(request.Work.HintTokens, request.Work.MaxTokens),
@@ -195,10 +225,43 @@
 	})
 }
 
+// receivedAt returns when the call was read, which is now for a call whose daemon doesn't state it.
+func receivedAt(now time.Time, request turmericwall.PlaceRequest) time.Time {
+	if request.ReceivedAt.IsZero() || request.ReceivedAt.After(now) {
+		return now
+	}
+	return request.ReceivedAt
+}
+
+// addWaiting adds a call that waits for its placement.
+func (a *Allocator) addWaiting(now time.Time, w *waitingCall) {
+	w.enqueuedAt = now
+	w.demand = a.forecast(w.request)
+	w.size = a.sizeOf(w.request, w.demand)
+	a.shares.Enqueue(now, w.size, w.isRetry)
+	a.waiting = append(a.waiting, w)
+}
+
+// sizeOf returns the call's size for the shares.
+func (a *Allocator) sizeOf(request turmericwall.PlaceRequest, need forecast) twshares.Call {
+	return twshares.Call{
+		ID: request.ID, Account: request.Account, Priority: request.Priority, PromptTokens: need.heldTokens, AnswerTokens: need.growth,
+		HeldMillis: need.growth / a.decodeSpeed,
+	}
+}
+
+// SetWeights sets the weights of client accounts; those that are not listed have weight 1. The map is kept, and must not
+// be changed.
+func (a *Allocator) SetWeights(weights map[string]float64) { a.shares.SetWeights(weights) }
+
+// Shares returns the share and the use of each account with calls.
+func (a *Allocator) Shares() []turmericwall.AccountShare { return a.shares.Status() }
+
 // Withdraw removes a waiting call or releases a placed one.
 func (a *Allocator) Withdraw(id string) {
 	for i, w := range a.waiting {
 		if w.request.ID == id {
+			a.shares.Dequeue(w.size)
 			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
 			break
 		}
@@ -212,8 +275,11 @@
 	for _, w := range a.waiting {
 		if w.request.Owner != owner {
 			kept = append(kept, w)
+			continue
 		}
+		a.shares.Dequeue(w.size)
 	}
+	clear(a.waiting[len(kept):])
 	a.waiting = kept
 	for id, at := range a.engineByCall {
 		if r := a.engines[at].runs[id]; r.owner == owner {
@@ -247,9 +313,10 @@
 		a.pace.Begin(now, placed.Request.ID)
 	}
 	a.engineByCall[placed.Request.ID] = placed.Engine
+	a.shares.Adopt(now, a.sizeOf(placed.Request, a.forecast(placed.Request)), placed.AgeMillis < 0)
 	e.memoryProjection = nil
 	a.updateUsed(now, e)
-	a.callers.recordAttempt(now, placed.Request)
+	a.callers.recordAttempt(now, receivedAt(now, placed.Request), placed.Request)
 	if placed.AgeMillis >= 0 {
 		a.callers.recordEngine(now, placed.Request.Work, e)
 	}
@@ -295,6 +362,7 @@
 	}
 	if !update.Running {
 		a.pace.End(now, update.ID)
+		a.shares.Settle(now, update.ID, float64(update.AnswerTokens), update.NotRun)
 		a.release(update.ID)
 	}
 }
@@ -308,6 +376,10 @@
 			e.slow = false
 		}
 	}
+	if a.partial != partial {
+		// The calls that this allocator doesn't know fill the memory too.
+		a.memoryFull = initialMemoryFull
+	}
 	a.partial = partial
 }
 
@@ -324,6 +396,7 @@
 	}
 	a.interference.Unwatch(id)
 	a.pace.End(time.Time{}, id)
+	a.shares.End(id)
 	e := a.engines[at]
 	a.endPrefill(id, e.runs[id])
 	delete(e.runs, id)
--- a/internal/placement/twallocator/bench_test.go
+++ b/internal/placement/twallocator/bench_test.go
@@ -13,14 +13,14 @@
 // the peak a leader makes some hundred such decisions per second, with a fifth of a core.
 func BenchmarkDecide(b *testing.B) {
 	for _, decodes := range []int{15, 50, 1000, 10_000} {
-		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 0) })
+		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 0, 1) })
 	}
 }
 
 // BenchmarkDecideBesideSlowEngines is the same while a third of the engines have memory, but don't keep the event gap.
 func BenchmarkDecideBesideSlowEngines(b *testing.B) {
 	for _, decodes := range []int{15, 10_000} {
-		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 3) })
+		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 3, 1) })
 	}
 }
 
@@ -38,9 +38,16 @@
 	}
 }
 
+// BenchmarkDecideAccounts is BenchmarkDecide with calls of 100 accounts.
+func BenchmarkDecideAccounts(b *testing.B) {
+	for _, decodes := range []int{15, 10_000} {
+		b.Run(fmt.Sprint(decodes), func(b *testing.B) { benchmarkDecide(b, decodes, 9, 0, 100) })
+	}
+}
+
 // benchmarkDecide makes decisions before engines with so many runs each; every slowth engine is slow and has two, or none
 // is if it is 0.
-func benchmarkDecide(b *testing.B, decodes, runs, slowth int) {
+func benchmarkDecide(b *testing.B, decodes, runs, slowth, accounts int) {
 	tuning := twallocator.DefaultTuning()
 	tuning.MaxWaitMillis = 1e7
 	allocator := twallocator.New(tuning)
@@ -48,9 +55,10 @@
 	allocator.SetEngines(start, engines(3, decodes))
 	id := func(i, j int) string { return fmt.Sprintf("r%d-%d", i, j) }
 	adoptRun := func(i, j int) {
+		request := placeRequest(id(i, j), start, 8000, 3500)
+		request.Account = fmt.Sprint("account", (i*runs+j)%accounts)
 		allocator.Adopt(start, turmericwall.PlacedCall{
-			Request: placeRequest(id(i, j), start, 8000, 3500), Engine: fmt.Sprintf("d%02d", i),
-			AgeMillis: int64(100 * j),
+			Request: request, Engine: fmt.Sprintf("d%02d", i), AgeMillis: int64(100 * j),
 		})
 	}
 	isSlow := func(i int) bool { return slowth > 0 && i%slowth == 0 }
@@ -73,6 +81,7 @@
 	}
 	for i := range 60 {
 		request := placeRequest(fmt.Sprintf("w%d", i), start, 6000, 4000)
+		request.Account = fmt.Sprint("account", i%accounts)
 		request.TargetDeadline = start.Add(time.Hour)
 		request.GiveUpDeadline = start.Add(time.Hour)
 		allocator.Enqueue(start, request)
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -12,7 +12,7 @@
 // fastestPrefill returns the prefill engine that would finish the prompt first, and how many milliseconds that takes.
 func (a *Allocator) fastestPrefill(st *decisionState, request turmericwall.PlaceRequest) (*engine, float64) {
 	var best *engine
-	bestMillis, bestAdjusted := math.Inf(1), math.Inf(1)
+	bestMillis := math.Inf(1)
 	consider := func(e *engine) bool {
 		if !a.acceptsCall(st.now, e, request) {
 			return false
@@ -21,11 +21,8 @@
 		if e.upstream.Zone != request.Zone {
 			readyMillis += prefillOverheadMillis
 		}
-		// The errors of the predictions compare engines. They don't decide whether a call can be on time: in a shortage most
-		// ends are late, and most calls would be refused.
-		adjusted := readyMillis + e.prefills.MarginMillis(st.now)
-		if adjusted < bestAdjusted || (adjusted == bestAdjusted && e.upstream.ID < best.upstream.ID) {
-			best, bestMillis, bestAdjusted = e, readyMillis, adjusted
+		if readyMillis < bestMillis || (readyMillis == bestMillis && e.upstream.ID < best.upstream.ID) {
+			best, bestMillis = e, readyMillis
 		}
 		return true
 	}
@@ -131,6 +128,10 @@
 		added := demand.profile(startMillis, memory.speed).shifted(memory.elapsedMillis(st.now))
 		needed := memory.peak(added, a.tuning.Deviations)
 		if needed > limitTokens {
+			st.recordClosest(e, needed)
+			return false
+		}
+		if a.isEarmarked(st, e) {
 			return false
 		}
 		if e.upstream.Zone != request.Zone {
@@ -156,16 +157,15 @@
 func (a *Allocator) decodeAfterPrefill(
 	st *decisionState, request turmericwall.PlaceRequest, prefillEngine *engine, startMillis float64,
 ) *engine {
-	demand := a.forecast(request)
-	if st.cannotFit(demand, request) {
+	if st.cannotFit(st.demand, request) {
 		return nil
 	}
-	best := a.leastFilledDecode(st, request, demand, prefillEngine,
+	best := a.leastFilledDecode(st, request, st.demand, prefillEngine,
 		func(*engine) (float64, bool) { return startMillis, true })
 	if best != nil || len(request.Avoid) > 0 {
 		return best
 	}
-	unplaced := unplacedCall{forecast: demand, version: request.Version}
+	unplaced := unplacedCall{forecast: st.demand, version: request.Version}
 	if st.paceExcluded {
 		unplaced.eventGapMillis = request.EventGapMillis
 	}
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -1,11 +1,13 @@
 package twallocator
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/placement/twshares"
 )
 
 // decisionIntervalMillis is the time until waiting calls are tried again, 1/50 of a target of one second.
@@ -16,6 +18,11 @@
 	now time.Time
 	// unplaced are the calls that found no decode engine in this decision.
 	unplaced []unplacedCall
+	// demand is the forecast of the present call, and size its size for the shares.
+	demand forecast
+	size   twshares.Call
+	// fastestPrefill is the prefill engine that was the fastest for the last call.
+	fastestPrefill *engine
 	// evaluateAll is set for a call that requires a version: a sample may have no engine of it.
 	evaluateAll bool
 	// occupancy is nil until a call needs it.
@@ -25,6 +32,16 @@
 	// paceExcluded is set if there was none with room but those that don't keep it.
 	paceReason                              string
 	paceAvoided, paceShortest, paceExcluded bool
+	// waitingMemory and waitingPrompts are the tokens that the calls need which keep waiting before the present one.
+	waitingMemory, waitingPrompts float64
+	// earmarks are the engines that are kept for calls which go before the present one and wait for memory. closest is the
+	// engine that has most of what the present one needs, with the peak that its memory would have.
+	earmarks    []earmark
+	closest     *engine
+	closestPeak float64
+	// shortestBacklog is that of the prefill engines, in milliseconds; it is known once backlogKnown is set.
+	shortestBacklog float64
+	backlogKnown    bool
 }
 
 // Decide places the waiting calls that fit, refuses those that can't be on time, and keeps the others waiting.
@@ -37,14 +54,19 @@
 	a.sortWaiting(now)
 	kept := a.waiting[:0]
 	for n, w := range a.waiting {
+		w.mustYield = false
 		if placement, ok := a.place(st, w); ok {
+			a.shares.Dequeue(w.size)
 			d.Placed = append(d.Placed, placement)
 			continue
 		}
 		if refusal, ok := a.refuse(st, w, n-len(d.Placed)-len(d.Refused)); ok {
+			a.shares.Dequeue(w.size)
 			d.Refused = append(d.Refused, refusal)
 			continue
 		}
+		st.waitingMemory += w.size.PromptTokens + w.size.AnswerTokens
+		st.waitingPrompts += w.size.PromptTokens
 		kept = append(kept, w)
 	}
 	clear(a.waiting[len(kept):])
@@ -59,6 +81,7 @@
 func (a *Allocator) newDecisionState(now time.Time) *decisionState {
 	a.markEjected(now)
 	a.settlePace(now)
+	a.shares.BeginRound(now)
 	return &decisionState{now: now}
 }
 
@@ -119,30 +142,61 @@
 }
 
 // sortWaiting sorts the waiting calls: those that can be on time first, then by priority. Of these, the calls that
-// require a software version go first, since no other engine can run them, and then the target deadline decides.
+// require a software version go first, since no other engine can run them, then those whose prefill was lost, which keep
+// their turn. Then the shares of the client accounts decide, and then the target deadline.
 func (a *Allocator) sortWaiting(now time.Time) {
+	speed := a.poolPrefillSpeed(now)
 	for _, w := range a.waiting {
-		fastest := float64(w.request.Work.PromptTokens)/a.poolPrefillSpeed(now) + a.tuning.FirstEventMarginMillis
+		fastest := float64(w.request.Work.PromptTokens)/speed + a.tuning.FirstEventMarginMillis
 		w.late = now.Add(millis(fastest)).After(w.request.TargetDeadline)
+		w.tag = 0
 	}
-	sort.SliceStable(a.waiting, func(i, j int) bool {
-		x, y := a.waiting[i], a.waiting[j]
-		if x.late != y.late {
-			return y.late
-		}
-		if x.request.Priority != y.request.Priority {
-			return x.request.Priority < y.request.Priority
-		}
-		if required := x.request.Version != ""; required != (y.request.Version != "") {
-			return required
-		}
-		return x.request.TargetDeadline.Before(y.request.TargetDeadline)
-	})
+	slices.SortStableFunc(a.waiting, compareWaiting)
+	if !a.shares.Competing() {
+		return
+	}
+	// The calls of one account keep their order: their tags rise with it.
+	for _, w := range a.waiting {
+		w.tag = a.shares.Tag(w.size)
+	}
+	slices.SortStableFunc(a.waiting, compareWaiting)
+}
+
+func compareWaiting(x, y *waitingCall) int {
+	if x.late != y.late {
+		return compareBools(y.late, x.late)
+	}
+	if x.request.Priority != y.request.Priority {
+		return cmp.Compare(x.request.Priority, y.request.Priority)
+	}
+	if required := x.request.Version != ""; required != (y.request.Version != "") {
+		return compareBools(required, !required)
+	}
+	if x.request.PrefillLost != y.request.PrefillLost {
+		return compareBools(x.request.PrefillLost, y.request.PrefillLost)
+	}
+	if x.tag != y.tag {
+		return cmp.Compare(x.tag, y.tag)
+	}
+	return x.request.TargetDeadline.Compare(y.request.TargetDeadline)
+}
+
+// compareBools returns a negative number if only the first is set.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	}
+	return 1
 }
 
 // place chooses the engines for one call and reserves their memory. A call is placed only where its first event can be
 // on time, unless it is late already: a late answer would take memory that another call needs to be on time.
 func (a *Allocator) place(st *decisionState, w *waitingCall) (turmericwall.Placement, bool) {
+	st.closest, st.closestPeak = nil, math.Inf(1)
+	st.demand, st.size = w.demand, w.size
 	st.evaluateAll = w.request.Version != ""
 	if w.request.Moving {
 		return a.placeMovingRun(st, w)
@@ -150,10 +204,24 @@
 	if w.late && a.occupancyOf(st).memoryFill() > a.tuning.LateMemoryShare {
 		return turmericwall.Placement{}, false
 	}
-	if placement, ok := a.placeOnCachedPrompt(st, w); ok {
-		return placement, true
+	if a.mustYieldMemory(st, w) {
+		return turmericwall.Placement{}, false
+	}
+	if e, tokens := a.engineWithPrompt(st, &w.request); e != nil {
+		if placement, ok := a.placeOnCachedPrompt(st, w, e, tokens); ok {
+			return placement, true
+		}
+	}
+	if a.waitsForMemory(st, w) {
+		w.noPrefillInTime = false
+		a.decodeShortage.record(st.now)
+		return turmericwall.Placement{}, false
 	}
 	options := a.prefillOptions(st, w.request)
+	st.fastestPrefill = options[0].engine
+	if a.mustYieldPrefill(st, w, options[0]) {
+		return turmericwall.Placement{}, false
+	}
 	inTime := a.finishesInTime(st.now, w, options[0])
 	if !inTime && !w.late {
 		a.prefillShortage.record(st.now)
@@ -166,10 +234,22 @@
 	w.noPrefillInTime = !inTime
 	if inTime && !w.late {
 		a.decodeShortage.record(st.now)
+		a.recordMemoryFull(w.request)
+		a.earmark(st, w)
 	}
 	return turmericwall.Placement{}, false
 }
 
+// waitsForMemory reports whether a call that needs no more memory was not placed in this decision, while the prefill engine
+// that was the fastest for the call before would finish the prompt in time. Nothing else has to be evaluated then, which
+// spares most of the work while many calls wait for memory.
+func (a *Allocator) waitsForMemory(st *decisionState, w *waitingCall) bool {
+	e := st.fastestPrefill
+	return e != nil && !w.late && !a.mixed && len(w.request.Avoid) == 0 && st.cannotFit(st.demand, w.request) &&
+		a.acceptsCall(st.now, e, w.request) &&
+		a.meetsTarget(st.now, w, a.prefillMillisOf(st.now, e, w.request.Work.PromptTokens)+prefillOverheadMillis)
+}
+
 // finishesInTime reports whether the option's prefill engine finishes the call's prompt in time.
 func (a *Allocator) finishesInTime(now time.Time, w *waitingCall, option prefillOption) bool {
 	return option.engine != nil && a.meetsTarget(now, w, option.millis)
@@ -219,6 +299,7 @@
 	decode.prefillBacklog = math.Max(0, decode.prefillBacklog-float64(w.request.Work.PromptTokens))
 	r := decode.runs[w.request.ID]
 	a.endPrefill(w.request.ID, r)
+	a.shares.EndPrefill(w.request.ID)
 	r.prefilling = false
 	r.firstTokenAt = st.now
 	a.pace.Begin(st.now, w.request.ID)
@@ -237,8 +318,12 @@
 
 // prefillMillis returns in how many milliseconds the engine would finish the call's prompt, its backlog included.
 func (a *Allocator) prefillMillis(now time.Time, e *engine, request turmericwall.PlaceRequest) float64 {
+	return a.prefillMillisOf(now, e, request.Work.PromptTokens)
+}
+
+func (a *Allocator) prefillMillisOf(now time.Time, e *engine, promptTokens int) float64 {
 	speed := a.prefillSpeedOf(now, e)
-	return (e.pendingPrefillTokens(now, speed)+float64(request.Work.PromptTokens))/speed + prefillOverheadMillis
+	return (e.pendingPrefillTokens(now, speed)+float64(promptTokens))/speed + prefillOverheadMillis
 }
 
 // reserve records a placed call on its engines. prefillEngine is decode when the decode engine does the prefill itself.
@@ -258,7 +343,7 @@
 	}
 	a.recordPlaced(st.now, decode, turmericwall.PlacedCall{Request: request})
 	a.countPaceDecision(st)
-	added := a.forecast(request).profile(prefillMillis, decode.memoryProjection.speed)
+	added := w.demand.profile(prefillMillis, decode.memoryProjection.speed)
 	decode.memoryProjection.add(added.shifted(decode.memoryProjection.elapsedMillis(st.now)))
 	needed := added.tokensAt(added.endMillis, decode.memoryProjection.speed)
 	if st.occupancy != nil {
@@ -266,6 +351,8 @@
 	}
 	decode.allocatedTokens += needed
 	a.engineByCall[request.ID] = decode.upstream.ID
+	w.size.Local = prefillEngine == decode
+	a.recordShare(st.now, w)
 	a.recordPlacement(st.now, decode, prefillEngine)
 	length := expectedLength(request.Work.HintTokens, request.Work.MaxTokens, 0, a.tuning.ReserveQuantile)
 	placement := turmericwall.Placement{
@@ -273,6 +360,9 @@
 		PrefillEndsAt: prefillEndsAt, Late: w.late, Reason: "memory expected to suffice" + st.paceReason,
 		Version: request.Version,
 	}
+	if w.hasYielded {
+		placement.Reason += ", after room was left to other accounts"
+	}
 	if prefillEngine != decode {
 		placement.Prefill = prefillEngine.upstream
 	}
--- a/internal/placement/twallocator/engines.go
+++ b/internal/placement/twallocator/engines.go
@@ -148,6 +148,7 @@
 	for callID, r := range e.runs {
 		a.endPrefill(callID, r)
 		a.pace.End(time.Time{}, callID)
+		a.shares.End(callID)
 		delete(a.engineByCall, callID)
 	}
 	a.ejections.Remove(id)
--- a/internal/placement/twallocator/speeds.go
+++ b/internal/placement/twallocator/speeds.go
@@ -41,6 +41,7 @@
 		return
 	}
 	r.prefilling = false
+	a.shares.EndPrefill(update.ID)
 	a.completePrefill(now, update.ID, r)
 	a.pace.Begin(now, update.ID)
 	r.firstTokenAt = now
@@ -84,6 +85,18 @@
 	}
 }
 
+// PrefillErrors returns by how many milliseconds the prefills of engines end after their predictions, by the engines' ids,
+// where the latest ones show it.
+func (a *Allocator) PrefillErrors(now time.Time) map[string]float64 {
+	errors := make(map[string]float64)
+	for _, e := range a.ordered {
+		if millis := e.prefills.ErrorMillis(now); millis > 0 {
+			errors[e.upstream.ID] = millis
+		}
+	}
+	return errors
+}
+
 // prefillSpeedOf returns the engine's prefill speed in tokens per millisecond.
 //
 // A speed that was measured while the engine was slow would keep calls away from it, and without calls it would never
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -36,6 +36,10 @@
 	Quarantine turmericwall.CallQuarantine
 	// RefreshEvidence learns what other daemons and the store know of input that ends upstreams; it may be nil.
 	RefreshEvidence func(ctx context.Context)
+	// Weights returns the weights of client accounts in the shares of engines, and the version of the plan that they are for;
+	// accounts that are not listed have weight 1. The map is replaced and never changed. Weights may be nil, so that all are
+	// equal.
+	Weights func() (planVersion int64, weights map[string]float64)
 	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
 	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
 }
@@ -63,7 +67,9 @@
 	// engines is the list of engines that the allocator has.
 	engines []turmericwall.Upstream
 	pending map[string]chan decision
-	timer   *time.Timer
+	// weightsVersion is the version of the plan that the allocator has the accounts' weights of.
+	weightsVersion int64
+	timer          *time.Timer
 	// lastDecisionAt is when the allocator last decided.
 	lastDecisionAt time.Time
 }
@@ -266,6 +272,13 @@
 	return c.service(service).allocator.Waiting()
 }
 
+// Shares returns the share and the use of each client account with calls of the service here.
+func (c *Coordinator) Shares(service string) []turmericwall.AccountShare {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(service).allocator.Shares()
+}
+
 // EngineDemand returns the shortage and surplus of engines of each role for the service's calls.
 func (c *Coordinator) EngineDemand(service string) turmericwall.EngineDemand {
 	now := time.Now()
@@ -284,6 +297,13 @@
 	return list
 }
 
+// PrefillErrors returns by how many milliseconds the prefills of the service's engines end after their predictions.
+func (c *Coordinator) PrefillErrors(service string) map[string]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(service).allocator.PrefillErrors(time.Now())
+}
+
 // PaceDecisions returns how many placements the pace of engines decided, over all services.
 func (c *Coordinator) PaceDecisions() turmericwall.PaceDecisions {
 	c.mu.Lock()
@@ -367,6 +387,12 @@
 	if plan, ok := c.config.Service(service); ok && plan.Engine != nil {
 		s.allocator.SetPlan(*plan.Engine)
 	}
+	if c.config.Weights != nil {
+		if version, weights := c.config.Weights(); version != s.weightsVersion {
+			s.weightsVersion = version
+			s.allocator.SetWeights(weights)
+		}
+	}
 	leading := c.config.IsLeader()
 	if leading && !c.wasLeader {
 		c.decideFrom = now.Add(takeoverDelay)
@@ -421,6 +447,6 @@
 	}
 	return turmericwall.NewRefusalProblem(turmericwall.Refusal{
 		Attempt: r.ID, Reason: r.Reason, RetryAt: r.RetryAt, Permanent: r.Permanent,
-		VersionGone: r.VersionGone,
+		VersionGone: r.VersionGone, Cause: r.Cause,
 	})
 }
--- a/internal/placement/twprefills/prefills.go
+++ b/internal/placement/twprefills/prefills.go
@@ -1,7 +1,6 @@
 // Package twprefills predicts when an engine ends the prefills that were requested from it. It is for the load in which
 // prefill engines stop, slow down or lose packets while prompts keep arriving: an engine that ends nothing must not look
-// idle, and an engine that ends later than predicted must not be predicted to be on time. The placement allocator keeps
-// one Prefills for each engine.
+// idle. It also measures the errors of the predictions. The placement allocator keeps one Prefills for each engine.
 package twprefills
 
 import (
@@ -18,12 +17,12 @@
 	// engine ends several prefills in it.
 	maxErrors     = 12
 	errorValidity = 3 * time.Second
-	// minErrors is the number of errors below which none is added: a single lost packet delays one prefill.
+	// minErrors is the number of errors below which none is reported: a single lost packet delays one prefill.
 	minErrors = 3
-	// marginQuantile is the share of the errors that the margin covers.
-	marginQuantile = 0.8
-	// minMarginMillis is the margin below which none is added: reports arrive that much later or earlier.
-	minMarginMillis = 30
+	// errorQuantile is the share of the errors that are at most as large as the one that is reported.
+	errorQuantile = 0.8
+	// minErrorMillis is the smallest error that is reported: reports arrive that much later or earlier.
+	minErrorMillis = 30
 )
 
 // Prefills are the prefills of one engine that have not ended, and the errors of the latest predictions. It has no clock
@@ -35,9 +34,9 @@
 	tokens int
 	// errors are the latest errors, oldest first.
 	errors []predictionError
-	// margin is the margin of the errors until marginUntil, when one of them becomes too old.
-	margin      float64
-	marginUntil time.Time
+	// error is the quantile of the errors until errorUntil, when one of them becomes too old.
+	error      float64
+	errorUntil time.Time
 }
 
 type prefill struct {
@@ -72,7 +71,7 @@
 		p.errors = slices.Delete(p.errors, 0, 1)
 	}
 	p.errors = append(p.errors, predictionError{at: now, millis: float64(now.Sub(ended.endsAt).Milliseconds())})
-	p.marginUntil = time.Time{}
+	p.errorUntil = time.Time{}
 }
 
 // Withdraw removes a prefill that was not completed.
@@ -117,26 +116,27 @@
 	return math.Max(queuedMillis, overdue+float64(p.tokens-p.open[0].tokens)/speed)
 }
 
-// MarginMillis returns by how many milliseconds the engine's prefills end after their predictions, as the latest errors
-// show; 0 while few were recorded or they are small.
-func (p *Prefills) MarginMillis(now time.Time) float64 {
+// ErrorMillis returns by how many milliseconds the engine's prefills end after their predictions, as the latest errors
+// show; 0 while few were recorded or they are small. It tells operators which engines are late. Placement doesn't add it to
+// predictions: in a shortage most prefills end late, and most calls would be refused.
+func (p *Prefills) ErrorMillis(now time.Time) float64 {
 	if len(p.errors) == 0 {
 		return 0
 	}
-	if !now.Before(p.marginUntil) {
-		p.updateMargin(now)
+	if !now.Before(p.errorUntil) {
+		p.updateError(now)
 	}
-	return p.margin
+	return p.error
 }
 
-// updateMargin discards the errors that are too old and computes the margin of the others.
-func (p *Prefills) updateMargin(now time.Time) {
+// updateError discards the errors that are too old and computes the error of the others.
+func (p *Prefills) updateError(now time.Time) {
 	p.errors = slices.DeleteFunc(p.errors, func(e predictionError) bool { return now.Sub(e.at) >= errorValidity })
-	p.margin = 0
+	p.error = 0
 	if len(p.errors) == 0 {
 		return
 	}
-	p.marginUntil = p.errors[0].at.Add(errorValidity)
+	p.errorUntil = p.errors[0].at.Add(errorValidity)
 	if len(p.errors) < minErrors {
 		return
 	}
@@ -145,7 +145,7 @@
 		sorted = append(sorted, e.millis)
 	}
 	slices.Sort(sorted)
-	if margin := sorted[int(marginQuantile*float64(len(sorted)-1))]; margin >= minMarginMillis {
-		p.margin = margin
+	if millis := sorted[int(errorQuantile*float64(len(sorted)-1))]; millis >= minErrorMillis {
+		p.error = millis
 	}
 }
--- a/internal/placement/twprefills/prefills_test.go
+++ b/internal/placement/twprefills/prefills_test.go
@@ -29,11 +29,11 @@
 	g.Expect(p.Tokens()).To(BeZero())
 }
 
-// Guards against placements on an engine whose prefills end too late, as long as it does so and not for good.
-func TestMarginFollowsTheLatestErrors(t *testing.T) {
+// Guards against engines that are shown as late after a single lost packet, or for good.
+func TestErrorFollowsTheLatestPredictions(t *testing.T) {
 	for name, c := range map[string]struct {
-		errors []int
-		margin float64
+		errors   []int
+		reported float64
 	}{
 		"none":            {nil, 0},
 		"one lost packet": {[]int{-14, 240}, 0},
@@ -48,8 +48,8 @@
 				p.Begin(fmt.Sprint(i), 5000, start.Add(-time.Duration(millis)*time.Millisecond))
 				p.Complete(start, fmt.Sprint(i))
 			}
-			g.Expect(p.MarginMillis(start)).To(Equal(c.margin))
-			g.Expect(p.MarginMillis(after(3000))).To(BeZero(), "an old error doesn't count")
+			g.Expect(p.ErrorMillis(start)).To(Equal(c.reported))
+			g.Expect(p.ErrorMillis(after(3000))).To(BeZero(), "an old error doesn't count")
 		})
 	}
 }
