delivery: merge what daemons observe of plain services under load

Cause: each of 84 daemons sees 2.5 calls a second of a plain service, so that none knows how many are under way at an upstream, how fast it answers or whether it is silent for all. Daemons report them in their replies to heartbeats, relays forward the replies, and the leader sends the sum in its heartbeats, at most 16 upstreams. A service is included only while a daemon reports problems, so that messages are what they were without overload; daemons of the previous release leave the fields out. The first sum of a service is marked as partial, because most daemons report it only in reply to that. Ruled out: sums by the relays. A daemon whose relay fails gets the heartbeat twice, and would be counted twice.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -92,6 +92,12 @@
 	// another daemon.
 	Leaving      func() []turmericwall.UpstreamKey
 	ApplyLeaving func([]turmericwall.UpstreamKey)
+	// OwnLoads is what this daemon itself observed of plain services under load. RecordLoads records what another daemon
+	// observed, Loads is the sum of all, and ApplyLoads applies the sum that the leader sent at the time. They may be nil.
+	OwnLoads    func() []turmericwall.ServiceLoad
+	RecordLoads func(incarnation string, loads []turmericwall.ServiceLoad)
+	Loads       func() []turmericwall.ServiceLoad
+	ApplyLoads  func(sentAt time.Time, loads []turmericwall.ServiceLoad)
 	// EvidenceVersion is the version of this daemon's evidence on engines that ended. WantEvidence is called with that of the
 	// leader. Both may be nil.
 	EvidenceVersion func() int64
@@ -207,6 +213,9 @@
 	if c.config.Leaving != nil {
 		reply.Leaving = c.config.Leaving()
 	}
+	if c.config.OwnLoads != nil {
+		reply.Loads = c.config.OwnLoads()
+	}
 	reply.PlanVersion, reply.UpstreamsPosition = c.config.PlanVersion(), c.config.UpstreamsPosition()
 	return reply
 }
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -59,6 +59,9 @@
 	if c.config.ApplyLeaving != nil {
 		c.config.ApplyLeaving(heartbeat.Leaving)
 	}
+	if c.config.ApplyLoads != nil && !c.heartbeatSentAt.IsZero() {
+		c.config.ApplyLoads(c.heartbeatSentAt, heartbeat.Loads)
+	}
 	if c.config.WantEvidence != nil {
 		c.config.WantEvidence(heartbeat.Leader, heartbeat.EvidenceVersion)
 	}
@@ -68,6 +71,10 @@
 	if c.config.Uses != nil {
 		self.Uses = c.config.Uses()
 	}
+	if c.config.OwnLoads != nil {
+		// The heartbeat may have asked for services of which this daemon itself observed no problems.
+		self.Loads = c.config.OwnLoads()
+	}
 	return self
 }
 
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -53,6 +53,9 @@
 	if c.config.Leaving != nil {
 		heartbeat.Leaving = c.config.Leaving()
 	}
+	if c.config.Loads != nil {
+		heartbeat.Loads = c.config.Loads()
+	}
 	if c.config.EvidenceVersion != nil {
 		heartbeat.EvidenceVersion = c.config.EvidenceVersion()
 	}
@@ -289,6 +292,9 @@
 	if c.config.ApplyLeaving != nil {
 		c.config.ApplyLeaving(reply.Leaving)
 	}
+	if c.config.RecordLoads != nil {
+		c.config.RecordLoads(reply.Incarnation, reply.Loads)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[reply.Address]
--- a/peering.go
+++ b/peering.go
@@ -43,6 +43,8 @@
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
 	// EvidenceVersion is the version of the leader's evidence on engines that ended; 0 while it has none.
 	EvidenceVersion int64 `json:"evidenceVersion,omitempty"`
+	// Loads is what the daemons observed of plain services that have much load or problems.
+	Loads []ServiceLoad `json:"loads,omitempty"`
 	// Rank is the receiver's position among Daemons, from 0; no two daemons have the same.
 	Rank int `json:"rank,omitempty"`
 	// Sequence numbers the leader's rounds of heartbeats.
@@ -107,12 +109,57 @@
 	Rates []UpstreamRate `json:"rates,omitempty"`
 	// Leaving are the upstreams that announced in an answer to this daemon or to a peer that they leave.
 	Leaving []UpstreamKey `json:"leaving,omitempty"`
+	// Loads is what the daemon itself observed of plain services that have much load or problems here or at others.
+	Loads []ServiceLoad `json:"loads,omitempty"`
 	// LostPaths is the number of upstreams to which the daemon has no network path, as far as it can tell.
 	LostPaths int `json:"lostPaths,omitempty"`
 	// Forwarded are the replies of the daemons to which the heartbeat was forwarded; those without a reply are missing.
 	Forwarded []HeartbeatReply `json:"forwarded,omitempty"`
 }
 
+// MaxLoadEntries bounds the upstreams in the loads of one message: about 2 KB.
+const MaxLoadEntries = 16
+
+// ServiceLoad is what one daemon, or all of them together, observed of a plain service within the last half second. Rates
+// are in calls per second.
+type ServiceLoad struct {
+	Service string `json:"service"`
+	// Arrivals is the rate at which calls of the service arrive.
+	Arrivals float64 `json:"arrivals,omitempty"`
+	// LateArrivals is the part of them that can't be answered in time any more at the upstreams' limits.
+	LateArrivals float64 `json:"lateArrivals,omitempty"`
+	// Pressed is set if the daemon observed slow or missing answers or refusals. Daemons that didn't report the service
+	// only because another one did.
+	Pressed bool `json:"pressed,omitempty"`
+	// Partial is set in the leader's first heartbeats about the service: most daemons report it only after these.
+	Partial bool `json:"partial,omitempty"`
+	// AgeMillis is the mean age of what the daemons observed when the leader sends it.
+	AgeMillis int64          `json:"ageMillis,omitempty"`
+	Upstreams []UpstreamLoad `json:"upstreams,omitempty"`
+}
+
+// UpstreamLoad is what was observed of one upstream of a plain service.
+type UpstreamLoad struct {
+	ID            string `json:"id"`
+	StartedMillis int64  `json:"startedMillis,omitempty"`
+	// Open is the number of calls under way.
+	Open int `json:"open,omitempty"`
+	// Answers and Refusals are the rates of calls that the upstream answered, and that it refused unrun.
+	Answers  float64 `json:"answers,omitempty"`
+	Refusals float64 `json:"refusals,omitempty"`
+	// AnswerMillis is the mean answer time.
+	AnswerMillis float64 `json:"answerMillis,omitempty"`
+	// Unanswered is the number of calls that have waited, or waited, longer than usual since the last answer, and
+	// UnansweredMillis the time since then.
+	Unanswered       int   `json:"unanswered,omitempty"`
+	UnansweredMillis int64 `json:"unansweredMillis,omitempty"`
+	// AnsweredMillis is the time since the last answer; 0 if there was none within two seconds.
+	AnsweredMillis int64 `json:"answeredMillis,omitempty"`
+}
+
+// Key identifies the upstream's incarnation.
+func (l UpstreamLoad) Key() UpstreamKey { return UpstreamKey{ID: l.ID, StartedMillis: l.StartedMillis} }
+
 // Member is one incarnation of a daemon.
 type Member struct {
 	Name string `json:"name"`
