delivery: keep calls off silent plain upstreams and limit services at what they carry

Change: twpicker keeps the times at which open calls were sent. The oldest unanswered one is a lower bound of the answer time. An upstream that left two calls unanswered for the target and six times its average, here or at all daemons together, gets no call that may run only once and others as single probes. A service whose calls all run once tries it again with one call, 4 s after the last of its calls ended. twconcurrency computes each upstream's concurrency limit, what it answers within 0.45 of the target, from the merged observations, and the rate that brings its queue there. Each daemon admits the share rate / arrivals of its own calls; calls that can't be in time get what others leave and are refused otherwise, with a retry time that spreads them. Hedged requests are not sent at the limit. Ruled out: an integer share of the limit for each daemon, which is below one call; a choice by answer times that are up to half a second old, with which all daemons choose the same upstream.

--- /dev/null
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -0,0 +1,403 @@
+// Package twconcurrency decides which calls of a plain service are sent while more arrive than its upstreams carry, so that
+// those that are sent are answered in time.
+//
+// It is for a few upstreams with a queue, which hundreds of daemons share with less than one call each under way. The
+// concurrency limit of an upstream is what it answers within the goal, a share of the target. The limit applies to the sum
+// over all daemons, as the leader's heartbeats state it, and each daemon admits the same share of its own calls.
+package twconcurrency
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+const (
+	// goalShare is the share of the target that an admitted call may take: with half of it, what arrives by chance between
+	// two heartbeats is still answered in time.
+	goalShare = 0.45
+	// horizon is the time within which a queue is brought to the goal. What a daemon knows is one to two heartbeat intervals
+	// old; a shorter horizon overshoots.
+	horizon = 400 * time.Millisecond
+	// carriedWindow is the time constant with which an earlier, higher rate of answers is forgotten.
+	carriedWindow = 3 * time.Second
+	// balanceFactor times the arrivals is the rate below which the calls are shared out by what the upstreams carry. Daemons
+	// that choose by what they know of the same heartbeat would all choose the same upstream, which they overload then.
+	balanceFactor = 1.5
+	// freeFactor times the slots is the number of calls under way up to which an upstream has next to no queue: some of them
+	// are on the network.
+	freeFactor = 1.5
+	// refusedShare of the calls refused by the upstream itself means that its own queue is full.
+	refusedShare = 0.02
+	// maxCredit bounds the admissions that were not used.
+	maxCredit = 2
+	// loadRetention is how long what the daemons observed is used.
+	loadRetention = 2 * time.Second
+	// minRetryDelay and minRetrySpan are the least time until a refused call may come back and the least span over which
+	// refused calls are spread: one heartbeat interval. returnShare is the share of the time left that callers wait.
+	minRetryDelay = 50 * time.Millisecond
+	minRetrySpan  = 250 * time.Millisecond
+	returnShare   = 1. / 3
+)
+
+// Reason is why a call is refused.
+type Reason string
+
+// The reasons for which a call is refused.
+const (
+	// ReasonLimit means that the upstreams are at their limits.
+	ReasonLimit Reason = "limit"
+	// ReasonLate means that they are, and that the call can't be on time.
+	ReasonLate Reason = "late"
+)
+
+// Config holds the settings of a limiter.
+type Config struct {
+	// TargetMillis returns the shortest target of the routes of a service; 0 if there is none.
+	TargetMillis func(service string) int64
+	// Random returns a number in [0, 1).
+	Random func() float64
+}
+
+// Call is what the limiter has to know of a call.
+type Call struct {
+	Service string
+	// TargetMillis is the target of the call's route.
+	TargetMillis int64
+	// TargetAt is when the answer is expected, and Deadline when the caller stops waiting.
+	TargetAt, Deadline time.Time
+}
+
+// IsLate reports whether the call can't be answered in time any more while the upstreams are at their limits.
+func (c Call) IsLate(now time.Time) bool {
+	return c.TargetAt.Before(now.Add(time.Duration(goalShare * float64(c.TargetMillis) * float64(time.Millisecond))))
+}
+
+// Decision is what is done with a call.
+type Decision struct {
+	// Limited is set if the service is at its limit.
+	Limited bool
+	// Admitted is set if the call is sent to Upstream. If neither is set, the call may be sent to any upstream.
+	Admitted bool
+	Upstream turmericwall.Upstream
+	// Reason and RetryAt are those of a refusal.
+	Reason  Reason
+	RetryAt time.Time
+	// The inputs: the calls per second that arrive and that are admitted, the calls under way and their limit, and the
+	// expected answer time.
+	Arrivals, Admissions float64
+	Open, Limit          int
+	ExpectedMillis       int64
+}
+
+// Status is the state of one upstream's limit.
+type Status struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+	// Limit and Open are the limit and the number of calls under way, of all daemons. PerSecond is the rate at which all
+	// daemons together may send.
+	Limit     int     `json:"limit"`
+	Open      int     `json:"open"`
+	PerSecond float64 `json:"perSecond"`
+	// AnswerMillis is the mean answer time, and UnansweredMillis for how long calls have been unanswered.
+	AnswerMillis     float64 `json:"answerMillis"`
+	UnansweredMillis int64   `json:"unansweredMillis,omitempty"`
+	// Limited is set if fewer calls are admitted to the service than arrive.
+	Limited bool `json:"limited"`
+	// AgeMillis is the age of these numbers.
+	AgeMillis int64 `json:"ageMillis"`
+}
+
+// Limiter has the state of all services. Its callers pass the time.
+type Limiter struct {
+	config   Config
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is the state of one service.
+type service struct {
+	// sentAt is when the leader sent the observations, and observedAt their mean time.
+	sentAt, observedAt time.Time
+	arrivals, late     float64
+	// goal is the answer time in seconds that the limits aim at; 0 if the service has no target.
+	goal      float64
+	upstreams map[turmericwall.UpstreamKey]*upstream
+	// credit and lateCredit are the numbers of calls that may be admitted: those that can be answered in time, and others.
+	credit, lateCredit float64
+	// limited is set if the last call met the limit, and balanced if it was sent to the upstream whose turn it was.
+	limited, balanced bool
+}
+
+// upstream is the state of one upstream. Rates are in calls per second of all daemons.
+type upstream struct {
+	load turmericwall.UpstreamLoad
+	// slots are those of the upstream; 0 before a call could be sent there.
+	slots float64
+	// sent is the rate at which calls were sent since the observation, and carried the highest rate of answers lately.
+	sent, carried float64
+	// rate is the rate at which calls may be sent; open is the number under way as far as can be told, and limit its limit.
+	rate, open, limit float64
+	// turn orders the upstreams by what they got of their share.
+	turn float64
+}
+
+// New returns a limiter without any limit.
+func New(config Config) *Limiter {
+	return &Limiter{config: config, services: make(map[string]*service)}
+}
+
+// Apply applies what all daemons together observed, as the leader sent it at the time.
+func (l *Limiter) Apply(sentAt time.Time, loads []turmericwall.ServiceLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, s := range l.services {
+		if sentAt.Sub(s.sentAt) > loadRetention {
+			delete(l.services, name)
+		}
+	}
+	for _, load := range loads {
+		if load.Partial {
+			continue
+		}
+		s, ok := l.services[load.Service]
+		if !ok {
+			s = &service{}
+			l.services[load.Service] = s
+		}
+		if sentAt.Before(s.sentAt) {
+			continue
+		}
+		s.goal = goalShare * float64(l.config.TargetMillis(load.Service)) / 1000
+		s.apply(sentAt, load)
+	}
+}
+
+func (s *service) apply(sentAt time.Time, load turmericwall.ServiceLoad) {
+	forgotten := math.Exp(-max(sentAt.Sub(s.sentAt), 0).Seconds() / carriedWindow.Seconds())
+	s.sentAt = sentAt
+	s.observedAt = sentAt.Add(-time.Duration(load.AgeMillis) * time.Millisecond)
+	s.arrivals, s.late = load.Arrivals, min(load.LateArrivals, load.Arrivals)
+	before := s.upstreams
+	s.upstreams = make(map[turmericwall.UpstreamKey]*upstream, len(load.Upstreams))
+	answers, rates := 0.0, 0.0
+	for _, u := range load.Upstreams {
+		answers += u.Answers
+	}
+	for _, u := range before {
+		rates += u.rate
+	}
+	for _, u := range load.Upstreams {
+		next := &upstream{load: u, carried: u.Answers}
+		if answers > 0 {
+			next.sent = load.Arrivals * u.Answers / answers
+		}
+		if old, ok := before[u.Key()]; ok {
+			next.slots, next.turn = old.slots, old.turn
+			next.carried = max(u.Answers, forgotten*old.carried)
+			if s.limited {
+				next.sent = old.rate
+			} else if s.balanced {
+				next.sent = load.Arrivals * old.rate / max(rates, 1)
+			}
+		}
+		s.upstreams[u.Key()] = next
+		next.evaluate(s.goal, s.sentAt.Sub(s.observedAt).Seconds())
+	}
+	for key, old := range before {
+		if _, ok := s.upstreams[key]; !ok {
+			s.upstreams[key] = &upstream{slots: old.slots, turn: old.turn}
+		}
+	}
+}
+
+// Admit decides on a call, which can be sent to the upstreams for which isOpen reports true. upstreams are all of the
+// service. arrived is set for the first send of a call.
+func (l *Limiter) Admit(
+	now time.Time, call Call, upstreams []turmericwall.Upstream, arrived bool, isOpen func(turmericwall.Upstream) bool,
+) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.services[call.Service]
+	if !ok || s.goal <= 0 || len(upstreams) > turmericwall.MaxLoadEntries || now.Sub(s.sentAt) > loadRetention {
+		return Decision{}
+	}
+	candidates, d := s.evaluate(upstreams, isOpen, l.config.Random)
+	if len(candidates) == 0 || d.Admissions >= balanceFactor*s.arrivals {
+		s.limited, s.balanced = false, false
+		return Decision{}
+	}
+	// Daemons with few calls a second would else admit their first ones all at once, and to the same upstream.
+	if !s.balanced {
+		s.balanced = true
+		for _, u := range s.upstreams {
+			u.turn = l.config.Random()
+		}
+	}
+	if d.Admissions >= s.arrivals {
+		s.limited = false
+		d.Admitted, d.Upstream = true, s.next(candidates, d.Admissions)
+		return d
+	}
+	if !s.limited {
+		s.limited, s.credit, s.lateCredit = true, l.config.Random(), l.config.Random()
+	}
+	d.Limited = true
+	// Calls that can be answered in time get all admissions, and the others what these leave.
+	credit, share, reason := &s.credit, d.Admissions/max(s.arrivals-s.late, 1e-9), ReasonLimit
+	if call.IsLate(now) {
+		credit, share, reason = &s.lateCredit, (d.Admissions-s.arrivals+s.late)/max(s.late, 1e-9), ReasonLate
+	}
+	if arrived {
+		*credit = min(*credit+min(max(share, 0), 1), maxCredit)
+	}
+	if *credit < 1 {
+		d.Reason, d.RetryAt = reason, l.retryAt(now, call, d, s.goal)
+		return d
+	}
+	*credit--
+	d.Admitted, d.Upstream = true, s.next(candidates, d.Admissions)
+	return d
+}
+
+// Return takes an admission back that was not used.
+func (l *Limiter) Return(now time.Time, call Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.services[call.Service]
+	switch {
+	case !ok:
+	case call.IsLate(now):
+		s.lateCredit = min(s.lateCredit+1, maxCredit)
+	default:
+		s.credit = min(s.credit+1, maxCredit)
+	}
+}
+
+// IsLimited reports whether the service was at its limit for the last call.
+func (l *Limiter) IsLimited(now time.Time, serviceName string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.services[serviceName]
+	return ok && s.limited && now.Sub(s.sentAt) <= loadRetention
+}
+
+// evaluate returns the upstreams that can get calls, and the sums over them.
+func (s *service) evaluate(
+	upstreams []turmericwall.Upstream, isOpen func(turmericwall.Upstream) bool, random func() float64,
+) (candidates []turmericwall.Upstream, d Decision) {
+	d.Arrivals = s.arrivals
+	expected, known := 0.0, 0
+	var unknown []*upstream
+	maps.DeleteFunc(s.upstreams, func(key turmericwall.UpstreamKey, _ *upstream) bool {
+		return !slices.ContainsFunc(upstreams, func(u turmericwall.Upstream) bool { return u.Key() == key })
+	})
+	for _, u := range upstreams {
+		if !isOpen(u) {
+			continue
+		}
+		state, ok := s.upstreams[u.Key()]
+		if !ok {
+			state = &upstream{turn: random()}
+			s.upstreams[u.Key()] = state
+		}
+		state.slots = float64(max(u.Slots, 1))
+		candidates = append(candidates, u)
+		if state.load.Answers <= 0 {
+			unknown = append(unknown, state)
+			continue
+		}
+		if state.limit == 0 {
+			state.evaluate(s.goal, s.sentAt.Sub(s.observedAt).Seconds())
+		}
+		d.Admissions += state.rate
+		d.Open += state.load.Open
+		d.Limit += int(state.limit)
+		if millis := 1000 * state.open / state.load.Answers; known == 0 || millis < expected {
+			expected = millis
+		}
+		known++
+	}
+	d.ExpectedMillis = int64(expected)
+	if known == 0 {
+		return nil, d
+	}
+	// An upstream without answers, such as a new one, is assumed to carry as much as the others do on average.
+	for _, state := range unknown {
+		state.rate = d.Admissions / float64(known)
+	}
+	d.Admissions += d.Admissions / float64(known) * float64(len(unknown))
+	return candidates, d
+}
+
+// evaluate computes the upstream's limit and rate. goal is in seconds, and age that of the observation.
+func (u *upstream) evaluate(goal, age float64) {
+	if u.slots == 0 {
+		return
+	}
+	answers, seconds := u.load.Answers, max(u.load.AnswerMillis, 1)/1000
+	carries := max(answers, u.carried)
+	if float64(u.load.Open) <= freeFactor*u.slots {
+		// There is no queue: what was sent was not too much, and the answer time is what a call takes by itself.
+		carries = max(carries, u.slots/seconds, u.sent)
+	}
+	u.open = max(float64(u.load.Open)+(u.sent-carries)*age, 0)
+	u.limit = max(goal*carries, u.slots)
+	// While few calls are under way, the answers don't show what the upstream carries.
+	idle := max(1-u.open/u.limit, 0)
+	u.rate = max(answers+idle*(carries-answers)+(u.limit-u.open)/horizon.Seconds(), 0)
+	if u.load.Refusals > refusedShare*answers {
+		u.rate = min(u.rate, answers)
+	}
+}
+
+// next returns the upstream whose turn it is. Each gets its share of the admissions.
+func (s *service) next(candidates []turmericwall.Upstream, admissions float64) turmericwall.Upstream {
+	best := 0
+	for i, u := range candidates {
+		state := s.upstreams[u.Key()]
+		state.turn += state.rate / max(admissions, 1e-9)
+		if state.turn > s.upstreams[candidates[best].Key()].turn {
+			best = i
+		}
+	}
+	s.upstreams[candidates[best].Key()].turn--
+	return candidates[best]
+}
+
+// retryAt returns when a refused call may come back. The calls that are refused now are spread over the time after the queue
+// has shrunk to the goal, as far as callers wait.
+func (l *Limiter) retryAt(now time.Time, call Call, d Decision, goal float64) time.Time {
+	shrinks := time.Duration((float64(d.ExpectedMillis)/1000 - goal) * float64(time.Second))
+	delay := max(shrinks, minRetryDelay)
+	span := time.Duration(float64(minRetrySpan) * min(d.Arrivals/max(d.Admissions, 1), 4))
+	if latest := time.Duration(returnShare * float64(call.Deadline.Sub(now))); delay+span > latest {
+		span = max(latest-minRetryDelay, 0)
+		delay = minRetryDelay
+	}
+	return now.Add(delay + time.Duration(l.config.Random()*float64(span)))
+}
+
+// Status returns the state of all limits.
+func (l *Limiter) Status(now time.Time) []Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Status
+	for name, s := range l.services {
+		if now.Sub(s.sentAt) > loadRetention {
+			continue
+		}
+		for _, u := range s.upstreams {
+			list = append(list, Status{
+				Service: name, ID: u.load.ID, Limit: int(u.limit), Open: u.load.Open, PerSecond: u.rate,
+				AnswerMillis: u.load.AnswerMillis, UnansweredMillis: u.load.UnansweredMillis, Limited: s.limited,
+				AgeMillis: now.Sub(s.observedAt).Milliseconds(),
+			})
+		}
+	}
+	return list
+}
--- a/internal/delivery/twpicker/picker.go
+++ b/internal/delivery/twpicker/picker.go
@@ -1,5 +1,5 @@
 // Package twpicker picks the upstream of a plain service for each send of a call. It prefers the lowest expected answer
-// time and ejects upstreams that fail repeatedly.
+// time, ejects upstreams that fail repeatedly, and keeps calls off upstreams that have stopped answering.
 package twpicker
 
 import (
@@ -39,6 +39,8 @@
 	config Config
 	mu     sync.Mutex
 	stats  map[turmericwall.UpstreamKey]*upstreamStats
+	// services has what is counted of each service, by its name.
+	services map[string]*serviceStats
 }
 
 // Config holds the settings of a picker.
@@ -48,11 +50,32 @@
 	// FirstChoice selects the first choice among equal upstreams. Daemons must have different ones: each of hundreds of
 	// daemons has so few calls that it knows no answer times, and all would pick the same upstream.
 	FirstChoice uint64
+	// Daemons returns the number of live daemons, which probe silent upstreams together; it may be nil.
+	Daemons func() int
+	// OwnDelay returns by how much this daemon may delay what it waits for; it may be nil.
+	OwnDelay func() time.Duration
+}
+
+// Call is what the picker has to know of a call.
+type Call struct {
+	// TargetMillis is the time within which the answer is expected; 0 if the route has no target.
+	TargetMillis int64
+	// RunsOnce is set for a call that may run only once.
+	RunsOnce bool
+	// Avoid are the IDs of the upstreams that must not be picked.
+	Avoid map[string]bool
 }
 
 type upstreamStats struct {
-	openCalls           int
-	answerMillis        float64
+	openCalls int
+	silence   silence
+	observed  observed
+	shared    shared
+	// targetMillis is the target of the last call that was sent.
+	targetMillis int64
+	answerMillis float64
+	// usualMillis is the average of the answers alone, without failures.
+	usualMillis         float64
 	failureRate         float64
 	consecutiveFailures int
 	ejections           int
@@ -62,14 +85,17 @@
 
 // New returns a picker that knows no results.
 func New(config Config) *Picker {
-	return &Picker{config: config, stats: make(map[turmericwall.UpstreamKey]*upstreamStats)}
+	return &Picker{
+		config: config, stats: make(map[turmericwall.UpstreamKey]*upstreamStats), services: make(map[string]*serviceStats),
+	}
 }
 
 // Pick returns the upstream with the lowest expected answer time. Each pick must be ended by RecordAnswer,
-// RecordFailure or ReleasePick. It returns ok=false when every upstream is leaving or in avoid.
+// RecordFailure, ReleaseSent or ReleasePick. It returns ok=false when every upstream is leaving, to be avoided, or silent
+// and not to be probed by this call.
 func (p *Picker) Pick(
-	now time.Time, upstreams []turmericwall.Upstream, avoid map[string]bool,
-) (turmericwall.Upstream, bool) {
+	now time.Time, call Call, upstreams []turmericwall.Upstream,
+) (upstream turmericwall.Upstream, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1
@@ -78,10 +104,10 @@
 	for n := range upstreams {
 		i := int((p.config.FirstChoice + uint64(n)) % uint64(len(upstreams)))
 		u := upstreams[i]
-		if u.Leaving || avoid[u.ID] {
+		if u.Leaving || call.Avoid[u.ID] || p.isClosedTo(now, call, p.statsOf(u)) {
 			continue
 		}
-		if score := p.score(now, u, unknownMillis); score < bestScore {
+		if score := p.score(now, call, u, unknownMillis); score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -92,12 +118,46 @@
 	return upstreams[best], true
 }
 
+// IsOpenTo reports whether the call may be sent to the upstream: it is not leaving, to be avoided, silent or ejected.
+func (p *Picker) IsOpenTo(now time.Time, call Call, u turmericwall.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.statsOf(u)
+	ejected := now.Before(r.ejectedUntil) || (r.ejections > 0 && r.openCalls > 0)
+	return !u.Leaving && !call.Avoid[u.ID] && !ejected && !p.isClosedTo(now, call, r)
+}
+
+// Take picks the given upstream. It is ended as Pick is.
+func (p *Picker) Take(u turmericwall.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.statsOf(u).openCalls++
+}
+
+// MarkSent records that a picked call was sent at the time.
+func (p *Picker) MarkSent(at time.Time, call Call, u turmericwall.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.statsOf(u)
+	r.targetMillis = int64(targetMillis(call))
+	r.silence.send(at, r.silentAfter(call))
+}
+
 // RecordAnswer ends a pick whose upstream answered; good is false for an answer that reports a failure of the upstream.
 func (p *Picker) RecordAnswer(now time.Time, u turmericwall.Upstream, span time.Duration, good bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.statsOf(u)
+	r.observeAnswer(now, span)
+	r.recordAnswer(now, span, good)
+}
+
+func (r *upstreamStats) recordAnswer(now time.Time, span time.Duration, good bool) {
 	r.openCalls--
+	r.silence.answer(now.Add(-span), now)
+	if good {
+		r.usualMillis += newestWeight * (float64(span.Milliseconds()) - r.usualMillis)
+	}
 	if r.ejections > 0 && good {
 		// The averages are from before the ejection and would keep a recovered upstream idle.
 		r.answerMillis, r.failureRate = float64(span.Milliseconds()), 0
@@ -108,12 +168,23 @@
 	r.update(now, float64(span.Milliseconds()), good)
 }
 
+// RecordRefusal ends a pick whose upstream refused the call unrun.
+func (p *Picker) RecordRefusal(now time.Time, u turmericwall.Upstream, span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.statsOf(u)
+	r.observed.refusals.add(now, 1)
+	r.observed.pressedAt = now
+	r.recordAnswer(now, span, false)
+}
+
 // RecordFailure ends a pick whose upstream gave no usable answer.
 func (p *Picker) RecordFailure(now time.Time, u turmericwall.Upstream, span time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.statsOf(u)
 	r.openCalls--
+	r.silence.end(now, now.Add(-span), p.minProbeGap())
 	r.consecutiveFailures++
 	r.update(now, float64(span.Milliseconds()), false)
 	if r.consecutiveFailures < failuresBeforeEjection && r.ejections == 0 {
@@ -124,7 +195,26 @@
 	r.ejectedUntil = now.Add(time.Duration(ejectionMillis) * time.Millisecond)
 }
 
-// ReleasePick ends a pick that says nothing about the upstream: the call was not sent, or its caller left.
+// ReleaseSent ends a pick whose caller left, or whose call was answered by another upstream, the span after it was sent.
+func (p *Picker) ReleaseSent(now time.Time, u turmericwall.Upstream, span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.statsOf(u)
+	r.openCalls--
+	r.silence.end(now, now.Add(-span), p.minProbeGap())
+}
+
+// ReleaseUnreached ends a pick of a call that didn't reach the upstream although it was begun to be sent the span ago, and
+// that says nothing about the upstream.
+func (p *Picker) ReleaseUnreached(now time.Time, u turmericwall.Upstream, span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.statsOf(u)
+	r.openCalls--
+	r.silence.withdraw(now.Add(-span))
+}
+
+// ReleasePick ends a pick that says nothing about the upstream: the call was not sent.
 func (p *Picker) ReleasePick(u turmericwall.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,13 +247,14 @@
 // score returns the expected answer time in milliseconds. Ejected upstreams score higher than all others, and so do
 // upstreams whose ejection has expired while the probing call is open. unknownMillis is assumed of upstreams without a
 // recent answer.
-func (p *Picker) score(now time.Time, u turmericwall.Upstream, unknownMillis float64) float64 {
+func (p *Picker) score(now time.Time, call Call, u turmericwall.Upstream, unknownMillis float64) float64 {
 	r := p.statsOf(u)
 	answerMillis := unknownMillis
 	failureRate := 0.0
 	if now.Sub(r.updatedAt) < maxAverageAge {
 		answerMillis, failureRate = max(r.answerMillis, 1), r.failureRate
 	}
+	answerMillis = max(answerMillis, p.lowerBoundMillis(now, call, r))
 	score := answerMillis * (1 + float64(r.openCalls)/float64(max(u.Slots, 1)))
 	if u.Zone != p.config.Zone {
 		score += otherZonePenaltyMillis
@@ -181,7 +272,8 @@
 func (p *Picker) statsOf(u turmericwall.Upstream) *upstreamStats {
 	r, ok := p.stats[u.Key()]
 	if !ok {
-		r = &upstreamStats{answerMillis: initialAnswerMillis}
+		r = &upstreamStats{answerMillis: initialAnswerMillis, usualMillis: initialAnswerMillis}
+		r.observed.service = u.Service
 		p.stats[u.Key()] = r
 	}
 	return r
--- a/internal/delivery/twpicker/picker_test.go
+++ b/internal/delivery/twpicker/picker_test.go
@@ -25,7 +25,7 @@
 	for _, id := range avoid {
 		skip[id] = true
 	}
-	u, ok := p.Pick(at, threeUpstreams(), skip)
+	u, ok := p.Pick(at, twpicker.Call{Avoid: skip}, threeUpstreams())
 	if !ok {
 		return ""
 	}
@@ -48,7 +48,7 @@
 	p := twpicker.New(twpicker.Config{Zone: "here"})
 	g.Expect(pick(p, start, "near")).NotTo(Equal("near"))
 	g.Expect(pick(p, start, "near", "far1", "far2")).To(BeEmpty())
-	_, ok := p.Pick(start, []turmericwall.Upstream{{ID: "x", Leaving: true}}, nil)
+	_, ok := p.Pick(start, twpicker.Call{}, []turmericwall.Upstream{{ID: "x", Leaving: true}})
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -81,7 +81,7 @@
 	at := start
 	for range 300 {
 		at = at.Add(10 * time.Millisecond)
-		u, _ := p.Pick(at, threeUpstreams(), nil)
+		u, _ := p.Pick(at, twpicker.Call{}, threeUpstreams())
 		counts[u.ID]++
 		p.RecordAnswer(at, u, 15*time.Millisecond, u.ID != "far1")
 	}
@@ -99,7 +99,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 1000 {
 		p := twpicker.New(twpicker.Config{Zone: "here", FirstChoice: random.Uint64()})
-		u, ok := p.Pick(start, upstreams, nil)
+		u, ok := p.Pick(start, twpicker.Call{}, upstreams)
 		g.Expect(ok).To(BeTrue())
 		picks[u.ID]++
 	}
@@ -117,7 +117,7 @@
 	tried := 0
 	for millis := 0; millis < 6000; millis += 50 {
 		now := start.Add(time.Duration(millis) * time.Millisecond)
-		u, _ := p.Pick(now, threeUpstreams(), nil)
+		u, _ := p.Pick(now, twpicker.Call{}, threeUpstreams())
 		p.RecordAnswer(now, u, 5*time.Millisecond, true)
 		if u.ID == slow.ID {
 			tried++
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -22,6 +22,9 @@
 	Result string
 	// Cause is the kind of problem of a refused call; empty for other results.
 	Cause turmericwall.Kind
+	// LimitReason is why a call of a plain service was refused although the service has upstreams: its limit, or their
+	// silence; empty for other results.
+	LimitReason string
 	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, network, move or
 	// process. It is empty for other results, and for calls that are at fault themselves.
 	EndedBy string
@@ -109,6 +112,9 @@
 			status == http.StatusUnauthorized {
 			outcome.Result = "refused"
 			outcome.Cause = problemKind(err)
+			if a.countedSends == 0 {
+				outcome.LimitReason = string(a.limitReason())
+			}
 			outcome.EndedBy = ""
 		}
 	}
@@ -214,6 +220,13 @@
 	if a.retryDenied {
 		entry = entry.Int("retryDenied", 1)
 	}
+	if outcome.LimitReason != "" {
+		entry = entry.Str("limitReason", outcome.LimitReason)
+	}
+	if d := a.limit; d.Limited {
+		entry = entry.Float("arrivals", d.Arrivals).Float("admissions", d.Admissions).Int("limit", int64(d.Limit)).
+			Int("underWay", int64(d.Open)).Int("expectedMillis", d.ExpectedMillis)
+	}
 	if !a.deadline.IsZero() {
 		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
 	}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -68,6 +68,8 @@
 
 // serveByKind serves a call according to whether it may be sent more than once.
 func (r *Relay) serveByKind(ctx context.Context, a *attempt) error {
+	now := time.Now()
+	r.config.Picker.RecordArrival(now, a.service.Name, a.limiterCall(now).IsLate(now))
 	if a.route.Kind == turmericwall.CallIdempotent {
 		return r.serveIdempotent(ctx, a)
 	}
@@ -136,8 +138,9 @@
 	for pending > 0 {
 		select {
 		case <-hedgeTimer.C:
-			// The first upstream of a suspect may be ending under it, so that a second one would be at risk too.
-			if r.checkQuarantine(a) == nil && !a.isSuspect.Load() {
+			// The first upstream of a suspect may be ending under it, so that a second one would be at risk too. At the
+			// limit, a second send takes the place of another call.
+			if r.checkQuarantine(a) == nil && !a.isSuspect.Load() && !r.isLimited(a) {
 				sendNext()
 			}
 		case got := <-replies:
@@ -197,25 +200,25 @@
 func (r *Relay) pickUpstream(ctx context.Context, a *attempt, avoid map[string]bool) (turmericwall.Upstream, bool) {
 	avoid = maps.Clone(avoid)
 	for {
-		upstream, ok := r.config.Picker.Pick(time.Now(), r.config.View.Upstreams(a.service.Name), avoid)
+		upstream, ok := r.choose(a, avoid)
 		if !ok {
 			return upstream, false
 		}
 		if err := r.config.Throttle.Admit(ctx, upstream.Key()); err != nil {
-			r.config.Picker.ReleasePick(upstream)
+			r.releasePick(a, upstream)
 			a.recordThrottled(err)
 			avoid[upstream.ID] = true
 			continue
 		}
 		if !r.spendSend(a) {
 			r.config.Throttle.ReturnSend(upstream.Key())
-			r.config.Picker.ReleasePick(upstream)
+			r.releasePick(a, upstream)
 			return upstream, false
 		}
 		if a.turn, a.heldBack = r.awaitTurn(ctx, a, upstream); a.heldBack != nil {
 			r.returnUnsent(a, &turmericwall.SendError{Err: a.heldBack})
 			r.config.Throttle.ReturnSend(upstream.Key())
-			r.config.Picker.ReleasePick(upstream)
+			r.releasePick(a, upstream)
 			return upstream, false
 		}
 		return upstream, true
@@ -239,6 +242,9 @@
 	if a.throttleRefusal != nil {
 		return a.throttleRefusal
 	}
+	if p := a.limitProblem(); p != nil {
+		return p
+	}
 	return noUpstreamProblem()
 }
 
@@ -249,6 +255,7 @@
 	got := reply{upstream: upstream}
 	silence := time.AfterFunc(a.hedgeDelay()+r.config.OwnDelay(), func() { r.checkSilent(ctx, a, upstream, began) })
 	defer silence.Stop()
+	r.config.Picker.MarkSent(began, a.pickerCall(nil), upstream)
 	got.answer, got.err = r.config.Upstreams.Send(
 		ctx, upstream, turmericwall.OutgoingCall{Call: a.call, Deadline: a.deadline},
 	)
@@ -256,7 +263,7 @@
 		got.buffered, got.complete, got.err = bufferBody(got.answer)
 	}
 	got.duration = time.Since(began)
-	r.reportToPicker(ctx, got)
+	r.reportToPicker(ctx, began.Add(got.duration), got)
 	update := turmericwall.PlacementUpdate{ID: turn, Service: a.service.Name}
 	if got.succeeded() {
 		a.isAnswered.Store(true)
@@ -273,17 +280,18 @@
 	return got
 }
 
-// reportToPicker reports the result of a send to the picker.
-func (r *Relay) reportToPicker(ctx context.Context, got reply) {
-	now := time.Now()
+// reportToPicker reports the result of a send, which ended now, to the picker.
+func (r *Relay) reportToPicker(ctx context.Context, now time.Time, got reply) {
 	var sent *turmericwall.SendError
 	switch {
 	case got.err == nil:
 		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, got.answer.Status < http.StatusInternalServerError)
-	case errors.Is(ctx.Err(), context.Canceled), errors.As(got.err, &sent) && (sent.PathLost || sent.ShareUsed):
-		r.config.Picker.ReleasePick(got.upstream)
+	case errors.As(got.err, &sent) && (sent.PathLost || sent.ShareUsed):
+		r.config.Picker.ReleaseUnreached(now, got.upstream, got.duration)
+	case errors.Is(ctx.Err(), context.Canceled):
+		r.config.Picker.ReleaseSent(now, got.upstream, got.duration)
 	case errors.As(got.err, &sent) && sent.NotRun && !sent.IncarnationReplaced:
-		r.config.Picker.RecordAnswer(now, got.upstream, got.duration, false)
+		r.config.Picker.RecordRefusal(now, got.upstream, got.duration)
 	default:
 		r.config.Picker.RecordFailure(now, got.upstream, got.duration)
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/delivery/twconcurrency"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
@@ -46,9 +47,11 @@
 	View      *twupstreams.View
 	Upstreams turmericwall.UpstreamClient
 	Picker    *twpicker.Picker
-	Retries   *twretries.Budget
-	Placer    turmericwall.EnginePlacer
-	Recorder  turmericwall.Recorder
+	// Limiter decides which calls of plain services are sent while these are at their limits; it may be nil.
+	Limiter  *twconcurrency.Limiter
+	Retries  *twretries.Budget
+	Placer   turmericwall.EnginePlacer
+	Recorder turmericwall.Recorder
 	// Authenticator authenticates calls by their API keys.
 	Authenticator *twauthenticator.Authenticator
 	// Quotas is charged for calls of plain services; the placer charges model calls.
@@ -141,6 +144,11 @@
 	turns    int
 	turn     string
 	heldBack error
+	// allSilent is set if a send found only upstreams that have stopped answering.
+	allSilent bool
+	// limit is the limiter's last decision, and arrived is set once it has counted the call.
+	limit   twconcurrency.Decision
+	arrived bool
 	// avoid are the engines that failed the call.
 	avoid []string
 	// lastEventID is the id of the last event that was passed on; 0 before the first.
