delivery: keep a limit that works from ending, and correct its rate for stale observations

A limit that works leaves no slow answers, so that the daemons ceased to report the service and the limit ended. Without a leader the last rate, which may be that of a queue being drained (0), was used for two seconds. Refusals counted for long after the queue that had caused them, and kept the rate at that of the answers. Change: a call that met the limit has its service reported. Half a second after the last heartbeat an upstream gets 0.9 of what it carried lately. Refusals count only while there is a queue. Upstreams are chosen at random by what each has not got of its share in the last 0.2 s: a fixed order followed a change of the rates only after many calls of each daemon. The replay and the merge no longer depend on the order of maps.

--- a/internal/delivery/twconcurrency/limiter.go
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -35,6 +35,12 @@
 	refusedShare = 0.02
 	// maxCredit bounds the admissions that were not used.
 	maxCredit = 2
+	// shareMemory is the time constant with which earlier choices of upstreams are forgotten.
+	shareMemory = 200 * time.Millisecond
+	// correctionSpan is how long a rate that corrects a queue is used without another heartbeat: two heartbeat intervals.
+	correctionSpan = 500 * time.Millisecond
+	// unseenShare of what an upstream carries is sent after that.
+	unseenShare = 0.9
 	// loadRetention is how long what the daemons observed is used.
 	loadRetention = 2 * time.Second
 	// minRetryDelay and minRetrySpan are the least time until a refused call may come back and the least span over which
@@ -129,8 +135,10 @@
 	upstreams map[turmericwall.UpstreamKey]*upstream
 	// credit and lateCredit are the numbers of calls that may be admitted: those that can be answered in time, and others.
 	credit, lateCredit float64
-	// limited is set if the last call met the limit, and balanced if it was sent to the upstream whose turn it was.
+	// limited is set if the last call met the limit, and balanced if the limiter chose its upstream.
 	limited, balanced bool
+	// chosenAt is when an upstream was last chosen.
+	chosenAt time.Time
 }
 
 // upstream is the state of one upstream. Rates are in calls per second of all daemons.
@@ -140,10 +148,11 @@
 	slots float64
 	// sent is the rate at which calls were sent since the observation, and carried the highest rate of answers lately.
 	sent, carried float64
-	// rate is the rate at which calls may be sent; open is the number under way as far as can be told, and limit its limit.
-	rate, open, limit float64
-	// turn orders the upstreams by what they got of their share.
-	turn float64
+	// rate is the rate at which calls may be sent until the next heartbeat is due, and carries the one after that; open is the
+	// number under way as far as can be told, and limit its limit.
+	rate, carries, open, limit float64
+	// share is the number of calls that it should have got lately and didn't.
+	share float64
 }
 
 // New returns a limiter without any limit.
@@ -197,7 +206,7 @@
 			next.sent = load.Arrivals * u.Answers / answers
 		}
 		if old, ok := before[u.Key()]; ok {
-			next.slots, next.turn = old.slots, old.turn
+			next.slots, next.share = old.slots, old.share
 			next.carried = max(u.Answers, forgotten*old.carried)
 			if s.limited {
 				next.sent = old.rate
@@ -210,7 +219,7 @@
 	}
 	for key, old := range before {
 		if _, ok := s.upstreams[key]; !ok {
-			s.upstreams[key] = &upstream{slots: old.slots, turn: old.turn}
+			s.upstreams[key] = &upstream{slots: old.slots, share: old.share}
 		}
 	}
 }
@@ -226,24 +235,25 @@
 	if !ok || s.goal <= 0 || len(upstreams) > turmericwall.MaxLoadEntries || now.Sub(s.sentAt) > loadRetention {
 		return Decision{}
 	}
-	candidates, d := s.evaluate(upstreams, isOpen, l.config.Random)
+	if now.Sub(s.sentAt) > correctionSpan {
+		// The queues have shrunk or grown to their goal, and must not grow while nobody sees them.
+		for _, u := range s.upstreams {
+			u.rate = unseenShare * u.carried
+		}
+	}
+	candidates, d := s.evaluate(upstreams, isOpen)
 	if len(candidates) == 0 || d.Admissions >= balanceFactor*s.arrivals {
 		s.limited, s.balanced = false, false
 		return Decision{}
 	}
-	// Daemons with few calls a second would else admit their first ones all at once, and to the same upstream.
-	if !s.balanced {
-		s.balanced = true
-		for _, u := range s.upstreams {
-			u.turn = l.config.Random()
-		}
-	}
+	s.balanced = true
 	if d.Admissions >= s.arrivals {
 		s.limited = false
-		d.Admitted, d.Upstream = true, s.next(candidates, d.Admissions)
+		d.Admitted, d.Upstream = true, s.next(now, candidates, d.Admissions, l.config.Random())
 		return d
 	}
 	if !s.limited {
+		// Daemons with few calls a second would else admit their first ones all at once.
 		s.limited, s.credit, s.lateCredit = true, l.config.Random(), l.config.Random()
 	}
 	d.Limited = true
@@ -260,7 +270,7 @@
 		return d
 	}
 	*credit--
-	d.Admitted, d.Upstream = true, s.next(candidates, d.Admissions)
+	d.Admitted, d.Upstream = true, s.next(now, candidates, d.Admissions, l.config.Random())
 	return d
 }
 
@@ -288,7 +298,7 @@
 
 // evaluate returns the upstreams that can get calls, and the sums over them.
 func (s *service) evaluate(
-	upstreams []turmericwall.Upstream, isOpen func(turmericwall.Upstream) bool, random func() float64,
+	upstreams []turmericwall.Upstream, isOpen func(turmericwall.Upstream) bool,
 ) (candidates []turmericwall.Upstream, d Decision) {
 	d.Arrivals = s.arrivals
 	expected, known := 0.0, 0
@@ -302,7 +312,7 @@
 		}
 		state, ok := s.upstreams[u.Key()]
 		if !ok {
-			state = &upstream{turn: random()}
+			state = &upstream{}
 			s.upstreams[u.Key()] = state
 		}
 		state.slots = float64(max(u.Slots, 1))
@@ -340,33 +350,46 @@
 		return
 	}
 	answers, seconds := u.load.Answers, max(u.load.AnswerMillis, 1)/1000
-	carries := max(answers, u.carried)
-	if float64(u.load.Open) <= freeFactor*u.slots {
+	u.carries = max(answers, u.carried)
+	free := float64(u.load.Open) <= freeFactor*u.slots
+	if free {
 		// There is no queue: what was sent was not too much, and the answer time is what a call takes by itself.
-		carries = max(carries, u.slots/seconds, u.sent)
+		u.carries = max(u.carries, u.slots/seconds, u.sent)
 	}
-	u.open = max(float64(u.load.Open)+(u.sent-carries)*age, 0)
-	u.limit = max(goal*carries, u.slots)
+	u.open = max(float64(u.load.Open)+(u.sent-u.carries)*age, 0)
+	u.limit = max(goal*u.carries, u.slots)
 	// While few calls are under way, the answers don't show what the upstream carries.
 	idle := max(1-u.open/u.limit, 0)
-	u.rate = max(answers+idle*(carries-answers)+(u.limit-u.open)/horizon.Seconds(), 0)
-	if u.load.Refusals > refusedShare*answers {
+	u.rate = max(answers+idle*(u.carries-answers)+(u.limit-u.open)/horizon.Seconds(), 0)
+	if !free && u.load.Refusals > refusedShare*answers {
 		u.rate = min(u.rate, answers)
 	}
 }
 
-// next returns the upstream whose turn it is. Each gets its share of the admissions.
-func (s *service) next(candidates []turmericwall.Upstream, admissions float64) turmericwall.Upstream {
-	best := 0
-	for i, u := range candidates {
+// next returns an upstream at random, in the proportion of what each has not got of its share lately. Without the memory the
+// upstreams' queues would differ by chance; one that lasted longer would follow a change of the rates only after many calls,
+// and a daemon may have less than one a second.
+func (s *service) next(
+	now time.Time, candidates []turmericwall.Upstream, admissions float64, random float64,
+) turmericwall.Upstream {
+	kept := math.Exp(-max(now.Sub(s.chosenAt), 0).Seconds() / shareMemory.Seconds())
+	s.chosenAt = now
+	sum := 0.0
+	for _, u := range candidates {
 		state := s.upstreams[u.Key()]
-		state.turn += state.rate / max(admissions, 1e-9)
-		if state.turn > s.upstreams[candidates[best].Key()].turn {
-			best = i
+		state.share = kept*state.share + state.rate/max(admissions, 1e-9)
+		sum += max(state.share, 0)
+	}
+	chosen := candidates[len(candidates)-1]
+	left := random * sum
+	for _, u := range candidates {
+		if left -= max(s.upstreams[u.Key()].share, 0); left < 0 {
+			chosen = u
+			break
 		}
 	}
-	s.upstreams[candidates[best].Key()].turn--
-	return candidates[best]
+	s.upstreams[chosen.Key()].share--
+	return chosen
 }
 
 // retryAt returns when a refused call may come back. The calls that are refused now are spread over the time after the queue
--- a/internal/delivery/twconcurrency/replay_test.go
+++ b/internal/delivery/twconcurrency/replay_test.go
@@ -158,6 +158,9 @@
 			return d.picker.IsOpenTo(r.now, need, u)
 		})
 	}
+	if decision.Limited {
+		d.picker.RecordLimited(r.now, "filings")
+	}
 	upstream, ok := decision.Upstream, decision.Admitted
 	if !decision.Limited && !ok {
 		upstream, ok = d.picker.Pick(r.now, need, upstreams)
--- a/internal/delivery/twloads/board.go
+++ b/internal/delivery/twloads/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -95,7 +96,9 @@
 	if len(sums) == 0 {
 		return nil
 	}
-	for _, r := range b.reports {
+	// Sums of fractions depend on their order.
+	for _, incarnation := range slices.Sorted(maps.Keys(b.reports)) {
+		r := b.reports[incarnation]
 		for _, load := range r.loads {
 			if s, ok := sums[load.Service]; ok {
 				s.add(r.at, load)
--- a/internal/delivery/twpicker/loads.go
+++ b/internal/delivery/twpicker/loads.go
@@ -29,6 +29,8 @@
 	arrivals, lateArrivals decayed
 	// listedAt is when another daemon's observation of the service was last received.
 	listedAt time.Time
+	// limitedAt is when a call last met the service's limit.
+	limitedAt time.Time
 }
 
 // observed is what is counted of an upstream for other daemons.
@@ -73,17 +75,30 @@
 func (p *Picker) RecordArrival(now time.Time, service string, late bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.services[service]
-	if !ok {
-		s = &serviceStats{}
-		p.services[service] = s
-	}
+	s := p.serviceOf(service)
 	s.arrivals.add(now, 1)
 	if late {
 		s.lateArrivals.add(now, 1)
 	}
 }
 
+// RecordLimited records that a call met the limit of its service. A limit that works leaves no slow answers by which the
+// service would be reported.
+func (p *Picker) RecordLimited(now time.Time, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serviceOf(service).limitedAt = now
+}
+
+func (p *Picker) serviceOf(name string) *serviceStats {
+	s, ok := p.services[name]
+	if !ok {
+		s = &serviceStats{}
+		p.services[name] = s
+	}
+	return s
+}
+
 // Loads returns what this daemon observed of the services that have problems, and of those of which other daemons
 // reported some; nil if there are none.
 func (p *Picker) Loads(now time.Time) []turmericwall.ServiceLoad {
@@ -97,6 +112,10 @@
 	}
 	for service, s := range p.services {
 		load := loads[service]
+		if load == nil && now.Sub(s.limitedAt) < pressedSpan {
+			load = &turmericwall.ServiceLoad{Service: service, Pressed: true}
+			loads[service] = load
+		}
 		if load == nil && now.Sub(s.listedAt) < sharedRetention {
 			load = &turmericwall.ServiceLoad{Service: service}
 			loads[service] = load
@@ -132,11 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, service := range loads {
-		s, ok := p.services[service.Service]
-		if !ok {
-			s = &serviceStats{}
-			p.services[service.Service] = s
-		}
+		s := p.serviceOf(service.Service)
 		if sentAt.Before(s.listedAt) {
 			continue
 		}
--- a/internal/delivery/twrelay/limit.go
+++ b/internal/delivery/twrelay/limit.go
@@ -25,6 +25,9 @@
 			return r.config.Picker.IsOpenTo(now, call, u)
 		})
 		a.arrived = true
+		if a.limit.Limited {
+			r.config.Picker.RecordLimited(now, a.service.Name)
+		}
 	}
 	switch {
 	case a.limit.Admitted:
