operations: show the limits of plain services and their silent upstreams

Cause: operators could not see why a plain call was refused or late while many arrived, nor which upstreams had stopped answering. Change: the outcome of a call that met a limit states the reason and the numbers behind it, and explain says it in words. GET /status lists the limits and the silent upstreams; the metrics count refusals by reason and service. Tests of the relay at the limit, and of the messages. Ruled out: a gauge for each upstream; the metrics can't bound their names, and the status has them.

--- a/events.go
+++ b/events.go
@@ -36,6 +36,7 @@
 	EventClaimAnswered      EventID = 4003
 	EventClaimSealed        EventID = 4004
 	EventClaimUnknown       EventID = 4005
+	EventServiceLimited     EventID = 4006
 	EventDeferrableAccepted EventID = 5001
 	EventDeferrableLeased   EventID = 5002
 	EventDeferrableAnswered EventID = 5003
@@ -59,6 +60,7 @@
 	EventUpstreamBackOff    EventID = 7014
 	EventPathLost           EventID = 7015
 	EventPathRegained       EventID = 7016
+	EventUpstreamSilent     EventID = 7017
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -101,6 +103,7 @@
 	EventClaimAnswered:      "Claim answered",
 	EventClaimSealed:        "Claim sealed",
 	EventClaimUnknown:       "Claim unknown",
+	EventServiceLimited:     "Service limited",
 	EventDeferrableAccepted: "Deferrable accepted",
 	EventDeferrableLeased:   "Deferrable leased",
 	EventDeferrableAnswered: "Deferrable answered",
@@ -124,6 +127,7 @@
 	EventUpstreamBackOff:    "Upstream back-off",
 	EventPathLost:           "Path lost",
 	EventPathRegained:       "Path regained",
+	EventUpstreamSilent:     "Upstream silent",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/delivery/twconcurrency/limiter.go
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -7,9 +7,11 @@
 package twconcurrency
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -109,11 +111,15 @@
 	Limit     int     `json:"limit"`
 	Open      int     `json:"open"`
 	PerSecond float64 `json:"perSecond"`
+	// Refusals is the rate of calls that the upstream itself refused.
+	Refusals float64 `json:"refusals,omitempty"`
 	// AnswerMillis is the mean answer time, and UnansweredMillis for how long calls have been unanswered.
 	AnswerMillis     float64 `json:"answerMillis"`
 	UnansweredMillis int64   `json:"unansweredMillis,omitempty"`
 	// Limited is set if fewer calls are admitted to the service than arrive.
 	Limited bool `json:"limited"`
+	// Refused counts the calls of the service that this daemon refused, by the reason.
+	Refused map[Reason]int64 `json:"refused,omitempty"`
 	// AgeMillis is the age of these numbers.
 	AgeMillis int64 `json:"ageMillis"`
 }
@@ -123,6 +129,8 @@
 	config   Config
 	mu       sync.Mutex
 	services map[string]*service
+	// refused counts the refused calls of each service, by the reason.
+	refused map[string]map[Reason]int64
 }
 
 // service is the state of one service.
@@ -157,7 +165,7 @@
 
 // New returns a limiter without any limit.
 func New(config Config) *Limiter {
-	return &Limiter{config: config, services: make(map[string]*service)}
+	return &Limiter{config: config, services: make(map[string]*service), refused: make(map[string]map[Reason]int64)}
 }
 
 // Apply applies what all daemons together observed, as the leader sent it at the time.
@@ -267,6 +275,10 @@
 	}
 	if *credit < 1 {
 		d.Reason, d.RetryAt = reason, l.retryAt(now, call, d, s.goal)
+		if l.refused[call.Service] == nil {
+			l.refused[call.Service] = make(map[Reason]int64)
+		}
+		l.refused[call.Service][reason]++
 		return d
 	}
 	*credit--
@@ -405,22 +417,26 @@
 	return now.Add(delay + time.Duration(l.config.Random()*float64(span)))
 }
 
-// Status returns the state of all limits.
+// Status returns the state of all limits, in the order of services and upstreams.
 func (l *Limiter) Status(now time.Time) []Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []Status
-	for name, s := range l.services {
+	for _, name := range slices.Sorted(maps.Keys(l.services)) {
+		s := l.services[name]
 		if now.Sub(s.sentAt) > loadRetention {
 			continue
 		}
-		for _, u := range s.upstreams {
+		for key, u := range s.upstreams {
 			list = append(list, Status{
-				Service: name, ID: u.load.ID, Limit: int(u.limit), Open: u.load.Open, PerSecond: u.rate,
+				Service: name, ID: key.ID, Limit: int(u.limit), Open: u.load.Open, PerSecond: u.rate, Refusals: u.load.Refusals,
 				AnswerMillis: u.load.AnswerMillis, UnansweredMillis: u.load.UnansweredMillis, Limited: s.limited,
-				AgeMillis: now.Sub(s.observedAt).Milliseconds(),
+				Refused: maps.Clone(l.refused[name]), AgeMillis: now.Sub(s.observedAt).Milliseconds(),
 			})
 		}
 	}
+	slices.SortStableFunc(list, func(a, b Status) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+	})
 	return list
 }
--- a/internal/delivery/twpicker/loads.go
+++ b/internal/delivery/twpicker/loads.go
@@ -145,6 +145,20 @@
 	return twloads.Bound(list)
 }
 
+// Silent returns the upstreams that have stopped answering, for this daemon or for all together.
+func (p *Picker) Silent(now time.Time) []turmericwall.UpstreamKey {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []turmericwall.UpstreamKey
+	for key, r := range p.stats {
+		call := Call{TargetMillis: r.targetMillis}
+		if p.isSilent(now, call, r) {
+			list = append(list, key)
+		}
+	}
+	return list
+}
+
 // ApplyLoads applies what all daemons together observed, as the leader sent it at the time. Upstreams of a service that
 // isn't included are unknown.
 func (p *Picker) ApplyLoads(sentAt time.Time, loads []turmericwall.ServiceLoad) {
--- a/internal/delivery/twpicker/silence.go
+++ b/internal/delivery/twpicker/silence.go
@@ -161,18 +161,21 @@
 	return millis
 }
 
+// isSilent reports whether the upstream has stopped answering, as this daemon or all together observed it.
+func (p *Picker) isSilent(now time.Time, call Call, r *upstreamStats) bool {
+	after := r.silentAfter(call)
+	return r.silence.isSilent(now, after+p.ownDelay()) || r.isSilentElsewhere(now, after)
+}
+
 // isClosedTo reports whether the upstream is silent and must not get the call. A call that may run more than once is sent
 // as a probe while no other call is open.
 func (p *Picker) isClosedTo(now time.Time, call Call, r *upstreamStats) bool {
-	after := r.silentAfter(call)
-	own := r.silence.isSilent(now, after+p.ownDelay())
-	if !own && !r.isSilentElsewhere(now, after) {
+	switch {
+	case !p.isSilent(now, call, r):
 		return false
-	}
-	if call.RunsOnce || r.openCalls > 0 {
+	case call.RunsOnce, r.openCalls > 0:
 		return true
-	}
-	if own {
+	case r.silence.span(now) > 0:
 		return !r.silence.mayProbe(now)
 	}
 	return now.Before(r.shared.silentSince.Add(p.sharedProbeGap()))
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/delivery/twconcurrency"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twrelay"
@@ -204,6 +205,10 @@
 	proof     *twproof.Proof
 	log       *logBuffer
 	streams   *twstreamrecords.Records
+	picker    *twpicker.Picker
+	limiter   *twconcurrency.Limiter
+	// credit is what the limiter starts with.
+	credit float64
 	// lastEvent and resumes are those of the calls.
 	lastEvent int64
 	resumes   string
@@ -289,8 +294,13 @@
 		Recorder: tweventlog.New(tweventlog.Config{Output: s.log}), Now: time.Now,
 	})
 	s.retries = twretries.New(twretries.Config{Ratio: 0.2, Slack: s.slack, WindowMillis: 10_000})
+	s.picker = twpicker.New(twpicker.Config{})
+	s.limiter = twconcurrency.New(twconcurrency.Config{
+		TargetMillis: func(string) int64 { return 120 }, Random: func() float64 { return s.credit },
+	})
 	s.relay = twrelay.New(twrelay.Config{
-		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: twpicker.New(twpicker.Config{}), Placer: s.placer,
+		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: s.picker, Placer: s.placer,
+		Limiter:       s.limiter,
 		Throttle:      s.throttle,
 		Retries:       s.retries,
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
--- a/internal/operations/twexplain/end.go
+++ b/internal/operations/twexplain/end.go
@@ -49,6 +49,22 @@
 	if step, ok := l.fields["step"].(string); ok {
 		text += ", step " + step
 	}
+	if reason, ok := l.fields["limitReason"].(string); ok {
+		text += ", " + describeLimit(reason, l.fields)
+	}
+	return text
+}
+
+// describeLimit states why a plain service's upstreams got no further call.
+func describeLimit(reason string, fields map[string]any) string {
+	if reason == "silent" {
+		return "the upstreams have stopped answering"
+	}
+	text := fmt.Sprintf("the service was at its limit: %v calls under way of %v, %v a second arrived and %v could be answered in time",
+		fields["underWay"], fields["limit"], fields["arrivals"], fields["admissions"])
+	if reason == "late" {
+		text += ", and this one could not"
+	}
 	return text
 }
 
--- a/internal/operations/twexplain/explain_test.go
+++ b/internal/operations/twexplain/explain_test.go
@@ -58,6 +58,12 @@
 				`"time":"2026-04-01T00:00:03.000Z","message":"Request failed"}` + "\n" + started,
 			"Request failed at a, ended by network, step events",
 		},
+		{
+			"refused at the limit", sent + `{"daemon":"a","event":2002,"request":"id1","limitReason":"late","underWay":62,"limit":60,` +
+				`"arrivals":2400,"admissions":1180,"time":"2026-04-01T00:00:03.000Z","message":"Request refused"}` + "\n",
+			"Request refused at a, the service was at its limit: 62 calls under way of 60, 2400 a second arrived and 1180 could " +
+				"be answered in time, and this one could not",
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
