twconcurrency: don't raise the rate while daemons of the previous release keep a queue

Cause: daemons of the previous release report nothing, so that the others saw few calls under way at an upstream whose queue is full, and took what they themselves had sent for not too much. Change: that counts only while the answer time is within the goal. A replay with half of the daemons of the previous release; the replay draws lost heartbeats from a source of their own. Ruled out: nothing else was tried.

--- a/internal/delivery/twconcurrency/limiter.go
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -365,8 +365,12 @@
 	u.carries = max(answers, u.carried)
 	free := float64(u.load.Open) <= freeFactor*u.slots
 	if free {
-		// There is no queue: what was sent was not too much, and the answer time is what a call takes by itself.
-		u.carries = max(u.carries, u.slots/seconds, u.sent)
+		// There is no queue, so that the answer time is what a call takes by itself.
+		u.carries = max(u.carries, u.slots/seconds)
+	}
+	if free && seconds < goal {
+		// What was sent was not too much. The answers show a queue of calls that daemons of the previous release sent.
+		u.carries = max(u.carries, u.sent)
 	}
 	u.open = max(float64(u.load.Open)+(u.sent-u.carries)*age, 0)
 	u.limit = max(goal*u.carries, u.slots)
--- a/internal/delivery/twconcurrency/limiter_test.go
+++ b/internal/delivery/twconcurrency/limiter_test.go
@@ -99,6 +99,17 @@
 	})
 }
 
+// Guards against daemons that add to a queue which those of the previous release keep full: while half of the daemons are of
+// it, the others must not make it worse than it was.
+func TestDaemonsOfThePreviousReleaseAreServedAsBefore(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, daemons int) {
+		config := replayConfig{daemons: daemons, span: 9 * time.Second, perSecond: surge(1.2 * 3 * carried), unlimited: daemons}
+		before := share(t, config, 3, 4*time.Second, 9*time.Second)
+		config.unlimited = daemons / 2
+		NewWithT(t).Expect(share(t, config, 3, 4*time.Second, 9*time.Second)).To(BeNumerically(">=", before))
+	})
+}
+
 // Guards against refusals, messages and another choice of upstreams while there is no overload.
 func TestWithoutOverloadCallsAreServedAsBefore(t *testing.T) {
 	atAllSizes(t, func(t *testing.T, daemons int) {
@@ -106,7 +117,7 @@
 		config := replayConfig{daemons: daemons, span: 10 * time.Second, perSecond: func(time.Duration) float64 { return 1.7 * usual }}
 		limited := newReplay(config)
 		limited.run()
-		config.unlimited = true
+		config.unlimited = daemons
 		before := newReplay(config)
 		before.run()
 		g.Expect(limited.messages).To(BeZero())
--- a/internal/delivery/twconcurrency/replay_test.go
+++ b/internal/delivery/twconcurrency/replay_test.go
@@ -29,12 +29,13 @@
 
 // replay plays the calls of one plain service through all daemons, in virtual time and without a network.
 type replay struct {
-	config  replayConfig
-	random  *rand.Rand
-	now     time.Time
-	events  events
-	daemons []*daemon
-	servers []*server
+	config replayConfig
+	// random draws the calls, and network what is lost or late.
+	random, network *rand.Rand
+	now             time.Time
+	events          events
+	daemons         []*daemon
+	servers         []*server
 	// leader is the index of the leader; -1 while there is none.
 	leader int
 	calls  []*call
@@ -52,8 +53,8 @@
 	lostShare, lateShare float64
 	// at has what happens at a time since the start.
 	at map[time.Duration]func(r *replay)
-	// unlimited lets every call through, as before.
-	unlimited bool
+	// unlimited is the number of daemons that let every call through and report nothing, as those of the previous release.
+	unlimited int
 }
 
 type daemon struct {
@@ -90,7 +91,7 @@
 
 // newReplay returns a replay with three upstreams, each of them in the zone of a third of the daemons.
 func newReplay(config replayConfig) *replay {
-	r := &replay{config: config, random: rand.New(rand.NewPCG(config.seed, uint64(config.daemons))), now: start}
+	r := &replay{config: config, leader: config.daemons - 1, random: rand.New(rand.NewPCG(config.seed, uint64(config.daemons))), network: rand.New(rand.NewPCG(config.seed, 1)), now: start}
 	for i := range 3 {
 		r.servers = append(r.servers, &server{upstream: turmericwall.Upstream{ID: fmt.Sprint("s", i), Service: "filings", Zone: fmt.Sprint(i), Slots: slots}})
 	}
@@ -153,7 +154,7 @@
 	}
 	need := twpicker.Call{TargetMillis: targetMillis, RunsOnce: c.runsOnce}
 	var decision twconcurrency.Decision
-	if !r.config.unlimited {
+	if index >= r.config.unlimited {
 		decision = d.limiter.Admit(r.now, limited, upstreams, true, func(u turmericwall.Upstream) bool {
 			return d.picker.IsOpenTo(r.now, need, u)
 		})
@@ -257,11 +258,11 @@
 	}
 	apply(leader)
 	for i, d := range r.daemons {
-		if i == name || r.random.Float64() < r.config.lostShare {
+		if i == name || i < r.config.unlimited || r.network.Float64() < r.config.lostShare {
 			continue
 		}
 		delay := linkMillis * time.Millisecond
-		if r.random.Float64() < r.config.lateShare {
+		if r.network.Float64() < r.config.lateShare {
 			delay += time.Second
 		}
 		r.after(delay, func() {
