twconcurrency: begin a limit only once all upstreams have queues

A silent upstream that was due for a probe was counted among those that carry calls, so that a limit ended and began again with each such call. Change: a limit begins once all upstreams have more calls under way than their limits and the arrivals exceed the rate by two deviations of their count; it begins at all daemons together (limited in the loads) and ends at 0.92 of the arrivals as before. Probes are chosen before the limiter is asked, are hedged also at the limit, and all daemons together send one about every 100 ms: at the limit they would else cost a seventh of the calls that may be repeated.

--- a/internal/delivery/twconcurrency/limiter.go
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -33,8 +33,11 @@
 	// freeFactor times the slots is the number of calls under way up to which an upstream has next to no queue: some of them
 	// are on the network.
 	freeFactor = 1.5
-	// tolerance is the share of the arrivals above which all are admitted: the counts of a burst of calls by chance differ by
-	// some hundredths.
+	// countDeviations standard deviations of the arrivals, which are counted over about countSpan, is by how much they must
+	// exceed the rate for a limit to begin.
+	countDeviations = 2
+	countSpan       = 800 * time.Millisecond
+	// tolerance is the share of the arrivals above which a limit ends.
 	tolerance = 0.92
 	// refusedShare of the calls refused by the upstream itself means that its own queue is full.
 	refusedShare = 0.02
@@ -148,6 +151,8 @@
 	credit, lateCredit float64
 	// limited is set if the last call met the limit, and balanced if the limiter chose its upstream.
 	limited, balanced bool
+	// limitedElsewhere is set if the service's calls met its limit at any daemon.
+	limitedElsewhere bool
 	// chosenAt is when an upstream was last chosen.
 	chosenAt time.Time
 }
@@ -201,6 +206,7 @@
 	forgotten := math.Exp(-max(sentAt.Sub(s.sentAt), 0).Seconds() / carriedWindow.Seconds())
 	s.sentAt = sentAt
 	s.observedAt = sentAt.Add(-time.Duration(load.AgeMillis) * time.Millisecond)
+	s.limitedElsewhere = load.Limited
 	s.arrivals, s.late = load.Arrivals, min(load.LateArrivals, load.Arrivals)
 	before := s.upstreams
 	s.upstreams = make(map[turmericwall.UpstreamKey]*upstream, len(load.Upstreams))
@@ -255,13 +261,13 @@
 			u.rate = unseenShare * u.carried
 		}
 	}
-	candidates, d := s.evaluate(upstreams, isOpen)
+	candidates, d, queued := s.evaluate(upstreams, isOpen)
 	if len(candidates) == 0 || d.Admissions >= balanceFactor*s.arrivals {
 		s.limited, s.balanced = false, false
 		return Decision{}
 	}
 	s.balanced = true
-	if d.Admissions >= tolerance*s.arrivals {
+	if !s.exceeds(d.Admissions, queued) {
 		s.limited = false
 		d.Admitted, d.Upstream = true, s.next(now, candidates, d.Admissions, l.config.Random())
 		return d
@@ -292,6 +298,16 @@
 	return d
 }
 
+// exceeds reports whether fewer calls are admitted than arrive. A limit begins only once all upstreams have more calls under way
+// than their limits: until then calls are answered in time. It begins at all daemons together, because one that has few calls
+// may see none of the queues that the others' limits shorten.
+func (s *service) exceeds(admissions float64, queued bool) bool {
+	if s.limited || s.limitedElsewhere {
+		return admissions < tolerance*s.arrivals
+	}
+	return queued && admissions < s.arrivals-countDeviations*math.Sqrt(s.arrivals/countSpan.Seconds())
+}
+
 // Return takes an admission back that was not used.
 func (l *Limiter) Return(now time.Time, call Call) {
 	l.mu.Lock()
@@ -314,10 +330,12 @@
 	return ok && s.limited && now.Sub(s.sentAt) <= loadRetention
 }
 
-// evaluate returns the upstreams that can get calls, and the sums over them.
+// evaluate returns the upstreams that can get calls, and the sums over them. queued is set if all that
+// answer have at least as many calls under way as their limits.
 func (s *service) evaluate(
 	upstreams []turmericwall.Upstream, isOpen func(turmericwall.Upstream) bool,
-) (candidates []turmericwall.Upstream, d Decision) {
+) (candidates []turmericwall.Upstream, d Decision, queued bool) {
+	queued = true
 	d.Arrivals = s.arrivals
 	expected, known := 0.0, 0
 	var unknown []*upstream
@@ -343,6 +361,7 @@
 			state.evaluate(s.goal, s.sentAt.Sub(s.observedAt).Seconds())
 		}
 		d.Admissions += state.rate
+		queued = queued && state.open >= state.limit
 		d.Open += state.load.Open
 		d.Limit += int(state.limit)
 		if millis := 1000 * state.open / state.load.Answers; known == 0 || millis < expected {
@@ -352,14 +371,14 @@
 	}
 	d.ExpectedMillis = int64(expected)
 	if known == 0 {
-		return nil, d
+		return nil, d, false
 	}
 	// An upstream without answers, such as a new one, is assumed to carry as much as the others do on average.
 	for _, state := range unknown {
 		state.rate = d.Admissions / float64(known)
 	}
 	d.Admissions += d.Admissions / float64(known) * float64(len(unknown))
-	return candidates, d
+	return candidates, d, queued
 }
 
 // evaluate computes the upstream's limit and rate. goal is in seconds, and age that of the observation.
--- a/internal/delivery/twconcurrency/replay_test.go
+++ b/internal/delivery/twconcurrency/replay_test.go
@@ -154,7 +154,8 @@
 	}
 	need := twpicker.Call{TargetMillis: targetMillis, RunsOnce: c.runsOnce}
 	var decision twconcurrency.Decision
-	if index >= r.config.unlimited {
+	probe, probing := d.picker.PickProbe(r.now, need, upstreams)
+	if index >= r.config.unlimited && !probing {
 		decision = d.limiter.Admit(r.now, limited, upstreams, true, func(u turmericwall.Upstream) bool {
 			return d.picker.IsOpenTo(r.now, need, u)
 		})
@@ -163,7 +164,9 @@
 		d.picker.RecordLimited(r.now, "filings")
 	}
 	upstream, ok := decision.Upstream, decision.Admitted
-	if !decision.Limited && !ok {
+	if probing {
+		upstream, ok = probe, true
+	} else if !decision.Limited && !ok {
 		upstream, ok = d.picker.Pick(r.now, need, upstreams)
 		decision.RetryAt = r.now.Add(150 * time.Millisecond)
 	} else if ok {
--- a/internal/delivery/twloads/board.go
+++ b/internal/delivery/twloads/board.go
@@ -151,6 +151,7 @@
 type sum struct {
 	arrivals  float64
 	late      float64
+	limited   bool
 	reports   int
 	age       time.Duration
 	firstAt   time.Time
@@ -166,6 +167,7 @@
 func (s *sum) add(at time.Time, load turmericwall.ServiceLoad) {
 	s.arrivals += clamp(load.Arrivals, maxRate)
 	s.late += clamp(load.LateArrivals, maxRate)
+	s.limited = s.limited || load.Limited
 	if s.reports == 0 {
 		s.firstAt = at
 	}
@@ -207,7 +209,7 @@
 }
 
 func (s *sum) load(now time.Time, service string) turmericwall.ServiceLoad {
-	load := turmericwall.ServiceLoad{Service: service, Arrivals: round(s.arrivals), LateArrivals: round(s.late)}
+	load := turmericwall.ServiceLoad{Service: service, Arrivals: round(s.arrivals), LateArrivals: round(s.late), Limited: s.limited}
 	if s.reports > 0 {
 		load.AgeMillis = (now.Sub(s.firstAt) + s.age/time.Duration(s.reports)).Milliseconds()
 	}
--- a/internal/delivery/twpicker/loads.go
+++ b/internal/delivery/twpicker/loads.go
@@ -112,7 +112,8 @@
 	}
 	for service, s := range p.services {
 		load := loads[service]
-		if load == nil && now.Sub(s.limitedAt) < pressedSpan {
+		limited := now.Sub(s.limitedAt) < pressedSpan
+		if load == nil && limited {
 			load = &turmericwall.ServiceLoad{Service: service, Pressed: true}
 			loads[service] = load
 		}
@@ -121,6 +122,7 @@
 			loads[service] = load
 		}
 		if load != nil {
+			load.Limited = limited
 			load.Arrivals, load.LateArrivals = s.arrivals.perSecond(now), s.lateArrivals.perSecond(now)
 		}
 	}
--- a/internal/delivery/twpicker/picker.go
+++ b/internal/delivery/twpicker/picker.go
@@ -124,7 +124,27 @@
 	defer p.mu.Unlock()
 	r := p.statsOf(u)
 	ejected := now.Before(r.ejectedUntil) || (r.ejections > 0 && r.openCalls > 0)
-	return !u.Leaving && !call.Avoid[u.ID] && !ejected && !p.isClosedTo(now, call, r)
+	return !u.Leaving && !call.Avoid[u.ID] && !ejected && !p.isSilent(now, call, r)
+}
+
+// PickProbe picks a silent upstream to which the call is to be sent as a probe; ok is false if there is none. It is ended as
+// Pick is.
+func (p *Picker) PickProbe(
+	now time.Time, call Call, upstreams []turmericwall.Upstream,
+) (upstream turmericwall.Upstream, ok bool) {
+	if call.RunsOnce {
+		return turmericwall.Upstream{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range upstreams {
+		r := p.statsOf(u)
+		if !u.Leaving && !call.Avoid[u.ID] && p.isSilent(now, call, r) && !p.isClosedTo(now, call, r) {
+			r.openCalls++
+			return u, true
+		}
+	}
+	return turmericwall.Upstream{}, false
 }
 
 // Take picks the given upstream. It is ended as Pick is.
--- a/internal/delivery/twpicker/silence.go
+++ b/internal/delivery/twpicker/silence.go
@@ -19,7 +19,7 @@
 	defaultTargetMillis = 1000
 	// probeSpacing is the time between two probes of a silent upstream by all daemons together, maxProbeGap the longest time
 	// between two by one daemon if there are few. The first one follows after firstProbeGap, and the gap doubles.
-	probeSpacing  = 25 * time.Millisecond
+	probeSpacing  = 100 * time.Millisecond
 	firstProbeGap = 700 * time.Millisecond
 	maxProbeGap   = 4 * time.Second
 	// silenceRetention is how long an upstream counts as silent after the last call to it has ended. A service whose calls
--- a/internal/delivery/twrelay/limit.go
+++ b/internal/delivery/twrelay/limit.go
@@ -21,6 +21,10 @@
 	call := a.pickerCall(avoid)
 	upstreams := r.config.View.Upstreams(a.service.Name)
 	if r.config.Limiter != nil {
+		if u, ok := r.config.Picker.PickProbe(now, call, upstreams); ok {
+			a.probing = true
+			return u, true
+		}
 		a.limit = r.config.Limiter.Admit(now, a.limiterCall(now), upstreams, !a.arrived, func(u turmericwall.Upstream) bool {
 			return r.config.Picker.IsOpenTo(now, call, u)
 		})
@@ -46,7 +50,7 @@
 // releasePick takes a choice back of which nothing was sent.
 func (r *Relay) releasePick(a *attempt, upstream turmericwall.Upstream) {
 	r.config.Picker.ReleasePick(upstream)
-	if a.limit.Admitted {
+	if a.limit.Admitted && a.limit.Upstream.Key() == upstream.Key() {
 		now := time.Now()
 		r.config.Limiter.Return(now, a.limiterCall(now))
 	}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -139,8 +139,8 @@
 		select {
 		case <-hedgeTimer.C:
 			// The first upstream of a suspect may be ending under it, so that a second one would be at risk too. At the
-			// limit, a second send takes the place of another call.
-			if r.checkQuarantine(a) == nil && !a.isSuspect.Load() && !r.isLimited(a) {
+			// limit, a second send takes the place of another call, unless the first one was a probe.
+			if r.checkQuarantine(a) == nil && !a.isSuspect.Load() && (a.probing || !r.isLimited(a)) {
 				sendNext()
 			}
 		case got := <-replies:
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -149,6 +149,8 @@
 	// limit is the limiter's last decision, and arrived is set once it has counted the call.
 	limit   twconcurrency.Decision
 	arrived bool
+	// probing is set if the call was sent to a silent upstream, and is hedged although the service is at its limit.
+	probing bool
 	// avoid are the engines that failed the call.
 	avoid []string
 	// lastEventID is the id of the last event that was passed on; 0 before the first.
--- a/peering.go
+++ b/peering.go
@@ -131,6 +131,8 @@
 	// Pressed is set if the daemon observed slow or missing answers or refusals. Daemons that didn't report the service
 	// only because another one did.
 	Pressed bool `json:"pressed,omitempty"`
+	// Limited is set if calls met the limit of the service within the last half second.
+	Limited bool `json:"limited,omitempty"`
 	// Partial is set in the leader's first heartbeats about the service: most daemons report it only after these.
 	Partial bool `json:"partial,omitempty"`
 	// AgeMillis is the mean age of what the daemons observed when the leader sends it.
