--- a/internal/delivery/twconcurrency/limiter_test.go
+++ b/internal/delivery/twconcurrency/limiter_test.go
@@ -205,6 +205,25 @@
 	g.Expect(l.Admit(start, fresh(), upstreams, true, isOpen)).To(Equal(twconcurrency.Decision{}))
 }
 
+// Guards against calls that are refused although they are answered within the target: the upstreams are slow, their rate is
+// below that of the few calls that arrive, and one of them still has room.
+func TestNoLimitBeginsWhileCallsAreAnsweredInTime(t *testing.T) {
+	g := NewWithT(t)
+	load := turmericwall.ServiceLoad{Service: "filings", Arrivals: 90}
+	var upstreams []turmericwall.Upstream
+	for i := range 5 {
+		upstreams = append(upstreams, turmericwall.Upstream{ID: fmt.Sprint("s", i), Service: "filings", Slots: 4})
+		load.Upstreams = append(load.Upstreams, turmericwall.UpstreamLoad{ID: fmt.Sprint("s", i), Open: 7, Answers: 8, AnswerMillis: 400})
+	}
+	load.Upstreams[0].Open = 3
+	for _, elsewhere := range []bool{false, true} {
+		l := twconcurrency.New(twconcurrency.Config{TargetMillis: func(string) int64 { return 1000 }, Random: func() float64 { return 0 }})
+		load.Limited = elsewhere
+		l.Apply(start, []turmericwall.ServiceLoad{load})
+		g.Expect(l.Admit(start, fresh(), upstreams, true, isOpen).Limited).To(Equal(elsewhere), "it begins at all daemons together")
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l, upstreams := overloaded()
 	for b.Loop() {
--- a/internal/delivery/twpicker/silence_test.go
+++ b/internal/delivery/twpicker/silence_test.go
@@ -82,6 +82,23 @@
 	g.Expect(send(p, after(2051), once, near)).To(Equal("near"))
 }
 
+// Guards against calls that may run only once and are sent as probes, and against a silent upstream that is counted among those
+// that carry calls while a probe is due.
+func TestOnlyACallThatMayBeRepeatedIsAProbe(t *testing.T) {
+	g := NewWithT(t)
+	p := silenced(g)
+	near := threeUpstreams()[0]
+	_, ok := p.PickProbe(after(2000), once, threeUpstreams())
+	g.Expect(ok).To(BeFalse())
+	u, ok := p.PickProbe(after(2000), repeated, threeUpstreams())
+	g.Expect(ok).To(BeTrue())
+	g.Expect(u).To(Equal(near))
+	g.Expect(p.IsOpenTo(after(2000), repeated, near)).To(BeFalse())
+	g.Expect(p.IsOpenTo(after(2000), once, threeUpstreams()[1])).To(BeTrue())
+	_, ok = p.PickProbe(after(2001), repeated, threeUpstreams())
+	g.Expect(ok).To(BeFalse(), "one at a time")
+}
+
 // Guards against an upstream of a service whose calls may all run only once that gets no call for good.
 func TestSilentUpstreamOfCallsThatRunOnceIsTriedAgain(t *testing.T) {
 	g := NewWithT(t)
