fix: limit plain services only where the settings ask for it, and not before upstreams that bound their queues

Change: the setting limitPlainServices, off by default, and no limit while upstreams refuse calls and answer the others within the target. The fixture of the relay's tests sets the setting, so that they check what they did.

--- a/internal/delivery/twconcurrency/limiter.go
+++ b/internal/delivery/twconcurrency/limiter.go
@@ -49,6 +49,9 @@
 	correctionSpan = 500 * time.Millisecond
 	// unseenShare of what an upstream carries is sent after that.
 	unseenShare = 0.9
+	// boundedRetention is how long after a refusal by an upstream that answers in time its service counts as one whose upstreams
+	// bound their queues themselves.
+	boundedRetention = 10 * time.Second
 	// loadRetention is how long what the daemons observed is used.
 	loadRetention = 2 * time.Second
 	// minRetryDelay and minRetrySpan are the least time until a refused call may come back and the least span over which
@@ -149,6 +152,8 @@
 	upstreams map[turmericwall.UpstreamKey]*upstream
 	// credit and lateCredit are the numbers of calls that may be admitted: those that can be answered in time, and others.
 	credit, lateCredit float64
+	// refusedAt is when an upstream that answers in time was last seen to refuse calls itself; zero if that was never.
+	refusedAt time.Time
 	// limited is set if the last call met the limit, and balanced if the limiter chose its upstream.
 	limited, balanced bool
 	// limitedElsewhere is set if the service's calls met its limit at any daemon.
@@ -214,6 +219,7 @@
 	for _, u := range load.Upstreams {
 		answers += u.Answers
 	}
+	s.recordRefusals(load)
 	for _, u := range before {
 		rates += u.rate
 	}
@@ -241,6 +247,22 @@
 	}
 }
 
+// recordRefusals records whether the upstreams bound their queues themselves: some refuse calls, and all that answer do so within
+// the target. A limit that works has answers in time too, so that nothing is recorded then.
+func (s *service) recordRefusals(load turmericwall.ServiceLoad) {
+	refused := false
+	for _, u := range load.Upstreams {
+		if u.Answers > 0 && u.AnswerMillis/1000 > s.goal/goalShare {
+			s.refusedAt = time.Time{}
+			return
+		}
+		refused = refused || u.Refusals > refusedShare*u.Answers
+	}
+	if refused && !s.limited && !s.limitedElsewhere {
+		s.refusedAt = s.sentAt
+	}
+}
+
 // Admit decides on a call, which can be sent to the upstreams for which isOpen reports true. upstreams are all of the
 // service. arrived is set for the first send of a call.
 func (l *Limiter) Admit(
@@ -301,7 +323,13 @@
 // exceeds reports whether fewer calls are admitted than arrive. A limit begins only once all upstreams have more calls under way
 // than their limits: until then calls are answered in time. It begins at all daemons together, because one that has few calls
 // may see none of the queues that the others' limits shorten.
+//
+// Upstreams that refuse calls and answer the others in time bound their queues themselves. A limit before them would refuse calls
+// that they serve, most of them late ones whose callers still wait.
 func (s *service) exceeds(admissions float64, queued bool) bool {
+	if !s.refusedAt.IsZero() && s.sentAt.Sub(s.refusedAt) < boundedRetention {
+		return false
+	}
 	if s.limited || s.limitedElsewhere {
 		return admissions < tolerance*s.arrivals
 	}
--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -300,7 +300,7 @@
 	})
 	s.relay = twrelay.New(twrelay.Config{
 		Routes: routes, View: s.view, Upstreams: s.upstreams, Picker: s.picker, Placer: s.placer,
-		Limiter:       s.limiter,
+		Limiter: s.limiter, LimitsPlainServices: true,
 		Throttle:      s.throttle,
 		Retries:       s.retries,
 		Authenticator: twauthenticator.New(twauthenticator.Config{Routes: routes, Proof: s.proof}),
--- a/internal/delivery/twrelay/limit.go
+++ b/internal/delivery/twrelay/limit.go
@@ -25,6 +25,8 @@
 			a.probing = true
 			return u, true
 		}
+	}
+	if r.config.Limiter != nil && r.config.LimitsPlainServices {
 		a.limit = r.config.Limiter.Admit(now, a.limiterCall(now), upstreams, !a.arrived, func(u turmericwall.Upstream) bool {
 			return r.config.Picker.IsOpenTo(now, call, u)
 		})
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -48,10 +48,12 @@
 	Upstreams turmericwall.UpstreamClient
 	Picker    *twpicker.Picker
 	// Limiter decides which calls of plain services are sent while these are at their limits; it may be nil.
-	Limiter  *twconcurrency.Limiter
-	Retries  *twretries.Budget
-	Placer   turmericwall.EnginePlacer
-	Recorder turmericwall.Recorder
+	Limiter *twconcurrency.Limiter
+	// LimitsPlainServices is set if the limiter may refuse calls.
+	LimitsPlainServices bool
+	Retries             *twretries.Budget
+	Placer              turmericwall.EnginePlacer
+	Recorder            turmericwall.Recorder
 	// Authenticator authenticates calls by their API keys.
 	Authenticator *twauthenticator.Authenticator
 	// Quotas is charged for calls of plain services; the placer charges model calls.
