--- a/events.go
+++ b/events.go
@@ -38,6 +38,7 @@
 	EventClaimAnswered      EventID = 4003
 	EventClaimSealed        EventID = 4004
 	EventClaimUnknown       EventID = 4005
+	EventServiceLimited     EventID = 4006
 	EventDeferrableAccepted EventID = 5001
 	EventDeferrableLeased   EventID = 5002
 	EventDeferrableAnswered EventID = 5003
@@ -62,6 +63,7 @@
 	EventPathLost           EventID = 7015
 	EventPathRegained       EventID = 7016
 	EventReadRefused        EventID = 7017
+	EventUpstreamSilent     EventID = 7018
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -106,6 +108,7 @@
 	EventClaimAnswered:      "Claim answered",
 	EventClaimSealed:        "Claim sealed",
 	EventClaimUnknown:       "Claim unknown",
+	EventServiceLimited:     "Service limited",
 	EventDeferrableAccepted: "Deferrable accepted",
 	EventDeferrableLeased:   "Deferrable leased",
 	EventDeferrableAnswered: "Deferrable answered",
@@ -130,6 +133,7 @@
 	EventPathLost:           "Path lost",
 	EventPathRegained:       "Path regained",
 	EventReadRefused:        "Read refused",
+	EventUpstreamSilent:     "Upstream silent",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -24,6 +24,9 @@
 	Cause turmericwall.Kind
 	// RefusedFor is what was short when the leader refused the call; empty for other results.
 	RefusedFor turmericwall.RefusalCause
+	// LimitReason is why a call of a plain service was refused although the service has upstreams: its limit, or their
+	// silence; empty for other results.
+	LimitReason string
 	// EndedBy is who ended a call that failed, was broken off or left: caller, deadline, upstream, unread, network, move or
 	// process. It is empty for other results, and for calls that are at fault themselves.
 	EndedBy string
@@ -116,6 +119,9 @@
 			outcome.Result = "refused"
 			outcome.Cause = problemKind(err)
 			outcome.RefusedFor = refusedFor(err)
+			if a.countedSends == 0 {
+				outcome.LimitReason = string(a.limitReason())
+			}
 			outcome.EndedBy = ""
 		}
 	}
@@ -235,6 +241,13 @@
 	if a.retryDenied {
 		entry = entry.Int("retryDenied", 1)
 	}
+	if outcome.LimitReason != "" {
+		entry = entry.Str("limitReason", outcome.LimitReason)
+	}
+	if d := a.limit; d.Limited {
+		entry = entry.Float("arrivals", d.Arrivals).Float("admissions", d.Admissions).Int("limit", int64(d.Limit)).
+			Int("underWay", int64(d.Open)).Int("expectedMillis", d.ExpectedMillis)
+	}
 	if !a.deadline.IsZero() {
 		entry = entry.Int("millisLeft", time.Until(a.deadline).Milliseconds())
 	}
