--- a/internal/admission/twreadiness/readiness.go
+++ b/internal/admission/twreadiness/readiness.go
@@ -28,14 +28,12 @@
 }
 
 const (
-	// plainNeedShare is the part of its target that a plain call needs for itself: 15 ms of 120 ms.
+	// plainNeedShare is the part of its target that a plain call needs for itself.
 	plainNeedShare = 0.125
-	// modelNeedShare is that of a model call: a prompt of 5,200 tokens takes 94 ms on an idle prefill engine and 187 ms on a decode
-	// engine, of 800 or 900 ms; placement, transfer and the first step come on top.
+	// modelNeedShare is that of a model call: placement, prefill, transfer and the first step.
 	modelNeedShare = 0.25
 	// While the routes, and with them a call's target, are unknown, the call waits for unknownTargetBase and unknownTargetShare of its
-	// caller's time, but maxUnknownShare of that at most. That is below the targets of the deployments: 100 ms of 600 (target 120), 134 ms of
-	// 1.5 s (150), 580 ms of 14 s (800 and 900).
+	// caller's time, but maxUnknownShare of that at most: targets are a fifth of short deadlines and about a twentieth of long ones.
 	unknownTargetBase  = 80 * time.Millisecond
 	unknownTargetShare = 1.0 / 28
 	maxUnknownShare    = 1.0 / 6
--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -47,9 +47,9 @@
 	minRetryInterval = 500 * time.Millisecond
 	// evidencePeerWait is how long a starting daemon waits for a peer that has the evidence before it reads the evidence row itself:
 	// some queries. evidenceReadSpread is the span over which daemons spread these reads, and the mean time between two of one daemon;
-	// startReadSpread is that of the first reads of the state at a start. A thousand daemons whose seeds are all down read the row 790
-	// times a second, and then, until they find a leader, 1,970 times: two tables and the lease each.
-	// Without seeds each daemon needs the lease's row to find another one: noSeedsReadSpread lets a thousand of them read it 1,970 times a second.
+	// startReadSpread is that of the first reads of the state at a start: two tables and the lease each, which a thousand daemons
+	// whose seeds are all down read less than two thousand times a second.
+	// Without seeds each daemon needs the lease's row to find another one: noSeedsReadSpread keeps a thousand of them below that rate too.
 	evidencePeerWait   = 250 * time.Millisecond
 	noSeedsReadSpread  = 500 * time.Millisecond
 	evidenceReadSpread = 1250 * time.Millisecond
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -24,13 +24,12 @@
 	versionRetryAfter = 2 * time.Second
 	// freeHoldShare is the share of the target up to which a refusal costs its caller nothing.
 	freeHoldShare = 1.0 / 8
-	// slipShare is by how much of the target a call may be placed later than expected before it is refused. Ends of runs are
-	// known by the expected length of answers only: with a quarter, 1% more calls of accounts that keep to their share were
-	// refused in replays of a crowd, and with none 6%.
+	// slipShare is by how much of the target a call may be placed later than expected before it is refused. The ends of runs
+	// are known by the expected length of answers only, so that a smaller share would refuse calls that are served soon after.
 	slipShare = 1.0 / 2
 	// aboveShareWaitShare is within what part of the time left a call must be expected to be placed if its account uses far
-	// more than its share: calls of others that arrive meanwhile go before it. With a fourth, 184 of such calls were refused
-	// after an eighth of their target in replays of a crowd; with all of the time it was 907, and 2% more were served.
+	// more than its share: calls of others that arrive meanwhile go before it, so that most of these calls would be refused
+	// later.
 	aboveShareWaitShare = 1.0 / 4
 	// minPrefillLeft is the least share of the prefill engines that counts as left to late calls; it keeps times finite.
 	minPrefillLeft = 0.01
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -13,8 +13,7 @@
 	// before any call found it so.
 	initialMemoryFull = 0.95
 	// reserveSpanShare is the share of the target for which an account far above its share leaves what others are likely to
-	// need. In replays of a crowd, room for a whole target served 0.3 to 1.2% more calls of these others and 13 to 14% fewer
-	// of the accounts that surged.
+	// need. Room for a whole target would hardly serve more of them, and far fewer calls of the accounts that surge.
 	reserveSpanShare = 1.0 / 4
 	// maxReserveShare bounds the room that an account far above its share leaves to others.
 	maxReserveShare = 0.25
@@ -51,8 +50,7 @@
 
 // recordMemoryFull records that a call found no decode engine that has memory for it.
 //
-// The share of the memory at which that happens depends on how the lengths and the ends of runs are spread: 86% in one
-// overload and 112% in another.
+// The share of the memory at which that happens depends on how the lengths and the ends of runs are spread, and may exceed 1.
 func (a *Allocator) recordMemoryFull(request turmericwall.PlaceRequest) {
 	total := a.decodeMemory()
 	if total <= 0 || request.Version != "" || len(request.Avoid) > 0 {
--- a/internal/placement/twshares/level.go
+++ b/internal/placement/twshares/level.go
@@ -6,9 +6,8 @@
 // more is slightly too low.
 const maxLevelRounds = 16
 
-// farDeviations is by how many standard deviations of the use an account must exceed its share to be far above it. In replays
-// of a burst in which all accounts sent alike, 52 of 3,490 calls were refused with one, 38 with two and 14 without accounts;
-// in a crowd the accounts that keep to their share were served alike with one and two.
+// farDeviations is by how many standard deviations of the use an account must exceed its share to be far above it, so that
+// accounts which all send alike are hardly ever refused by chance.
 const farDeviations = 2
 
 // reserve returns the rate at which accounts send, each up to its part of what all send, in tokens per millisecond, but for
