fix: keep calls waiting while a prefill engine is silent, since it may go on within their target

Cause: beside a prefill engine that is silent for 1.2 s, calls were refused after an eighth of their target for want of a prefill engine, and those of the busiest account left room to others, though the memory was nearly free: the time of an overdue engine is unknown, and was taken for known. Ruled out: the machine (load average 9).

--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -42,6 +42,8 @@
 	// shortestBacklog is that of the prefill engines, in milliseconds; it is known once backlogKnown is set.
 	shortestBacklog float64
 	backlogKnown    bool
+	// prefillOverdue is set if a prefill engine ends nothing though it should; it is known once overdueKnown is set.
+	prefillOverdue, overdueKnown bool
 }
 
 // Decide places the waiting calls that fit, refuses those that can't be on time, and keeps the others waiting.
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -109,7 +109,7 @@
 	if st.now.Before(w.receivedAt.Add(millis(freeHoldShare * w.spanMillis()))) {
 		return true
 	}
-	if w.mustYield || (w.noPrefillInTime && !w.late) {
+	if w.mustYield || (w.noPrefillInTime && !w.late && !a.isPrefillOverdue(st)) {
 		// A prefill backlog shrinks no faster than the time that is left.
 		return false
 	}
@@ -145,6 +145,22 @@
 	return laterOf(room, st.now.Add(millis(wait/left))), ok
 }
 
+// isPrefillOverdue reports whether a prefill engine ends nothing though it should. When it goes on isn't known then, nor that
+// the calls which wait for it can't be served: a silence is often shorter than a target.
+func (a *Allocator) isPrefillOverdue(st *decisionState) bool {
+	if st.overdueKnown {
+		return st.prefillOverdue
+	}
+	st.overdueKnown = true
+	for _, e := range a.prefills.sample(a.tuning.MaxCandidates) {
+		if e.prefills.OverdueMillis(st.now) > 0 {
+			st.prefillOverdue = true
+			break
+		}
+	}
+	return st.prefillOverdue
+}
+
 // shortestBacklogMillis returns how long the prefill engine with the shortest backlog takes for it.
 func (a *Allocator) shortestBacklogMillis(st *decisionState) float64 {
 	if st.backlogKnown {
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -102,7 +102,7 @@
 // the others are likely to send within a part of its target, prefills would end too late.
 func (a *Allocator) mustYieldPrefill(st *decisionState, w *waitingCall, fastest prefillOption) bool {
 	speed := a.prefillPoolSpeed(st.now)
-	if w.late || fastest.engine == nil || speed == 0 || !a.shares.Competing() {
+	if w.late || fastest.engine == nil || speed == 0 || !a.shares.Competing() || a.isPrefillOverdue(st) {
 		return false
 	}
 	reserveMillis := math.Min(a.shares.Reserve(w.size, twshares.Prefill, reserveSpanShare*w.spanMillis())/speed,
