fix: don't take a prefill for overdue at a time that lies ahead

Cause: the pace of a decode engine is compared for the time at which a run will start, and asked for the backlog at that time. Since prefills can be overdue, any local prefill that is due to end before counted as overdue then, and its engine as too slow. Change: at a later time the backlog is predicted by the engine's speed alone.

--- a/internal/placement/twallocator/engine.go
+++ b/internal/placement/twallocator/engine.go
@@ -112,8 +112,13 @@
 
 // pendingPrefillTokens returns the prefill backlog at the time now, in tokens.
 func (e *engine) pendingPrefillTokens(now time.Time, speed float64) float64 {
-	queuedMillis := math.Max(0, e.prefillBacklog/speed-float64(now.Sub(e.prefillBacklogAt).Milliseconds()))
-	return speed * e.prefills.BacklogMillis(now, queuedMillis, speed)
+	return speed * e.prefills.BacklogMillis(now, e.predictedPrefillTokens(now, speed)/speed, speed)
+}
+
+// predictedPrefillTokens returns the prefill backlog at a time that may lie ahead, by the engine's speed alone: no prefill is
+// overdue before its end was due.
+func (e *engine) predictedPrefillTokens(at time.Time, speed float64) float64 {
+	return math.Max(0, e.prefillBacklog-speed*float64(at.Sub(e.prefillBacklogAt).Milliseconds()))
 }
 
 // measurePrefill updates the engine's prefill speed with a finished prefill. An engine prefills one prompt after
--- a/internal/placement/twallocator/pace.go
+++ b/internal/placement/twallocator/pace.go
@@ -81,7 +81,7 @@
 	startAt := st.now.Add(millis(startMillis))
 	// A prefill that is still under way when the run starts delays one event by what is left of it.
 	speed := a.localPrefillSpeedOf(st.now, e)
-	prefillMillis := e.pendingPrefillTokens(startAt, speed) / speed / float64(max(a.plan.TokensPerEvent, 1))
+	prefillMillis := e.predictedPrefillTokens(startAt, speed) / speed / float64(max(a.plan.TokensPerEvent, 1))
 	tokenMillis, keeps := a.pace.TokenMillis(st.now, e.upstream.ID, a.paceLoad(request), limitMillis-prefillMillis)
 	if keeps {
 		return true
