--- a/internal/membership/twdiscovery/discovery.go
+++ b/internal/membership/twdiscovery/discovery.go
@@ -12,8 +12,13 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// checkInterval is the time between two checks whether a peer has to be queried.
-const checkInterval = 20 * time.Millisecond
+// checkInterval is the time between two checks whether a peer has to be queried, and startCheckInterval that in the startSpan after the
+// start, when each check that comes late delays the first call.
+const (
+	checkInterval      = 50 * time.Millisecond
+	startCheckInterval = 20 * time.Millisecond
+	startSpan          = 5 * time.Second
+)
 
 // maxQueries is the number of queries that are under way at the same time: a seed whose VM is down takes its query's whole time limit,
 // in which the others are asked.
@@ -51,8 +56,10 @@
 
 // Run queries peers whenever that is due, until ctx ends.
 func (d *Discovery) Run(ctx context.Context) error {
-	tick := time.NewTicker(checkInterval)
+	tick := time.NewTicker(startCheckInterval)
 	defer tick.Stop()
+	startEnd := time.NewTimer(startSpan)
+	defer startEnd.Stop()
 	slots := make(chan struct{}, maxQueries)
 	var queries sync.WaitGroup
 	defer queries.Wait()
@@ -67,6 +74,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-startEnd.C:
+			tick.Reset(checkInterval)
 		case <-tick.C:
 		}
 	}
