review: show that runs are moved to engines that have been draining for longer than drainMs

The target of a move is checked before the copy only. If the answer to the copy is late, the run is stopped and sent to an engine that is draining meanwhile.

--- a/review/internal/twstandin/caller.go
+++ b/review/internal/twstandin/caller.go
@@ -1,7 +1,6 @@
 package twstandin
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +18,8 @@
 	Body     string
 	// PromptTokens and OutputTokens are set for a request to a model.
 	PromptTokens, OutputTokens int
+	// MaxGap is the pause after which the caller abandons a stream.
+	MaxGap time.Duration
 }
 
 // Answer is what the caller got.
@@ -61,7 +62,24 @@
 		return Answer{Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(bufio.NewReader(response.Body))
+	abandon := time.AfterFunc(max(call.MaxGap, time.Minute), cancel)
+	if call.MaxGap > 0 {
+		abandon.Reset(call.MaxGap)
+	}
+	defer abandon.Stop()
+	var body []byte
+	buffer := make([]byte, 4<<10)
+	for err == nil {
+		var n int
+		n, err = response.Body.Read(buffer)
+		body = append(body, buffer[:n]...)
+		if call.MaxGap > 0 {
+			abandon.Reset(call.MaxGap)
+		}
+	}
+	if err == io.EOF {
+		err = nil
+	}
 	return Answer{
 		Status: response.StatusCode, Signature: response.Header.Get("X-Server-Signature"), Body: string(body), Complete: err == nil, Err: err,
 	}
--- a/review/internal/twstandin/daemon.go
+++ b/review/internal/twstandin/daemon.go
@@ -55,7 +55,7 @@
 		}
 		one := &Daemon{Name: name, Front: at(front), Ready: at(ready)}
 		settings := map[string]any{
-			"daemon": name, "zone": fmt.Sprintf("zone-%c", 'a'+n%3), "address": ip,
+			"daemon": name, "zone": fmt.Sprintf("zone-%c", 'a'+n%3), "address": ip, "sourceAddress": ip,
 			"listen":      map[string]string{"callers": one.Front, "ready": one.Ready, "peers": at(control)},
 			"metricsPort": metrics, "seeds": seeds, "firstStart": true, "memoryMegabytes": 284, "linkMegabits": 1000.0,
 			"descriptors": 4100, "store": store, "heartbeatMillis": 1200, "configMillis": 2000, "drainMillis": 2000,
--- a/review/internal/twstandin/engine.go
+++ b/review/internal/twstandin/engine.go
@@ -28,6 +28,8 @@
 	// HasLateAnswer reports whether a second copy of the answer that has just ended is sent before the next answer on its
 	// connection; nil means never.
 	HasLateAnswer func(e *Engine) bool
+	// OnMove is called as the engine is told by a machine to copy a run to the address of another engine; it may be nil.
+	OnMove func(e *Engine, machine, to string)
 }
 
 const (
@@ -37,9 +39,10 @@
 	prefillTokensPerMilli = 55
 	// endDelay is the time between the last event of a stream and the end of its answer.
 	endDelay = 30 * time.Millisecond
-	// lingerSpan is how long an engine serves after it has stated that it leaves.
-	lingerSpan     = 4 * time.Second
-	tokensPerEvent = 11
+	// drainSpan is how long after its leaving was acknowledged requests may still reach an engine, and contactSpan how long a cut
+	// excuses those that come late after it.
+	drainSpan, contactSpan = 2 * time.Second, 3 * time.Second
+	tokensPerEvent         = 11
 )
 
 // Engines are the engines of a deployment. They fetch memory from each other.
@@ -83,7 +86,11 @@
 	answers, late int
 	moves         int
 	leaving       bool
-	born          int64
+	// leftAt is when the store had acknowledged that the engine leaves.
+	leftAt time.Time
+	born   int64
+	// cutUntil is when the path from a machine is whole again.
+	cutUntil map[string]time.Time
 }
 
 // run is a request that is being decoded.
@@ -107,6 +114,7 @@
 	e := &Engine{
 		engines: s, config: config, listener: listener, link: make(chan struct{}, 1), runs: make(map[string]*run),
 		holds: make(map[string]bool), conns: make(map[*conn]bool), born: time.Now().UnixMilli(),
+		cutUntil: make(map[string]time.Time),
 	}
 	s.mu.Lock()
 	s.byAddress[e.Address()] = e
@@ -162,19 +170,56 @@
 	e.engines.store.Put("servers", e.config.ID, value)
 }
 
-// Leave states that the engine leaves. It serves on for lingerSpan and then ends.
-func (e *Engine) Leave() {
+// Leave states that the engine leaves. It serves on for the span and then ends.
+func (e *Engine) Leave(linger time.Duration) {
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.engines.record.Note("%s is draining", e.config.ID)
 	e.register("draining")
-	time.AfterFunc(lingerSpan, func() {
+	e.mu.Lock()
+	e.leftAt = time.Now()
+	e.mu.Unlock()
+	e.engines.record.Note("%s is draining", e.config.ID)
+	time.AfterFunc(linger, func() {
+		e.engines.record.Note("%s ends with %d runs", e.config.ID, e.Running())
 		e.engines.store.Remove("servers", e.config.ID)
 		e.Close()
 	})
 }
 
+// CutFrom cuts the path between the engine and a machine, in both directions. What is sent meanwhile arrives afterwards.
+func (e *Engine) CutFrom(machine string, span time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutUntil[machine] = time.Now().Add(span)
+	e.engines.record.Note("%s is cut from %s for %v", e.config.ID, machine, span)
+}
+
+// awaitPath returns once the path from a machine is whole.
+func (e *Engine) awaitPath(machine string) {
+	for {
+		e.mu.Lock()
+		left := time.Until(e.cutUntil[machine])
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// checkDrain checks a request that has reached the engine.
+func (e *Engine) checkDrain(c *conn, r *http.Request) {
+	e.mu.Lock()
+	leftAt, cutUntil := e.leftAt, e.cutUntil[c.peer()]
+	e.mu.Unlock()
+	if leftAt.IsZero() || time.Since(leftAt) <= drainSpan || time.Since(cutUntil) < contactSpan {
+		return
+	}
+	e.engines.record.Break("DRAIN", "%s gets %s %v after it was acknowledged that it is draining", e.config.ID,
+		r.Header.Get("X-Request-Id"), time.Since(leftAt))
+}
+
 // Close ends the engine with all that it runs.
 func (e *Engine) Close() {
 	_ = e.listener.Close()
@@ -191,7 +236,8 @@
 		if err != nil {
 			return
 		}
-		c := newConn(inner)
+		machine, _, _ := net.SplitHostPort(inner.RemoteAddr().String())
+		c := newConn(inner, func() { e.awaitPath(machine) })
 		e.mu.Lock()
 		e.conns[c] = true
 		e.mu.Unlock()
@@ -257,7 +303,9 @@
 		return e.respond(c, r, http.StatusConflict, nil, nil)
 	case strings.HasPrefix(path, "/-/"):
 		return e.respond(c, r, http.StatusNotFound, nil, nil)
-	case r.Header.Get("X-Stage") == "prefill":
+	}
+	e.checkDrain(c, r)
+	if r.Header.Get("X-Stage") == "prefill" {
 		return e.prefill(c, r)
 	}
 	return e.decode(c, r)
@@ -500,7 +548,10 @@
 	}
 	e.mu.Unlock()
 	e.engines.record.Note("%s is to move %s to %s, last %t", e.config.ID, request.ID, request.To, request.Last)
-	if target == nil || target.IsLeaving() {
+	if e.config.OnMove != nil && !request.Last {
+		e.config.OnMove(e, c.peer(), request.To)
+	}
+	if target == nil {
 		e.endMove(one)
 		return e.respond(c, r, http.StatusServiceUnavailable, nil, nil)
 	}
--- a/review/programs/lateanswer/main.go
+++ b/review/programs/lateanswer/main.go
@@ -16,8 +16,10 @@
 	span, roundSpan = 102 * time.Second, 2200 * time.Millisecond
 	// maxLateShare is the largest share of an engine's answers that are sent twice.
 	maxLateShare = 0.03
-	host         = "ficu95.example"
-	decodes      = 4
+	// lingerSpan is how long an engine serves after it has stated that it leaves.
+	lingerSpan = 4 * time.Second
+	host       = "ficu95.example"
+	decodes    = 4
 )
 
 func main() { os.Exit(run()) }
@@ -152,7 +154,7 @@
 			round++
 			leaving := s.decodes[0]
 			s.decodes = append(s.decodes[1:], s.start("decode", round))
-			time.AfterFunc(1500*time.Millisecond, leaving.Leave)
+			time.AfterFunc(1500*time.Millisecond, func() { leaving.Leave(lingerSpan) })
 		}
 	}
 	calls.Wait()
@@ -162,7 +164,7 @@
 func (s *site) call(caller *twstandin.Caller, front, id string, events, prompt int) {
 	answer := caller.Send(front, twstandin.Call{
 		ID: id, Method: "POST", Host: host, Path: "/pufi791/2f", Deadline: 14 * time.Second, Body: strings.Repeat("x", prompt),
-		PromptTokens: prompt, OutputTokens: 11 * events,
+		PromptTokens: prompt, OutputTokens: 11 * events, MaxGap: 4 * time.Second,
 	})
 	s.record.Note("caller: %s ends: %d, complete %t, %v", id, answer.Status, answer.Complete, answer.Err)
 	if answer.Status != 200 {
