--- a/review/programs/lateanswer/main.go
+++ b/review/programs/lateanswer/main.go
@@ -145,8 +145,9 @@
 	round := 0
 	for time.Now().Before(until) {
 		// Short and long streams.
-		send(8, 1460)
-		send(8, 1460)
+		for range 5 {
+			send(4, 460)
+		}
 		send(60, 1460)
 		time.Sleep(45 * time.Millisecond)
 		if time.Now().After(nextRelease) {
