--- a/review/programs/latemove/main.go
+++ b/review/programs/latemove/main.go
@@ -19,7 +19,7 @@
 	handoverSpan = 1500 * time.Millisecond
 	// lingerSpan is how long an engine serves after it has stated that it leaves, and longLingerSpan how long the one that is cut
 	// does.
-	lingerSpan, longLingerSpan = 2700 * time.Millisecond, 7 * time.Second
+	lingerSpan, longLingerSpan = 2750 * time.Millisecond, 7 * time.Second
 )
 
 // release replaces two engines: one, and then the one to which that one's first run is moved.
