fix: never follow a leader whose term is over

Callers got 404 for acknowledged routes at all daemons at once.

Cause: a heartbeat of an earlier term was ignored only while the leader of the later term had been heard within 0.7 s. A leader that had stood still while another one took the lease, and went on as that one stood still, was believed by everybody: its state was old, and with a live leader nobody queries peers or reads the store.

Now the latest term that was heard stands: a daemon without its leader has none, and looks for state itself. The reply to a heartbeat names the latest term, so that a leader which doesn't know that its term is over ends it. A daemon logs the first such heartbeat (Leader superseded, 7019).

--- a/events.go
+++ b/events.go
@@ -66,6 +66,7 @@
 	EventPathRegained       EventID = 7016
 	EventReadRefused        EventID = 7017
 	EventUpstreamSilent     EventID = 7018
+	EventLeaderSuperseded   EventID = 7019
 	EventStoreUnavailable   EventID = 8001
 	EventStoreRegained      EventID = 8002
 	EventRowUnreadable      EventID = 8003
@@ -138,6 +139,7 @@
 	EventPathRegained:       "Path regained",
 	EventReadRefused:        "Read refused",
 	EventUpstreamSilent:     "Upstream silent",
+	EventLeaderSuperseded:   "Leader superseded",
 	EventStoreUnavailable:   "Store unavailable",
 	EventStoreRegained:      "Store regained",
 	EventRowUnreadable:      "Row unreadable",
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -116,6 +116,8 @@
 	heartbeat       turmericwall.Heartbeat
 	lastHeartbeatAt time.Time
 	heartbeatSentAt time.Time
+	// supersededTerm is the term of the last heartbeat that was ignored because a later term has begun.
+	supersededTerm int64
 	// peerFreshAt is when the store was queried for the newest state that this daemon has from a peer.
 	peerFreshAt time.Time
 	// electedAt is when this daemon last became the leader.
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -7,13 +7,15 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
-// ApplyHeartbeat applies a heartbeat and returns this daemon's reply. A heartbeat of an earlier term is ignored while
-// the leader of the later term is live.
+// ApplyHeartbeat applies a heartbeat and returns this daemon's reply. A heartbeat of an earlier term than one that was heard is ignored:
+// its leader has lost the lease, though it may not know that yet.
 func (c *Cluster) ApplyHeartbeat(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 	self := c.Self()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if heartbeat.Term < c.heartbeat.Term && time.Since(c.lastHeartbeatAt) < leaderTimeout {
+	self.Term = max(heartbeat.Term, c.heartbeat.Term)
+	if heartbeat.Term < c.heartbeat.Term {
+		c.recordSuperseded(heartbeat)
 		return self
 	}
 	if heartbeat.Leader == c.heartbeat.Leader && heartbeat.Sequence < c.heartbeat.Sequence {
@@ -78,6 +80,16 @@
 	return self
 }
 
+// recordSuperseded logs the first heartbeat of a leader whose term is over; the lock is held.
+func (c *Cluster) recordSuperseded(heartbeat turmericwall.Heartbeat) {
+	if heartbeat.Term == c.supersededTerm {
+		return
+	}
+	c.supersededTerm = heartbeat.Term
+	c.config.Recorder.Record(turmericwall.EventLeaderSuperseded).Str("leader", heartbeat.Leader.Name).Int("term", heartbeat.Term).
+		Int("latestTerm", c.heartbeat.Term).Int("heardMillis", time.Since(c.lastHeartbeatAt).Milliseconds()).Send()
+}
+
 // fetchSource returns the daemon from which this daemon fetches the state that it lacks: its relay, so that the leader
 // sends a change once for each relay, or the leader if the relay does not have the change in time. Standbys fetch from
 // the leader, which alone knows all members. The lock is held.
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -295,6 +295,9 @@
 	if c.config.RecordLoads != nil {
 		c.config.RecordLoads(reply.Incarnation, reply.Loads)
 	}
+	if term, leading := c.config.IsLeader(); leading && reply.Term > term && c.config.OnOutranked != nil {
+		c.config.OnOutranked()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[reply.Address]
--- a/peering.go
+++ b/peering.go
@@ -103,6 +103,8 @@
 	// BootTimeNanos is the time of the reply for the Echo of the next heartbeat, in nanoseconds since the boot of the
 	// daemon's VM.
 	BootTimeNanos int64 `json:"moment"`
+	// Term is the latest term of a leader that the daemon has heard; 0 if it has heard none.
+	Term int64 `json:"term,omitempty"`
 	// Uses is what the daemon itself charged to client accounts.
 	Uses []AccountUse `json:"uses,omitempty"`
 	// Rates are the rates that the daemon itself received from upstreams within the last five seconds.
