fix: date every heartbeat by its echo, not by its arrival

Callers could get 404 for acknowledged routes for up to the staleness longer.

Cause: the age of the leader's state was counted from the arrival of a heartbeat that came without a relay. A leader that stood still between writing and sending, or a daemon that stood still before reading, took old state for new, read nothing, and passed the wrong age on to peers that asked. The proof beside it was dated by the echo already.

Each heartbeat is now dated by the daemon's own clock reading that the leader echoes; without an echo, in a leader's first heartbeat, the age is unknown, and the state doesn't count as new. That holds for the loads of plain services too, which were applied at the arrival. Their two tests get an echo, and one of them also asserts that a direct heartbeat without an echo is ignored.

--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -156,6 +156,10 @@
 	return turmericwall.ChargeReply{Declined: true}, nil
 }
 
+func newNetwork() *network {
+	return &network{clusters: make(map[string]*twcluster.Cluster), partitioned: make(map[string]bool)}
+}
+
 // join adds a daemon to the others and the others to it, as configured seeds do.
 func (n *network) join(address string, cluster *twcluster.Cluster) {
 	n.mu.Lock()
@@ -183,6 +187,8 @@
 	stopping         bool
 	// readsFail is set when this daemon's last answered read of the store is a minute old.
 	readsFail bool
+	// neverReads is set if this daemon has never read the store.
+	neverReads bool
 	// storeLostAt is when this daemon lost its connection to the store; zero while it has one.
 	storeLostAt time.Time
 	// readsOnlyInRole limits reads of the store to a leader or a standby; lastReadAt is the time of the last read.
@@ -195,6 +201,9 @@
 func (d *daemon) readAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.neverReads {
+		return time.Time{}
+	}
 	if d.readsFail {
 		return time.Now().Add(-time.Minute)
 	}
@@ -283,7 +292,7 @@
 // startLeader starts the daemon a and waits until it is the leader.
 func startLeader(t *testing.T, g *WithT) (*store, *network, *daemon) {
 	t.Helper()
-	s, n := newStore(), &network{clusters: make(map[string]*twcluster.Cluster), partitioned: make(map[string]bool)}
+	s, n := newStore(), newNetwork()
 	a := start(t, s, n, "a")
 	g.Eventually(leads(a), eventualTimeout).Should(BeTrue())
 	return s, n, a
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -37,7 +37,7 @@
 		c.config.Proof.ConfirmEcho(twboottime.Now(), heartbeat.Echo, heartbeat.ProofAgeMillis)
 	}
 	behind := heartbeat.PlanVersion > self.PlanVersion || heartbeat.UpstreamsPosition > self.UpstreamsPosition
-	if !behind {
+	if !behind && !c.heartbeatSentAt.IsZero() {
 		c.recordPeerFreshAt(c.heartbeatSentAt.Add(-time.Duration(heartbeat.StateAgeMillis) * time.Millisecond))
 	}
 	if self.PlanVersion >= c.wanted.planVersion && self.UpstreamsPosition >= c.wanted.upstreamsPosition {
@@ -102,13 +102,10 @@
 
 // sentAt returns when the heartbeat, just received, was sent; zero when that is unknown. The lock is held.
 //
-// The leader sends a heartbeat at once, but a relay may have been suspended with it. A forwarded heartbeat is dated by
-// its echo: this daemon's clock at its last reply that the leader had received. The next heartbeat usually follows that
+// The leader, a relay or this daemon may have stood still while the heartbeat was under way, so that its arrival says nothing. It is dated
+// by its echo: this daemon's clock at its last reply that the leader had received. The next heartbeat usually follows that
 // reply within heartbeatInterval, by which the result may be too late.
 func (c *Cluster) sentAt(heartbeat turmericwall.Heartbeat) time.Time {
-	if heartbeat.Relay.Name == "" {
-		return c.lastHeartbeatAt
-	}
 	if heartbeat.Echo.Incarnation != c.config.Self.Incarnation {
 		return time.Time{}
 	}
@@ -129,7 +126,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := time.Since(c.heartbeatSentAt) + time.Duration(c.heartbeat.StateAgeMillis)*time.Millisecond
-	informed := leaderLive && age < c.config.Staleness
+	informed := leaderLive && !c.heartbeatSentAt.IsZero() && age < c.config.Staleness
 	if informed != c.wasInformed {
 		c.wasInformed = informed
 		event := turmericwall.EventLeaderStale
--- a/internal/membership/twcluster/loads_test.go
+++ b/internal/membership/twcluster/loads_test.go
@@ -12,6 +12,7 @@
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/membership/twcluster"
 	"github.com/turmericwall/turmericwall/internal/membership/twproof"
+	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
 )
 
@@ -54,6 +55,7 @@
 func heartbeatWithLoads() turmericwall.Heartbeat {
 	return turmericwall.Heartbeat{
 		Leader: turmericwall.Member{Name: "a", Address: "a"}, Term: 1, Sequence: 5,
+		Echo:  turmericwall.Echo{Incarnation: "b1", BootTimeNanos: int64(twboottime.Now())},
 		Loads: []turmericwall.ServiceLoad{{Service: "filings", Arrivals: 9, Partial: true}},
 	}
 }
@@ -71,14 +73,16 @@
 	g.Expect(reply.Forwarded[0].Loads).To(Equal(of))
 }
 
-// Guards against observations of unknown age: a relay that was suspended may forward a heartbeat late.
+// Guards against observations of unknown age: the leader or a relay may have been suspended before it sent the heartbeat on.
 func TestLoadsOfUnknownAgeAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	f := newLoadsFollower(&replyingPeer{})
-	heartbeat := heartbeatWithLoads()
-	heartbeat.Relay = turmericwall.Member{Name: "r"}
-	f.cluster.HandleHeartbeat(context.Background(), heartbeat)
-	g.Expect(f.applied).To(BeNil())
+	for _, relay := range []turmericwall.Member{{}, {Name: "r"}} {
+		heartbeat := heartbeatWithLoads()
+		heartbeat.Relay, heartbeat.Echo = relay, turmericwall.Echo{}
+		f.cluster.HandleHeartbeat(context.Background(), heartbeat)
+		g.Expect(f.applied).To(BeNil())
+	}
 	late := heartbeatWithLoads()
 	f.cluster.HandleHeartbeat(context.Background(), late)
 	late.Sequence, late.Loads = 4, nil
