fix: look for state elsewhere when a query or the leader brings none that is new

A daemon was left alone with its old plan, and its callers got 404 for acknowledged routes, one daemon at a time or all at once.

Cause: three waits without a bound of their own. A daemon without a leader read the store only after three queries in a row had brought nothing; a query that brought a little newer, but still old, state counted as useful, and one to a daemon that stands still took 0.8 s. A daemon whose leader was alive with new state, which it didn't get, neither asked others nor read: a live leader was enough to look no further.

Now a daemon that lacks new state for a quarter of the staleness reads, or, if peers answer, at the latest a quarter after its state got stale, spread over 1 ms for each daemon (0.2 s at least). Lacking means: without a leader, or stale though its leader isn't. In an outage of the store with a live leader nobody but leader and standbys reads, as before.

--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -22,8 +22,10 @@
 	// a quarter of a seed's time.
 	answerGapFactor = 3
 	maxAnswerGap    = time.Second
-	// maxUselessQueries is how many queries in a row must bring nothing before this daemon reads the store itself.
+	// maxUselessQueries is how many queries in a row must bring nothing before this daemon reads the store itself, and peerWaitShare the part
+	// of Config.Staleness after which it does so whatever they brought: peers that stand still keep each query waiting.
 	maxUselessQueries = 3
+	peerWaitShare     = 0.25
 	// standbyReadShare is the part of Config.Staleness after which a standby begins to read.
 	standbyReadShare = 0.75
 	// readDuration is how long a daemon continues to read after it began.
@@ -35,8 +37,12 @@
 	// long one such report counts. How long a seed takes grows with the number of upstreams.
 	maxBootstrapTimeout = 8 * time.Second
 	loadingValidity     = 2 * time.Second
-	// leaderlessReadSpread is the span over which daemons that have lost their leader spread their first reads.
+	// leaderlessReadSpread is the span over which daemons that have lost their leader spread their first reads while their number is unknown,
+	// else readSpreadPerDaemon for each, but at least minReadSpread: a read is two tables, and the store answers two thousand reads a
+	// second.
 	leaderlessReadSpread = 400 * time.Millisecond
+	minReadSpread        = 200 * time.Millisecond
+	readSpreadPerDaemon  = time.Millisecond
 	// fleetRetryInterval is the mean time between two reads of a failing store by all daemons without a leader
 	// together.
 	fleetRetryInterval = 100 * time.Millisecond
@@ -78,8 +84,9 @@
 	// place if necessary.
 	Leader  bool
 	Standby bool
-	// LeaderLive is set when there is a live leader.
+	// LeaderLive is set when there is a live leader, and Informed when its state is new, though this daemon may not have it.
 	LeaderLive bool
+	Informed   bool
 	// FreshAt is when the store was queried for the newest state that this daemon has; zero when it has none.
 	FreshAt time.Time
 	// Daemons is the number of live daemons, or 0 when it is unknown.
@@ -95,11 +102,15 @@
 	// nextReadAt is when a daemon without a leader may read; zero while it does not need to.
 	nextReadAt  time.Time
 	nextQueryAt time.Time
+	// lackingSince is when this daemon began to lack new state that a leader would bring; zero while it doesn't.
+	lackingSince time.Time
 	// uselessQueries is how many queries to peers brought nothing since the last useful one.
 	uselessQueries int
 	// queries is how many queries to peers there were so far, and hasPeer is set once one was answered.
 	queries int
 	hasPeer bool
+	// answeredAt is when a peer last answered a query.
+	answeredAt time.Time
 	// ledBefore is set if this daemon held the lease before its start.
 	ledBefore bool
 	// nextEvidenceReadAt is when this daemon may read the evidence row; zero before the first check.
@@ -119,7 +130,8 @@
 // ShouldRead reports whether this daemon has to read the store now.
 //
 // The leader reads for all daemons, and its standbys read when it cannot. The others read only without a live leader
-// and after peers brought nothing: reads of all daemons at once would load a store that already fails.
+// and after peers brought nothing: reads of all daemons at once would load a store that already fails. A daemon that doesn't get the new
+// state of its leader reads too: the store answers the leader.
 func (s *Source) ShouldRead(now time.Time, o Observation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +142,8 @@
 	if o.Leader || now.Before(s.readUntil) || (o.Standby && s.mustStandbyRead(now, o)) {
 		return true
 	}
-	if o.LeaderLive || s.IsFresh(now, o) {
+	s.recordLacking(now, o)
+	if (o.LeaderLive && !o.Informed) || s.IsFresh(now, o) {
 		s.nextReadAt = time.Time{}
 		return false
 	}
@@ -156,7 +169,21 @@
 	if o.FreshAt.IsZero() {
 		return startReadSpread
 	}
-	return leaderlessReadSpread
+	if o.Daemons == 0 {
+		return leaderlessReadSpread
+	}
+	return max(minReadSpread, time.Duration(o.Daemons)*readSpreadPerDaemon)
+}
+
+// recordLacking records since when this daemon lacks what a leader would bring: it has no leader, or doesn't get the leader's state. The
+// lock is held.
+func (s *Source) recordLacking(now time.Time, o Observation) {
+	switch {
+	case o.LeaderLive && (s.IsFresh(now, o) || !o.Informed):
+		s.lackingSince = time.Time{}
+	case s.lackingSince.IsZero():
+		s.lackingSince = now
+	}
 }
 
 // mustStandbyRead reports whether a standby has to read: early enough for the others to get its state before theirs
@@ -170,7 +197,13 @@
 	if o.FreshAt.IsZero() {
 		return !s.config.Seed && !s.ledBefore && now.Sub(s.config.StartedAt) < s.bootstrapTimeout(now)
 	}
-	return s.uselessQueries < maxUselessQueries
+	if s.uselessQueries >= maxUselessQueries {
+		return false
+	}
+	wait := time.Duration(peerWaitShare * float64(s.config.Staleness))
+	// A peer that answers may be about to read the store for all.
+	answers := now.Sub(s.answeredAt) < 2*wait
+	return now.Sub(s.lackingSince) < wait || (answers && now.Sub(o.FreshAt) < s.config.Staleness+wait)
 }
 
 // bootstrapTimeout returns how long a starting daemon waits for its seeds; the lock is held.
@@ -218,12 +251,12 @@
 	}
 }
 
-// ShouldQueryPeer reports whether this daemon, which has no live leader, has to query a peer for its state and its
-// leader now.
+// ShouldQueryPeer reports whether this daemon has to query a peer for its state and its leader now: it has no live leader, or doesn't get the
+// leader's state.
 func (s *Source) ShouldQueryPeer(now time.Time, o Observation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.LeaderLive {
+	if o.LeaderLive && (!o.Informed || s.IsFresh(now, o)) {
 		s.uselessQueries = 0
 		return false
 	}
@@ -267,6 +300,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hasPeer = true
+	s.answeredAt = now
 	if next := now.Add(min(answerGapFactor*took, maxAnswerGap)); next.After(s.nextQueryAt) {
 		s.nextQueryAt = next
 	}
--- a/internal/membership/twsource/start_test.go
+++ b/internal/membership/twsource/start_test.go
@@ -88,6 +88,8 @@
 					d.source.RecordRead(errors.New("no reply from the store"))
 				} else if d.stateAt.IsZero() {
 					d.stateAt = now.Add(2 * c.storeTakes)
+				} else {
+					d.stateAt = later(d.stateAt, now)
 				}
 			}
 			if !o.FreshAt.IsZero() && !d.knowsLeader && !now.Before(d.pollAt) && d.source.ShouldRead(now, o) {
@@ -140,6 +142,9 @@
 	if hasState && d.stateAt.IsZero() {
 		d.stateAt = now
 	}
+	if hasState {
+		d.stateAt = later(d.stateAt, seed.stateAt)
+	}
 	if !seed.evidenceAt.IsZero() && now.After(seed.evidenceAt) && d.evidenceAt.IsZero() {
 		d.evidenceAt = now
 	}
@@ -147,6 +152,13 @@
 	d.source.RecordQuery(hasState)
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Guards against daemons that start at the same time and ask the store more often than its rates bear, or serve the later the more they
 // are: 2,000 reads a second for a thousand daemons.
 func TestStartOfAllDaemonsStaysWithinTheStoresRates(t *testing.T) {
