fix: confirm a read of the plan only once its rows are applied

What callers could see: 404, or a removed route or key in use, from a plan that counted as proved to be the newest although it wasn't.

Cause: the watch confirmed each read that the store had answered. A row that couldn't be decoded was logged and left the plan before it in force, and the read was confirmed all the same; so was a listing older than the watch's own position, from a replica that lags.

A listing that is older than the position confirms nothing and doesn't count as a read.

--- a/internal/membership/twplanfeed/follower.go
+++ b/internal/membership/twplanfeed/follower.go
@@ -19,7 +19,11 @@
 }
 
 // Follower applies the operator's row to the routes. It implements twwatch.Follower.
-type Follower struct{ config Config }
+type Follower struct {
+	config Config
+	// unreadable is set while the newest row can't be decoded. Only the watch's goroutine uses it.
+	unreadable bool
+}
 
 // New returns a follower that has applied no row.
 func New(config Config) *Follower { return &Follower{config: config} }
@@ -27,13 +31,14 @@
 // Reset applies a listing of all rows.
 func (f *Follower) Reset(now time.Time, snapshot turmericwall.Snapshot) { f.Change(now, snapshot) }
 
-// Change applies changed rows. A removed or unreadable row leaves the plan in force; an unreadable one is logged.
+// Change applies changed rows. A removed or unreadable row leaves the plan in force; an unreadable one is logged and confirms nothing.
 func (f *Follower) Change(_ time.Time, snapshot turmericwall.Snapshot) {
 	for _, row := range snapshot.Rows {
 		if row.Key != f.config.Key || row.Removed {
 			continue
 		}
 		plan, err := f.config.Decoder.Plan(row.Value)
+		f.unreadable = err != nil
 		if err != nil {
 			f.config.Recorder.Record(turmericwall.EventDocumentUnreadable).Int("version", row.Version).Err(err).Send()
 			continue
@@ -46,6 +51,9 @@
 	}
 }
 
+// HasAll reports whether the newest row was applied. A row that can't be decoded may have added and removed routes and keys.
+func (f *Follower) HasAll() bool { return !f.unreadable }
+
 // StoreUnavailable logs that the row cannot be read.
 func (f *Follower) StoreUnavailable(err error) {
 	f.config.Recorder.Record(turmericwall.EventStoreUnavailable).Str("table", "plan").Err(err).Send()
--- a/internal/membership/twupstreamfeed/follower.go
+++ b/internal/membership/twupstreamfeed/follower.go
@@ -63,6 +63,9 @@
 	f.notifyChanged()
 }
 
+// HasAll returns true: a row that can't be decoded names no upstream.
+func (f *Follower) HasAll() bool { return true }
+
 // StoreUnavailable records and logs that the rows cannot be read.
 func (f *Follower) StoreUnavailable(err error) {
 	f.config.View.MarkUnavailable()
--- a/internal/membership/twwatch/watch.go
+++ b/internal/membership/twwatch/watch.go
@@ -40,6 +40,8 @@
 	Reset(now time.Time, snapshot turmericwall.Snapshot)
 	// Change applies changed rows in order.
 	Change(now time.Time, snapshot turmericwall.Snapshot)
+	// HasAll reports whether it could apply all that it was given last of each row.
+	HasAll() bool
 	// StoreUnavailable is called when a read fails after reads succeeded.
 	StoreUnavailable(err error)
 	// StoreRegained is called when a read succeeds again; the table was last read at lastReadAt.
@@ -62,7 +64,8 @@
 	// OnRead is called with the outcome of each read; it may be nil.
 	OnRead func(err error)
 	// OnConfirmed is called after each read that brought the follower up to date with the whole table, with the time
-	// before that read; it may be nil. It is not called until lost writes are back after a return from a copy.
+	// before that read; it may be nil. It is not called while the follower lacks something, and not until lost writes are back after a
+	// return from a copy.
 	OnConfirmed func(sentAt twboottime.Instant)
 	// PeerReadAt returns when another daemon last read the table for this one; nil means never.
 	PeerReadAt func() time.Time
@@ -115,7 +118,7 @@
 		complete, err := w.readOnce(ctx)
 		if complete {
 			w.readAt.Store(&sentAt)
-			if w.config.OnConfirmed != nil && !sentAt.Before(w.rewrittenAt) {
+			if w.config.OnConfirmed != nil && !sentAt.Before(w.rewrittenAt) && w.config.Follower.HasAll() {
 				w.config.OnConfirmed(sentAtBootTime)
 			}
 		}
@@ -195,7 +198,8 @@
 		w.after = max(w.after, snapshot.Version)
 		w.listed = true
 		w.config.Follower.Reset(time.Now(), snapshot)
-		return true, nil
+		// A listing that is older than what was read before states nothing about the time since.
+		return !w.outdated, nil
 	}
 	sentAt := time.Now()
 	snapshot, err := w.config.Feed.Changes(ctx, w.config.Table, w.after, w.wait)
--- a/internal/membership/twwatch/watch_test.go
+++ b/internal/membership/twwatch/watch_test.go
@@ -70,6 +70,7 @@
 	mu         sync.Mutex
 	calls      []string
 	lastReadAt time.Time
+	lacking    atomic.Bool
 }
 
 func (f *follower) record(what string) {
@@ -86,6 +87,7 @@
 
 func (f *follower) Reset(time.Time, turmericwall.Snapshot)  { f.record("reset") }
 func (f *follower) Change(time.Time, turmericwall.Snapshot) { f.record("change") }
+func (f *follower) HasAll() bool                            { return !f.lacking.Load() }
 func (f *follower) StoreUnavailable(error)                  { f.record("unavailable") }
 
 func (f *follower) StoreRegained(_, lastReadAt time.Time) {
