--- a/events.go
+++ b/events.go
@@ -33,6 +33,7 @@
 	EventStreamResumed      EventID = 3011
 	EventRunBroken          EventID = 3012
 	EventQuarantineChanged  EventID = 3013
+	EventStreamsRead        EventID = 3014
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -106,6 +107,7 @@
 	EventStreamResumed:      "Stream resumed",
 	EventRunBroken:          "Run broken off",
 	EventQuarantineChanged:  "Quarantine changed",
+	EventStreamsRead:        "Streams read",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
