fix: leave odd entries of engines out, with one line for each

An operator of a system like ours reported machines that ended again and again, or stopped following the list, because another writer had left one odd entry: deeply nested, with a number too large, or with a port out of range.

Here no daemon ended and the list was followed (played with processes, ten kinds of odd entries written anew 20 times a second beside callers), but each read and each change of such an entry wrote a line: 17 for one entry in six seconds at the leader, of any length that the entry had.

--- a/internal/membership/twupstreamfeed/follower.go
+++ b/internal/membership/twupstreamfeed/follower.go
@@ -24,15 +24,24 @@
 	config Config
 	// ignoring is set while listings are older than the view.
 	ignoring bool
+	// unreadable are the rows that were last found unreadable, so that each is logged once and not at each read or change.
+	unreadable map[string]bool
 }
 
 // New returns a follower that has applied no row.
-func New(config Config) *Follower { return &Follower{config: config} }
+func New(config Config) *Follower {
+	return &Follower{config: config, unreadable: make(map[string]bool)}
+}
 
 // Reset applies a listing of all rows.
 func (f *Follower) Reset(now time.Time, snapshot turmericwall.Snapshot) {
 	var list []turmericwall.Upstream
+	known := f.unreadable
+	f.unreadable = make(map[string]bool)
 	for _, row := range snapshot.Rows {
+		if known[row.Key] {
+			f.unreadable[row.Key] = true
+		}
 		if upstream, ok := f.decode(row); ok {
 			list = append(list, upstream)
 		}
@@ -84,16 +93,17 @@
 // upstream, are logged.
 func (f *Follower) decode(row turmericwall.FeedRow) (turmericwall.Upstream, bool) {
 	if row.Removed {
+		delete(f.unreadable, row.Key)
 		f.config.Recorder.Record(turmericwall.EventVMLeaving).Str("upstream", row.Key).Str("state", "removed").
 			Int("version", row.Version).Send()
 		return turmericwall.Upstream{}, false
 	}
 	upstream, err := f.config.Decoder.Upstream(row.Key, row.Value)
 	if err != nil {
-		f.config.Recorder.Record(turmericwall.EventRowUnreadable).Str("row", row.Key).Int("version", row.Version).
-			Err(err).Send()
+		f.recordUnreadable(row, err)
 		return turmericwall.Upstream{}, false
 	}
+	delete(f.unreadable, row.Key)
 	if upstream.Leaving {
 		f.config.Recorder.Record(turmericwall.EventVMLeaving).Str("upstream", row.Key).Str("state", "leaving").
 			Int("version", row.Version).Send()
@@ -101,6 +111,15 @@
 	return upstream, true
 }
 
+// recordUnreadable logs a row that can't be decoded, once until it can or is removed.
+func (f *Follower) recordUnreadable(row turmericwall.FeedRow, err error) {
+	if f.unreadable[row.Key] {
+		return
+	}
+	f.unreadable[row.Key] = true
+	f.config.Recorder.Record(turmericwall.EventRowUnreadable).Str("row", row.Key).Int("version", row.Version).Err(err).Send()
+}
+
 // notifyChanged calls Changed, if it is set.
 func (f *Follower) notifyChanged() {
 	if f.config.Changed != nil {
