fix: guess no version of a stream that may have begun since the daemon's view

Reported by an operator of a system like ours: during a release one machine was cut off from the others, or stood still, while engines of a new version joined. Streams that had begun there through other machines broke, were taken up at that machine, and went on at another version (ORDER).

A daemon that isn't the leader now needs state from after the moment at which the stream was taken up before it concludes from what is listed; it looks for a quarter of a second and then refuses as not run. The leader hears of each first event at another version within 50 ms, and goes on as before.

Evidence: TestHistoryCoversNothingAfterItsView; by reading, not met by a run of ours so far.

--- a/internal/membership/twversionhistory/history.go
+++ b/internal/membership/twversionhistory/history.go
@@ -122,6 +122,13 @@
 	return version, count == 1 && version != ""
 }
 
+// Covers reports whether all versions that were listed before the instant are known.
+func (h *History) Covers(at twboottime.Instant) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.coveredTo != 0 && h.coveredTo >= at
+}
+
 // isFresh reports whether the last observation was of a fresh view; the lock is held.
 func (h *History) isFresh(now twboottime.Instant) bool {
 	return h.coveredTo != 0 && now.Sub(h.coveredTo) <= h.config.MaxAge
--- a/internal/membership/twversionhistory/history_test.go
+++ b/internal/membership/twversionhistory/history_test.go
@@ -108,3 +108,20 @@
 	started.observe(1, "v1")
 	g.Expect(started.only()).To(Equal("unknown"), "the peer's view was not fresh")
 }
+
+// Guards against a daemon that is cut off, or stood still, and takes the version that it knows for that of a stream which began since.
+func TestHistoryCoversNothingAfterItsView(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(true)
+	g.Expect(f.Covers(0)).To(BeFalse(), "nothing was observed")
+	f.observe(2, "v1")
+	seenAt := f.now.Add(-100 * time.Millisecond)
+	g.Expect(f.Covers(seenAt)).To(BeTrue())
+	g.Expect(f.Covers(f.now)).To(BeFalse(), "the view is older")
+	f.now = f.now.Add(500 * time.Millisecond)
+	g.Expect(f.only()).To(Equal("v1"), "the view is still fresh")
+	g.Expect(f.Covers(f.now)).To(BeFalse())
+	f.observe(1, "v1", "v2")
+	g.Expect(f.Covers(seenAt.Add(time.Second))).To(BeTrue())
+	g.Expect(f.only()).To(Equal("unknown"))
+}
--- a/internal/placement/twcoordinator/coordinator.go
+++ b/internal/placement/twcoordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 	"github.com/turmericwall/turmericwall/internal/placement/twallocator"
 	"github.com/turmericwall/turmericwall/internal/quarantine/twrunregistry"
 	"github.com/turmericwall/turmericwall/internal/quarantine/twturns"
@@ -40,8 +41,9 @@
 	// accounts that are not listed have weight 1. The map is replaced and never changed. Weights may be nil, so that all are
 	// equal.
 	Weights func() (planVersion int64, weights map[string]float64)
-	// FindVersion returns the software version that began a stream of the service; ok is false if it isn't known.
-	FindVersion func(service, stream string) (version turmericwall.SoftwareVersion, ok bool)
+	// FindVersion returns the software version that began a stream of the service, which is taken up at the instant; ok is false if it isn't
+	// known.
+	FindVersion func(service, stream string, takenUpAt twboottime.Instant) (version turmericwall.SoftwareVersion, ok bool)
 }
 
 // Coordinator places calls with one allocator per service. It is safe for concurrent use.
--- a/internal/placement/twcoordinator/version.go
+++ b/internal/placement/twcoordinator/version.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
 const (
@@ -24,8 +25,9 @@
 	if !request.TakesUp || request.Version != "" {
 		return request, nil
 	}
+	takenUpAt := twboottime.Now()
 	for until := time.Now().Add(searchSpan); ; {
-		version, ok := c.config.FindVersion(request.Service, request.Stream)
+		version, ok := c.config.FindVersion(request.Service, request.Stream, takenUpAt)
 		if ok {
 			request.Version = version
 			return request, nil
--- a/internal/placement/twcoordinator/version_test.go
+++ b/internal/placement/twcoordinator/version_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 	"github.com/turmericwall/turmericwall/internal/placement/twallocator"
 	"github.com/turmericwall/turmericwall/internal/placement/twcoordinator"
 )
@@ -30,7 +31,7 @@
 		},
 		ChangingRole: func(time.Time) []string { return nil }, IsLeader: leading.Load,
 		RefusingCalls: func() []turmericwall.UpstreamKey { return nil },
-		FindVersion: func(_, stream string) (turmericwall.SoftwareVersion, bool) {
+		FindVersion: func(_, stream string, _ twboottime.Instant) (turmericwall.SoftwareVersion, bool) {
 			return "v2", stream == "first" && time.Now().After(knownFrom)
 		},
 	})
