--- a/internal/membership/twsource/source.go
+++ b/internal/membership/twsource/source.go
@@ -139,10 +139,10 @@
 		// A daemon that began to read because it had no leader has found one.
 		s.readUntil = time.Time{}
 	}
+	s.recordLacking(now, o)
 	if o.Leader || now.Before(s.readUntil) || (o.Standby && s.mustStandbyRead(now, o)) {
 		return true
 	}
-	s.recordLacking(now, o)
 	if (o.LeaderLive && !o.Informed) || s.IsFresh(now, o) {
 		s.nextReadAt = time.Time{}
 		return false
