--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -222,16 +222,9 @@
 	}
 	entry := r.config.Recorder.Record(event).Str("request", a.call.ID).Str("result", outcome.Result).
 		Str("route", a.route.Name).Str("account", a.call.Account).Str("service", a.service.Name).
-		Int("planVersion", a.planVersion).Int("planRow", a.planRow).Int("planAgeMillis", a.planAgeMillis).
 		Int("upstreamsVersion", r.config.View.Version()).Str("upstream", a.upstreamID).Int("tries", int64(a.countedSends)).
 		Int("millis", outcome.DurationMillis)
-	if a.planWaitMillis > 0 {
-		entry = entry.Int("planWaitMillis", a.planWaitMillis)
-	}
-	if r.config.StateAge != nil {
-		stateMillis, heardMillis := r.config.StateAge()
-		entry = entry.Int("stateMillis", stateMillis).Int("heardMillis", heardMillis)
-	}
+	entry = r.addPlan(entry, a)
 	if err != nil {
 		entry = entry.Str("step", string(a.step)).Err(err)
 	}
@@ -283,6 +276,19 @@
 	}
 }
 
+// addPlan adds which plan decided the call, and how current it and the daemon's state were.
+func (r *Relay) addPlan(entry turmericwall.LogEntry, a *attempt) turmericwall.LogEntry {
+	entry = entry.Int("planVersion", a.planVersion).Int("planRow", a.planRow).Int("planAgeMillis", a.planAgeMillis)
+	if a.planWaitMillis > 0 {
+		entry = entry.Int("planWaitMillis", a.planWaitMillis)
+	}
+	if r.config.StateAge != nil {
+		stateMillis, heardMillis := r.config.StateAge()
+		entry = entry.Int("stateMillis", stateMillis).Int("heardMillis", heardMillis)
+	}
+	return entry
+}
+
 // recordSent records that the call is about to be sent to an upstream, so that the log shows where it was if the process
 // ends with it.
 func (r *Relay) recordSent(a *attempt, upstream turmericwall.Upstream) {
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -48,6 +48,19 @@
 	if behind || (c.isStandby() && heartbeat.MembersVersion != c.copiedVersion) {
 		c.requestFetch(c.fetchSource())
 	}
+	c.applyReports(heartbeat)
+	if c.config.Uses != nil {
+		self.Uses = c.config.Uses()
+	}
+	if c.config.OwnLoads != nil {
+		// The heartbeat may have asked for services of which this daemon itself observed no problems.
+		self.Loads = c.config.OwnLoads()
+	}
+	return self
+}
+
+// applyReports applies what the leader reports in a heartbeat beside its state; the lock is held.
+func (c *Cluster) applyReports(heartbeat turmericwall.Heartbeat) {
 	c.config.ApplyLeaseVersion(heartbeat.LeaseVersion, heartbeat.Leader)
 	if c.config.ApplyChanging != nil {
 		c.config.ApplyChanging(heartbeat.Changing)
@@ -70,14 +83,6 @@
 	if heartbeat.Successor == c.config.Self && c.config.OnNominated != nil {
 		c.config.OnNominated()
 	}
-	if c.config.Uses != nil {
-		self.Uses = c.config.Uses()
-	}
-	if c.config.OwnLoads != nil {
-		// The heartbeat may have asked for services of which this daemon itself observed no problems.
-		self.Loads = c.config.OwnLoads()
-	}
-	return self
 }
 
 // recordSuperseded logs the first heartbeat of a leader whose term is over; the lock is held.
