fix: let a leader tell a former one of its term, too

What callers could see: the same as with a superseded leader that is followed.

The latest term that a daemon has led in counts now like one that it heard. TestLeaderIgnoresFormerLeader fails before.

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -118,6 +118,8 @@
 	heartbeat       turmericwall.Heartbeat
 	lastHeartbeatAt time.Time
 	heartbeatSentAt time.Time
+	// latestTerm is the latest term that this daemon has heard of, or has led in.
+	latestTerm int64
 	// supersededTerm is the term of the last heartbeat that was ignored because a later term has begun.
 	supersededTerm int64
 	// peerFreshAt is when the store was queried for the newest state that this daemon has from a peer.
--- a/internal/membership/twcluster/follower.go
+++ b/internal/membership/twcluster/follower.go
@@ -7,14 +7,19 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twboottime"
 )
 
-// ApplyHeartbeat applies a heartbeat and returns this daemon's reply. A heartbeat of an earlier term than one that was heard is ignored:
+// ApplyHeartbeat applies a heartbeat and returns this daemon's reply. A heartbeat of an earlier term than the latest one known is ignored:
 // its leader has lost the lease, though it may not know that yet.
 func (c *Cluster) ApplyHeartbeat(heartbeat turmericwall.Heartbeat) turmericwall.HeartbeatReply {
 	self := c.Self()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	self.Term = max(heartbeat.Term, c.heartbeat.Term)
-	if heartbeat.Term < c.heartbeat.Term {
+	ownTerm, leading := c.config.IsLeader()
+	if leading {
+		c.latestTerm = max(c.latestTerm, ownTerm)
+	}
+	c.latestTerm = max(c.latestTerm, heartbeat.Term)
+	self.Term = c.latestTerm
+	if heartbeat.Term < c.latestTerm {
 		c.recordSuperseded(heartbeat)
 		return self
 	}
@@ -30,7 +35,7 @@
 	c.heartbeat = heartbeat
 	c.lastHeartbeatAt = time.Now()
 	c.heartbeatSentAt = c.sentAt(heartbeat)
-	if term, leading := c.config.IsLeader(); leading && heartbeat.Term > term && c.config.OnOutranked != nil {
+	if leading && heartbeat.Term > ownTerm && c.config.OnOutranked != nil {
 		c.config.OnOutranked()
 	}
 	if heartbeat.PlanVersion <= self.PlanVersion {
@@ -92,7 +97,7 @@
 	}
 	c.supersededTerm = heartbeat.Term
 	c.config.Recorder.Record(turmericwall.EventLeaderSuperseded).Str("leader", heartbeat.Leader.Name).Int("term", heartbeat.Term).
-		Int("latestTerm", c.heartbeat.Term).Int("heardMillis", time.Since(c.lastHeartbeatAt).Milliseconds()).Send()
+		Int("latestTerm", c.latestTerm).Int("heardMillis", time.Since(c.lastHeartbeatAt).Milliseconds()).Send()
 }
 
 // fetchSource returns the daemon from which this daemon fetches the state that it lacks: its relay, so that the leader
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -61,6 +61,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.latestTerm = max(c.latestTerm, term)
 	now := time.Now()
 	c.expireMembers(now)
 	c.chooseStandbys(now)
--- a/internal/membership/twcluster/superseded_test.go
+++ b/internal/membership/twcluster/superseded_test.go
@@ -43,3 +43,14 @@
 	b.cluster.ApplyHeartbeat(heartbeatOf("later", 1<<50))
 	g.Eventually(leads(a), "1s", "5ms").Should(BeFalse())
 }
+
+// Guards against a former leader that the leader itself doesn't tell of its term, and follows once its own is over.
+func TestLeaderIgnoresFormerLeader(t *testing.T) {
+	g := NewWithT(t)
+	_, _, a := startLeader(t, g)
+	term, _ := a.election.Holds()
+	g.Expect(a.cluster.ApplyHeartbeat(heartbeatOf("former", term-1)).Term).To(Equal(term))
+	a.election.Yield()
+	a.cluster.ApplyHeartbeat(heartbeatOf("former", term-1))
+	g.Expect(follows(a, "former")()).To(BeFalse())
+}
--- a/peering.go
+++ b/peering.go
@@ -103,7 +103,7 @@
 	// BootTimeNanos is the time of the reply for the Echo of the next heartbeat, in nanoseconds since the boot of the
 	// daemon's VM.
 	BootTimeNanos int64 `json:"moment"`
-	// Term is the latest term of a leader that the daemon has heard; 0 if it has heard none.
+	// Term is the latest term that the daemon has heard of, or has led in; 0 if there was none.
 	Term int64 `json:"term,omitempty"`
 	// Uses is what the daemon itself charged to client accounts.
 	Uses []AccountUse `json:"uses,omitempty"`
