feat: log which calls upstreams state not to have run, and how often they were sent there

To tell the hypotheses of the incident apart: `Call not run` (3015) names the upstream, the status, the time since the send, how often a request with the call's id went there before, and whether the connection had carried an earlier request. `Call sent` (3010) has the number of repeats too, prefills included, which bear the same id. Nothing else changes.

--- a/events.go
+++ b/events.go
@@ -34,6 +34,7 @@
 	EventRunBroken          EventID = 3012
 	EventQuarantineChanged  EventID = 3013
 	EventStreamsRead        EventID = 3014
+	EventCallNotRun         EventID = 3015
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -108,6 +109,7 @@
 	EventRunBroken:          "Run broken off",
 	EventQuarantineChanged:  "Quarantine changed",
 	EventStreamsRead:        "Streams read",
+	EventCallNotRun:         "Call not run",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -168,8 +168,9 @@
 	a.runs++
 	run.sentAt = time.Now()
 	run.stallTimer = r.startStallTimer(run.placement, a.service.Name)
-	r.recordSent(a, run.engine)
+	repeats := r.recordSent(a, run.engine)
 	run.answer, err = r.awaitHead(ctx, a, run)
+	r.recordNotRun(a, run.engine, run.sentAt, repeats, err)
 	if err == nil {
 		return false, nil
 	}
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -288,9 +288,10 @@
 	}
 	run.engine, run.sentAt = engine, time.Now()
 	s.attempt.upstreamID = engine.ID
-	s.relay.recordSent(s.attempt, run.engine)
+	repeats := s.relay.recordSent(s.attempt, run.engine)
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	run.answer, err = s.relay.config.Upstreams.Send(run.ctx, run.engine, run.out)
+	s.relay.recordNotRun(s.attempt, run.engine, run.sentAt, repeats, err)
 	if err == nil && (run.answer.Status != 200 || isEncoded(run.answer)) {
 		err = fmt.Errorf("the engine answered status %d to a moved run", run.answer.Status)
 		_ = run.answer.Body.Close()
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -290,11 +290,26 @@
 }
 
 // recordSent records that the call is about to be sent to an upstream, so that the log shows where it was if the process
-// ends with it.
-func (r *Relay) recordSent(a *attempt, upstream turmericwall.Upstream) {
+// ends with it. It returns how often it was sent there before.
+func (r *Relay) recordSent(a *attempt, upstream turmericwall.Upstream) (repeats int) {
 	a.step = stepSend
+	repeats = a.countSend(upstream)
 	r.config.Recorder.Record(turmericwall.EventCallSent).Str("request", a.call.ID).Str("upstream", upstream.ID).
-		Str("route", a.route.Name).Int("sends", int64(a.countedSends)).Int("millis", a.elapsedMillis()).Send()
+		Str("route", a.route.Name).Int("sends", int64(a.countedSends)).Int("repeats", int64(repeats)).
+		Int("millis", a.elapsedMillis()).Send()
+	return repeats
+}
+
+// recordNotRun records that an upstream stated that it didn't run the call, which was sent there at sentAt and the number of
+// repeats before.
+func (r *Relay) recordNotRun(a *attempt, upstream turmericwall.Upstream, sentAt time.Time, repeats int, err error) {
+	var sent *turmericwall.SendError
+	if !errors.As(err, &sent) || !sent.NotRun {
+		return
+	}
+	r.config.Recorder.Record(turmericwall.EventCallNotRun).Str("request", a.call.ID).Str("upstream", upstream.ID).
+		Int("status", int64(sent.Status)).Int("millis", time.Since(sentAt).Milliseconds()).Int("repeats", int64(repeats)).
+		Int("reused", boolToInt64(sent.Reused)).Send()
 }
 
 func boolToInt64(set bool) int64 {
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -124,9 +124,8 @@
 		pending++
 		sends++
 		a.upstreamID = upstream.ID
-		r.recordSent(a, upstream)
-		turn := a.turn
-		go func() { replies <- r.send(ctx, a, upstream, turn) }()
+		repeats, turn := r.recordSent(a, upstream), a.turn
+		go func() { replies <- r.send(ctx, a, upstream, turn, repeats) }()
 	}
 	sendNext()
 	hedgeTimer := time.NewTimer(a.hedgeDelay() + r.config.OwnDelay())
@@ -188,8 +187,8 @@
 		return reply{}, false
 	}
 	a.upstreamID = upstream.ID
-	r.recordSent(a, upstream)
-	return r.send(ctx, a, upstream, a.turn), true
+	repeats := r.recordSent(a, upstream)
+	return r.send(ctx, a, upstream, a.turn, repeats), true
 }
 
 // pickUpstream picks an upstream for one more send, within the upstream's rate and the retry budget, and waits for the call's
@@ -247,7 +246,7 @@
 
 // send sends the call to one upstream, in its turn if it has one, and buffers the beginning of the answer. If the upstream may
 // have ended under the call, send returns once that is known to those who judge the next try.
-func (r *Relay) send(ctx context.Context, a *attempt, upstream turmericwall.Upstream, turn string) reply {
+func (r *Relay) send(ctx context.Context, a *attempt, upstream turmericwall.Upstream, turn string, repeats int) reply {
 	began := time.Now()
 	got := reply{upstream: upstream}
 	silence := time.AfterFunc(a.hedgeDelay()+r.config.OwnDelay(), func() { r.checkSilent(ctx, a, upstream, began) })
@@ -260,6 +259,7 @@
 		got.buffered, got.complete, got.err = a.bufferBody(got.answer)
 	}
 	got.duration = time.Since(began)
+	r.recordNotRun(a, upstream, began, repeats, got.err)
 	r.reportToPicker(ctx, began.Add(got.duration), got)
 	update := turmericwall.PlacementUpdate{ID: turn, Service: a.service.Name}
 	if got.succeeded() {
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -142,10 +142,11 @@
 		a.retryDenied = true
 		return turmericwall.EngineExport{}, errRetryBudgetUsed
 	}
-	sentAt := time.Now()
+	sentAt, repeats := time.Now(), a.countSend(p.Prefill)
 	export, err := r.requestPrefill(ctx, p, turmericwall.OutgoingCall{
 		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
 	})
+	r.recordNotRun(a, p.Prefill, sentAt, repeats, err)
 	if err != nil {
 		// The answer wasn't begun, so that only the request can be the cause.
 		broken := a.brokenRun(p.Prefill, sentAt, err)
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -181,6 +181,8 @@
 	prefillSent bool
 	// step is what the call waits for, or waited for last.
 	step step
+	// sentTo counts the requests with the call's id that each upstream was sent.
+	sentTo map[string]int
 	// upstreamID is the upstream of the last send.
 	upstreamID      string
 	placementReason string
--- a/upstreams.go
+++ b/upstreams.go
@@ -67,6 +67,8 @@
 	Peer string
 	// NotRun is set if the upstream states that it did not run the call and never will.
 	NotRun bool
+	// Reused is set if the connection had carried an earlier request.
+	Reused bool
 	// SentAt is when the request was sent.
 	SentAt time.Time
 }
@@ -216,6 +218,8 @@
 	IncarnationReplaced bool
 	// Status is the HTTP status of the upstream's refusal; 0 if there was no answer.
 	Status int
+	// Reused is set if the refusal came on a connection that had carried an earlier request.
+	Reused bool
 	// ConnectFailed is set if no connection to the upstream could be established.
 	ConnectFailed bool
 	// PathLost is set if the cause is this daemon's network path and not the upstream.
