fix: send a call again to an upstream on a connection of its own

What callers saw: a call that may run once was refused with a promise (503) and ran (REFUSED), or ran at a second engine too (TWICE).

Cause: an answer is matched by the call's id alone. An engine that was full isn't avoided, so that a call may be placed there again, a moved run is sent again to the engine with its copy, and a prefill and its decode may meet one engine: each a second request with one id, mostly on the connection of the first one, which is the newest idle one. A late second copy of the first refusal came before the answer there, and "not run" was believed while the engine began to work. The class: a statement of "not run" that isn't tied to the request that it is about.

Fix: the relay counts the requests with the call's id that each upstream was sent. From the second one on, the request is the first one on its connection, through a peer too; a copy of an earlier answer can't come there. A peer of an earlier version doesn't know the field and sends as before.

--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -169,6 +169,7 @@
 	run.sentAt = time.Now()
 	run.stallTimer = r.startStallTimer(run.placement, a.service.Name)
 	repeats := r.recordSent(a, run.engine)
+	run.out.Repeated = repeats > 0
 	run.answer, err = r.awaitHead(ctx, a, run)
 	r.recordNotRun(a, run.engine, run.sentAt, repeats, err)
 	if err == nil {
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -289,6 +289,7 @@
 	run.engine, run.sentAt = engine, time.Now()
 	s.attempt.upstreamID = engine.ID
 	repeats := s.relay.recordSent(s.attempt, run.engine)
+	run.out.Repeated = repeats > 0
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	run.answer, err = s.relay.config.Upstreams.Send(run.ctx, run.engine, run.out)
 	s.relay.recordNotRun(s.attempt, run.engine, run.sentAt, repeats, err)
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -253,7 +253,7 @@
 	defer silence.Stop()
 	r.config.Picker.MarkSent(began, a.pickerCall(nil), upstream)
 	got.answer, got.err = r.config.Upstreams.Send(
-		ctx, upstream, turmericwall.OutgoingCall{Call: a.call, Deadline: a.deadline},
+		ctx, upstream, turmericwall.OutgoingCall{Call: a.call, Deadline: a.deadline, Repeated: repeats > 0},
 	)
 	if got.err == nil {
 		got.buffered, got.complete, got.err = a.bufferBody(got.answer)
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -144,7 +144,7 @@
 	}
 	sentAt, repeats := time.Now(), a.countSend(p.Prefill)
 	export, err := r.requestPrefill(ctx, p, turmericwall.OutgoingCall{
-		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter,
+		Call: a.call, Deadline: out.Deadline, Priority: out.Priority, ResumeAfter: out.ResumeAfter, Repeated: repeats > 0,
 	})
 	r.recordNotRun(a, p.Prefill, sentAt, repeats, err)
 	if err != nil {
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -30,6 +30,8 @@
 	To     turmericwall.Upstream `json:"to"`
 	Method string                `json:"method"`
 	CallID string                `json:"callId,omitempty"`
+	// OwnConnection is that of the request; a peer of an earlier version doesn't know it.
+	OwnConnection bool `json:"ownConnection,omitempty"`
 	// HeadBytes is the length of the request's head.
 	HeadBytes int `json:"headBytes"`
 	// RemainingMillis is the time that is left for the exchange; 0 if it is not limited.
@@ -59,7 +61,7 @@
 func (c *Client) Exchange(
 	ctx context.Context, address string, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
 ) (*turmericwall.Answer, error) {
-	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, HeadBytes: len(request.Head)}
+	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, OwnConnection: request.OwnConnection, HeadBytes: len(request.Head)}
 	if deadline, ok := ctx.Deadline(); ok {
 		message.RemainingMillis = max(time.Until(deadline).Milliseconds(), 1)
 	}
@@ -220,6 +222,7 @@
 	}
 	return message, turmericwall.UpstreamRequest{
 		Head: rest[:message.HeadBytes:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID,
+		OwnConnection: message.OwnConnection,
 	}, nil
 }
 
--- a/upstreams.go
+++ b/upstreams.go
@@ -32,6 +32,8 @@
 	ResumeAfter int64
 	// Priority orders the engine's queue, 0 to 9; lower numbers go first.
 	Priority int
+	// Repeated is set if the upstream was sent a request with the call's id before.
+	Repeated bool
 }
 
 // EngineExport identifies a finished prefill that can be imported.
@@ -82,6 +84,9 @@
 	Method string
 	// CallID is the id of the caller's call that the request belongs to. It is empty for control requests.
 	CallID string
+	// OwnConnection is set if the request must be the first one on its connection: a later copy of the answer to an earlier
+	// request could be taken for its answer there.
+	OwnConnection bool
 }
 
 // UpstreamTransport exchanges requests with upstreams. It never resends a request.
