fix: let a stream go on elsewhere only once its run has certainly ended

What callers saw: nothing.

Cause: a run counted as ended once its connection broke, or once its engine had been silent for 1.5 s and another one was prepared. Neither shows an end. A process that gets no processor accepts connections and works on later; an answer may be lost while its engine works; not every engine drops a request whose connection closes. The class: a promise ("it runs at one engine") given on a belief.

Fix: `twfence` orders the engine of the run before to stop it, on a connection of its own, and the next run is sent only after a proof: stopped, not running, replaced, or unreachable from here and through peers. The end that a check has found before needs no order. A silent engine is asked for its report first; while it accepts connections and doesn't answer, the stream stays there instead of being closed, and goes on as the process does. Without a proof until the call's time is over, the caller gets 504, never "not run". Event 3016 says how each end was proved and how long it took. The price is one order for each broken run; unproved streams wait.

--- a/events.go
+++ b/events.go
@@ -35,6 +35,7 @@
 	EventQuarantineChanged  EventID = 3013
 	EventStreamsRead        EventID = 3014
 	EventCallNotRun         EventID = 3015
+	EventRunEndProved       EventID = 3016
 	EventServiceRouted      EventID = 4001
 	EventClaimTaken         EventID = 4002
 	EventClaimAnswered      EventID = 4003
@@ -110,6 +111,7 @@
 	EventQuarantineChanged:  "Quarantine changed",
 	EventStreamsRead:        "Streams read",
 	EventCallNotRun:         "Call not run",
+	EventRunEndProved:       "Run end proved",
 	EventServiceRouted:      "Service routed",
 	EventClaimTaken:         "Claim taken",
 	EventClaimAnswered:      "Claim answered",
--- /dev/null
+++ b/internal/delivery/twfence/fence.go
@@ -0,0 +1,139 @@
+// Package twfence proves that a run has ended before its stream goes on at another engine.
+//
+// A connection that broke, and an engine that is silent, don't show that: the answer may have been lost on its way, and a
+// process that stands still works on later. The engine itself stops the run, or states that it doesn't have it. One that can't
+// be reached at all is fenced off: nothing that it works on reaches a caller.
+package twfence
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+const (
+	// tryTimeout bounds one order, so that the next one is sent on a new connection: several times the usual copy of a run.
+	tryTimeout = time.Second
+	// retryDelay is the pause after an order that proved nothing, and maxRetryDelay the longest one; it doubles.
+	retryDelay, maxRetryDelay = 30 * time.Millisecond, 500 * time.Millisecond
+	// dropTimeout bounds the release of a copy that nobody needs.
+	dropTimeout = time.Second
+)
+
+// Proof is how a run is known to have ended.
+type Proof string
+
+// The proofs.
+const (
+	// ProofStopped: the engine has stopped the run.
+	ProofStopped Proof = "stopped"
+	// ProofNotRunning: the engine doesn't run the call.
+	ProofNotRunning Proof = "notRunning"
+	// ProofReplaced: another incarnation has the engine's address.
+	ProofReplaced Proof = "replaced"
+	// ProofUnreachable: no connection to the engine can be established, from here or from peers.
+	ProofUnreachable Proof = "unreachable"
+)
+
+// ErrUnproved means that the call's time was over before the end of its run was proved.
+var ErrUnproved = errors.New("nothing shows that the run before has ended")
+
+// Config configures a Fence.
+type Config struct {
+	// Stop orders an engine to stop a run and to copy its memory to another engine. The error is a SendError.
+	Stop func(ctx context.Context, from, to turmericwall.Upstream, callID string) (turmericwall.EngineExport, bool, error)
+	// Drop releases the memory of a run that was stopped.
+	Drop func(ctx context.Context, from turmericwall.Upstream, export turmericwall.EngineExport) error
+	// Others returns other engines, one of which an engine is told to copy a run to.
+	Others   func(engine turmericwall.Upstream) []turmericwall.Upstream
+	Recorder turmericwall.Recorder
+	// OwnDelay returns by how much this daemon may delay the answers that it waits for; it may be nil.
+	OwnDelay func() time.Duration
+}
+
+// Fence proves ends of runs. It is safe for concurrent use.
+type Fence struct{ config Config }
+
+// Run is a run that may still work at its engine.
+type Run struct {
+	Engine turmericwall.Upstream
+	CallID string
+}
+
+// New returns a fence.
+func New(config Config) *Fence {
+	if config.OwnDelay == nil {
+		config.OwnDelay = func() time.Duration { return 0 }
+	}
+	return &Fence{config: config}
+}
+
+// Prove returns once the end of the run is proved, or with ErrUnproved once ctx ends. The run is stopped if it works.
+func (f *Fence) Prove(ctx context.Context, run Run) (Proof, error) {
+	beganAt, delay := time.Now(), retryDelay
+	for try := 0; ; try++ {
+		proof, err := f.try(ctx, run, try)
+		if proof != "" || ctx.Err() != nil {
+			return proof, f.record(run, proof, time.Since(beganAt), try+1, err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, maxRetryDelay)
+	}
+}
+
+// try sends one order; the proof is empty if it proved nothing.
+func (f *Fence) try(ctx context.Context, run Run, try int) (Proof, error) {
+	target := run.Engine
+	if others := f.config.Others(run.Engine); len(others) > 0 {
+		target = others[try%len(others)]
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout+f.config.OwnDelay())
+	defer cancel()
+	export, _, err := f.config.Stop(ctx, run.Engine, target, run.CallID)
+	if err == nil {
+		f.drop(run.Engine, export)
+		return ProofStopped, nil
+	}
+	var sent *turmericwall.SendError
+	switch {
+	case !errors.As(err, &sent):
+		return "", err
+	case sent.IncarnationReplaced:
+		return ProofReplaced, err
+	case sent.Status == http.StatusNotFound:
+		return ProofNotRunning, err
+	case sent.ConnectFailed && !sent.Sent && ctx.Err() == nil:
+		return ProofUnreachable, err
+	}
+	return "", err
+}
+
+// drop releases the memory of a stopped run, which its engine keeps for a while otherwise.
+func (f *Fence) drop(engine turmericwall.Upstream, export turmericwall.EngineExport) {
+	if export.Handle == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+		defer cancel()
+		_ = f.config.Drop(ctx, engine, export)
+	}()
+}
+
+// record records how the end was proved, or that it wasn't, and returns the error then.
+func (f *Fence) record(run Run, proof Proof, span time.Duration, tries int, cause error) error {
+	entry := f.config.Recorder.Record(turmericwall.EventRunEndProved).Str("request", run.CallID).Str("upstream", run.Engine.ID).
+		Str("proof", string(proof)).Int("millis", span.Milliseconds()).Int("tries", int64(tries))
+	if proof != "" {
+		entry.Send()
+		return nil
+	}
+	entry.Err(cause).Send()
+	return errors.Join(ErrUnproved, cause)
+}
--- /dev/null
+++ b/internal/delivery/twfence/fence_test.go
@@ -0,0 +1,110 @@
+package twfence_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
+	"github.com/turmericwall/turmericwall/internal/operations/tweventlog"
+)
+
+// stopResult is an engine's answer to an order to stop a run.
+type stopResult struct {
+	export turmericwall.EngineExport
+	err    error
+	// hangs is set if there is no answer.
+	hangs bool
+}
+
+func refused(sent turmericwall.SendError) stopResult {
+	sent.Err = errors.New("refused")
+	return stopResult{err: &sent}
+}
+
+// prove proves the end of a run whose engine gives the answers, one after the other.
+func prove(answers ...stopResult) (proof twfence.Proof, targets []string, dropped int, err error) {
+	drops := make(chan string, 1)
+	fence := twfence.New(twfence.Config{
+		Stop: func(ctx context.Context, _, to turmericwall.Upstream, _ string) (turmericwall.EngineExport, bool, error) {
+			targets = append(targets, to.ID)
+			answer := answers[min(len(targets), len(answers))-1]
+			if answer.hangs {
+				<-ctx.Done()
+				return answer.export, false, &turmericwall.SendError{Sent: true, Err: ctx.Err()}
+			}
+			return answer.export, false, answer.err
+		},
+		Drop: func(_ context.Context, _ turmericwall.Upstream, export turmericwall.EngineExport) error {
+			drops <- export.Handle
+			return nil
+		},
+		Others:   func(turmericwall.Upstream) []turmericwall.Upstream { return []turmericwall.Upstream{{ID: "d2"}, {ID: "d3"}} },
+		Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	proof, err = fence.Prove(ctx, twfence.Run{Engine: turmericwall.Upstream{ID: "d1"}, CallID: "call"})
+	select {
+	case <-drops:
+		dropped++
+	case <-time.After(20 * time.Millisecond):
+	}
+	return proof, targets, dropped, err
+}
+
+// Guards against a run that counts as ended although its engine may work on.
+func TestEndOfRunIsProvedByItsEngineOnly(t *testing.T) {
+	unanswered := refused(turmericwall.SendError{Sent: true})
+	for _, c := range []struct {
+		name    string
+		answers []stopResult
+		want    twfence.Proof
+		targets []string
+		dropped int
+	}{
+		{"stopped", []stopResult{{export: turmericwall.EngineExport{Handle: "h"}}}, twfence.ProofStopped, []string{"d2"}, 1},
+		{"no such run", []stopResult{refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})}, twfence.ProofNotRunning, []string{"d2"}, 0},
+		{"another incarnation", []stopResult{refused(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, twfence.ProofReplaced, []string{"d2"}, 0},
+		{"no connection", []stopResult{refused(turmericwall.SendError{ConnectFailed: true})}, twfence.ProofUnreachable, []string{"d2"}, 0},
+		{
+			"a connection that breaks, a target without room, then no connection",
+			[]stopResult{unanswered, refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 503}), refused(turmericwall.SendError{ConnectFailed: true})},
+			twfence.ProofUnreachable, []string{"d2", "d3", "d2"}, 0,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			proof, targets, dropped, err := prove(c.answers...)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(proof).To(Equal(c.want))
+			g.Expect(targets).To(Equal(c.targets))
+			g.Expect(dropped).To(Equal(c.dropped))
+		})
+	}
+}
+
+// Guards against a run that goes on elsewhere while the process of its engine stands still, is busy, or has no share of
+// connections left.
+func TestEndOfRunStaysUnprovedWithoutAnswer(t *testing.T) {
+	for name, answer := range map[string]stopResult{
+		"no answer":                 {hangs: true},
+		"a move under way":          refused(turmericwall.SendError{Sent: true, Status: 409}),
+		"all connections in use":    refused(turmericwall.SendError{ShareUsed: true}),
+		"an answer that broke off":  refused(turmericwall.SendError{Sent: true}),
+		"a peer that fell silent":   refused(turmericwall.SendError{Sent: true, PathLost: true}),
+		"an error of another layer": {err: errors.New("odd")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			proof, _, _, err := prove(answer)
+			g.Expect(err).To(MatchError(twfence.ErrUnproved))
+			g.Expect(proof).To(BeEmpty())
+		})
+	}
+}
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -145,6 +145,10 @@
 	}
 	if a != nil {
 		a.upstreamEnds.Add(1)
+		// The sends of a plain call, which may end at the same time, leave no run behind.
+		if found.Result == turmericwall.EndProved && a.former != nil {
+			a.former = nil
+		}
 	}
 	r.config.Quarantine.RecordEnd(found.Incarnation, broken.sentAt, broken.input, found.Result)
 	r.config.FlushEvidence(context.WithoutCancel(ctx))
--- /dev/null
+++ b/internal/delivery/twrelay/former_test.go
@@ -0,0 +1,83 @@
+package twrelay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrelay"
+)
+
+// withProofs has the ends of runs proved by the function.
+func (s *fixture) withProofs(prove func(ctx context.Context, run twfence.Run) (twfence.Proof, error)) {
+	s.config.ProveEnd = prove
+	s.relay = twrelay.New(s.config)
+}
+
+// Guards against a stream that goes on at another engine while the engine of the run before works on.
+func TestAStreamGoesOnOnceTheRunBeforeHasEnded(t *testing.T) {
+	for name, cause := range map[string]func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error){
+		"a connection that breaks": stream(events(1, 2), io.ErrUnexpectedEOF),
+		"no answer": func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+			return nil, &turmericwall.SendError{Sent: true, Err: errConnectionReset}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+			s.upstreams.send = engineAnswers{"d1": cause}.send
+			var asked []string
+			s.withProofs(func(_ context.Context, run twfence.Run) (twfence.Proof, error) {
+				asked = append(asked, run.Engine.ID)
+				g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+				return twfence.ProofNotRunning, nil
+			})
+			w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+			g.Expect(asked).To(Equal([]string{"d1"}))
+		})
+	}
+}
+
+// Guards against a second run, and against "not run", if nothing shows that the first run has ended.
+func TestAStreamWhoseRunMayWorkOnRunsNowhereElse(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+	s.upstreams.send = engineAnswers{"d1": func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		return nil, &turmericwall.SendError{Sent: true, Err: errConnectionReset}
+	}}.send
+	s.withProofs(func(ctx context.Context, _ twfence.Run) (twfence.Proof, error) {
+		<-ctx.Done()
+		return "", twfence.ErrUnproved
+	})
+	w, err := s.serveWithin(context.Background(), "/r/x", 300*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Code).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+	g.Expect(s.upstreams.prefills).To(Equal(1), "no prompt is read for a run that may not begin")
+}
+
+// Guards against a stream that is taken from an engine whose process stands still, and goes on by itself.
+func TestAStreamWaitsForAnEngineThatStandsStill(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+	s.found.Store(int64(turmericwall.EndUnknown))
+	s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		body := newSilentBody(ctx, events(1, 2))
+		body.pause, body.rest = 2500*time.Millisecond, strings.NewReader(events(3, 6))
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: body}, nil
+	}}.send
+	w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+	g.Expect(s.upstreams.prefills).To(Equal(1))
+}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -42,6 +42,9 @@
 		var err error
 		run := a.takePrepared()
 		if run == nil {
+			if err = r.proveFormerEnded(ctx, a); err != nil {
+				return nil, err
+			}
 			run, done, err = r.prepareRun(ctx, a)
 		}
 		if err == nil {
@@ -159,7 +162,11 @@
 // fails, done reports whether the call must not be placed again.
 func (r *Relay) sendRun(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
 	a.upstreamID = run.engine.ID
-	if err := r.checkQuarantine(a); err != nil {
+	err = r.proveFormerEnded(ctx, a)
+	if err == nil {
+		err = r.checkQuarantine(a)
+	}
+	if err != nil {
 		// The run may have been prepared long before, while another run of the request ended its engine.
 		a.prepared = run
 		r.releasePrepared(a)
@@ -176,6 +183,7 @@
 		return false, nil
 	}
 	run.stop()
+	a.keepFormer(run, err)
 	r.returnUnsent(a, err)
 	done, err = r.handleSendError(ctx, a, run, err)
 	run.update.NotRun = isNotRun(err)
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -208,6 +208,8 @@
 		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(s.run, result.err), &s.run.update)
 		return nil, result.err
 	}
+	// The engine has answered that it stopped the run.
+	s.attempt.former = nil
 	source := s.run.engine
 	run, err := s.importRun(ctx, result, source)
 	if err != nil {
@@ -299,6 +301,7 @@
 	}
 	if err != nil {
 		run.stop()
+		s.attempt.keepFormer(run, err)
 		s.relay.returnUnsent(s.attempt, err)
 		s.relay.settleBroken(ctx, s.attempt, s.attempt.brokenModelRun(run, err), &run.update)
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/turmericwall/turmericwall/internal/admission/twreadiness"
 	"github.com/turmericwall/turmericwall/internal/delivery/twconcurrency"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
@@ -82,6 +83,8 @@
 	AwaitStart func(ctx context.Context, id string, describe func() twreadiness.Call) error
 	// CheckEnd checks whether the upstream of a broken run has ended; it may be nil.
 	CheckEnd func(ctx context.Context, run twendcheck.Run) twendcheck.Finding
+	// ProveEnd returns once a run has certainly ended, or with an error once ctx ends; it may be nil.
+	ProveEnd func(ctx context.Context, run twfence.Run) (twfence.Proof, error)
 	// Streams has the software versions that began streams.
 	Streams turmericwall.StreamVersions
 	// Daemons returns the number of live daemons, which share the retry budget.
@@ -144,6 +147,8 @@
 	placements, runs int
 	// resumes counts the runs with which the stream went on after an earlier one.
 	resumes int
+	// former is the run that ended last, if it may still work at its engine; nil otherwise.
+	former *modelRun
 	// prepared is the run that replaces a silent one; nil if there is none. takeovers counts the runs prepared for that.
 	prepared  *modelRun
 	takeovers int
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -104,13 +104,16 @@
 // prepareTakeover prepares a run at another engine because that of the present run is silent. It returns false if that
 // is not allowed or fails, or if the engine has gone on meanwhile: then the present run remains.
 func (r *Relay) prepareTakeover(ctx context.Context, a *attempt, run *modelRun, arrived *arrivals) bool {
-	if a.takeovers >= maxTakeovers || !r.isSilent(run.engine) || !r.mayResume(ctx, a) || !r.mayReplace(ctx, a, run) {
+	if a.takeovers >= maxTakeovers || !r.isSilent(run.engine) || !r.mayResume(ctx, a) {
 		return false
 	}
-	a.takeovers++
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer arrived.cancelNext(cancel)()
+	if r.standsStill(ctx, a, run) || ctx.Err() != nil || !r.mayReplace(ctx, a, run) {
+		return false
+	}
+	a.takeovers++
 	stats, step := a.stats, a.step
 	a.avoid = append(a.avoid, run.engine.ID)
 	next, _, err := r.prepareRun(ctx, a)
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -256,6 +256,7 @@
 func (s *answerStream) endRun(ctx context.Context, err error) {
 	run := s.run
 	run.stop()
+	s.attempt.keepFormer(run, err)
 	stats := &s.attempt.stats
 	stats.framing, stats.peer, stats.restBytes = run.answer.Framing, run.answer.Peer, len(s.partialEvent)
 	stats.contentType = run.answer.Header.Get("Content-Type")
