fix: report lost daemons without the cluster's lock

What callers saw: a leader answered nobody any more, until it was killed.

Cause: the cluster told the coordinator of a lost daemon under its own lock. The coordinator, under its lock, asks which upstreams accept no send; as soon as one states a rate, that asks the cluster for the number of daemons. Where both meet, both wait for ever.

Fix: what was lost is collected under the lock and reported after it.

The other callbacks that are called under a lock (twcluster's Apply functions, twroleorders' OnAccepted) reach parts that ask nobody back, by reading.

--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -44,7 +44,9 @@
 			drops <- export.Handle
 			return nil
 		},
-		Others:   func(turmericwall.Upstream) []turmericwall.Upstream { return []turmericwall.Upstream{{ID: "d2"}, {ID: "d3"}} },
+		Others: func(turmericwall.Upstream) []turmericwall.Upstream {
+			return []turmericwall.Upstream{{ID: "d2"}, {ID: "d3"}}
+		},
 		Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
@@ -75,7 +77,9 @@
 		{
 			"a connection that breaks, a target without room, then no connection",
 			[]stopResult{unanswered, refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 503}), refused(turmericwall.SendError{ConnectFailed: true})},
-			twfence.ProofUnreachable, []string{"d2", "d3", "d2"}, 0,
+			twfence.ProofUnreachable,
+			[]string{"d2", "d3", "d2"},
+			0,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -104,7 +104,7 @@
 	// leader. Both may be nil.
 	EvidenceVersion func() int64
 	WantEvidence    func(leader turmericwall.Member, version int64)
-	// OnPeerLost is called for an incarnation that is no longer live.
+	// OnPeerLost is called for an incarnation that is no longer live. It may call the cluster.
 	OnPeerLost func(incarnation string)
 }
 
@@ -137,6 +137,8 @@
 	membersVersion int64
 	// sortedAddresses are the members' addresses in ascending order; nil after a change of the members.
 	sortedAddresses []string
+	// lost are the incarnations that are no longer live, as long as OnPeerLost isn't called for them.
+	lost []string
 	// countedDaemons is the number of live daemons, this one included, when a majority of the members last replied in
 	// this daemon's term as the leader; 0 before that.
 	countedDaemons int
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -258,6 +258,8 @@
 		Changing:      func() []turmericwall.ChangingEngine { return d.roleChanges.List(time.Now()) },
 		ApplyChanging: func(list []turmericwall.ChangingEngine) { d.roleChanges.AddReported(time.Now(), list) },
 		OnPeerLost: func(incarnation string) {
+			// Those who are told ask for the number of daemons.
+			_ = d.cluster.LiveDaemons()
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.lostIncarnations = append(d.lostIncarnations, incarnation)
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -60,7 +60,7 @@
 		heartbeat.EvidenceVersion = c.config.EvidenceVersion()
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	c.latestTerm = max(c.latestTerm, term)
 	now := time.Now()
 	c.expireMembers(now)
@@ -300,7 +300,7 @@
 		c.config.OnOutranked()
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	m, ok := c.members[reply.Address]
 	if !ok {
 		return
@@ -376,7 +376,19 @@
 	m.live = false
 	c.config.Recorder.Record(turmericwall.EventPeerLost).Str("peer", m.Name).Str("incarnation", m.Incarnation).
 		Int("silentMillis", time.Since(m.answeredAt).Milliseconds()).Send()
-	if c.config.OnPeerLost != nil {
-		c.config.OnPeerLost(m.Incarnation)
+	c.lost = append(c.lost, m.Incarnation)
+}
+
+// unlock releases the lock, and reports the incarnations that were lost under it: who is told of them asks this cluster in turn,
+// under locks of its own.
+func (c *Cluster) unlock() {
+	lost := c.lost
+	c.lost = nil
+	c.mu.Unlock()
+	if c.config.OnPeerLost == nil {
+		return
+	}
+	for _, incarnation := range lost {
+		c.config.OnPeerLost(incarnation)
 	}
 }
