--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -47,7 +47,7 @@
 	Stop func(ctx context.Context, from, to turmericwall.Upstream, callID string) (turmericwall.EngineExport, bool, error)
 	// Drop releases the memory of a run that was stopped.
 	Drop func(ctx context.Context, from turmericwall.Upstream, export turmericwall.EngineExport) error
-	// Others returns other engines, one of which an engine is told to copy a run to.
+	// Others returns other engines of the same service; an order to stop names one of them as the target of the copy.
 	Others   func(engine turmericwall.Upstream) []turmericwall.Upstream
 	Recorder turmericwall.Recorder
 	// OwnDelay returns by how much this daemon may delay the answers that it waits for; it may be nil.
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -35,7 +35,7 @@
 }
 
 // standsStill reports whether the engine of a silent run accepts connections and doesn't answer: its process may go on with the run
-// at any time, and can't be told to stop it before.
+// at any time, and takes no order to stop it before.
 func (r *Relay) standsStill(ctx context.Context, a *attempt, run *modelRun) bool {
 	if r.config.CheckEnd == nil || r.pathLost(run.engine) {
 		return false
--- a/internal/membership/twcluster/heartbeats.go
+++ b/internal/membership/twcluster/heartbeats.go
@@ -379,8 +379,8 @@
 	c.lost = append(c.lost, m.Incarnation)
 }
 
-// unlock releases the lock, and reports the incarnations that were lost under it: who is told of them asks this cluster in turn,
-// under locks of its own.
+// unlock releases the lock, and then reports the incarnations that were lost under it. Their receivers query this cluster under
+// locks of their own.
 func (c *Cluster) unlock() {
 	lost := c.lost
 	c.lost = nil
