feat: log by which evidence an upstream counts as ended, and whether its run had begun

What callers saw: streams that went on at another engine while the one before worked on, or began later. Missing until now: `Run broken off` said "ended" for a refused, a reset and an unanswered connection alike, and `Run end proved` said "notRunning" whether the run had begun or not, so that the hypotheses of the incident looked the same in the log. The line of a broken run states its evidence now, that of a proved end whether events had been received and the time since the send. SendError states whether a connection was refused; paths keep that of their last attempt, since a lost path isn't dialled again at once. No logic changes.

--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -107,7 +107,10 @@
 	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest, cause error,
 ) (*turmericwall.Answer, error) {
 	if t.config.Paths.IsAtFault(time.Now(), to.Key()) {
-		return nil, &turmericwall.SendError{ConnectFailed: true, Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault)}
+		return nil, &turmericwall.SendError{
+			ConnectFailed: true, ConnectRefused: t.config.Paths.IsRefused(to.Key()),
+			Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault),
+		}
 	}
 	t.requestRefresh()
 	last := cause
@@ -123,13 +126,14 @@
 			return answer, nil
 		}
 		if !t.mayAskNext(ctx, peer, to, err, asked) {
-			return nil, sendError(to, err)
+			return nil, t.sendError(to, err)
 		}
 		last = err
 	}
 	t.config.Count("detours_failed")
+	lost := len(asked.addresses) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service)
 	return nil, &turmericwall.SendError{
-		ConnectFailed: true, PathLost: len(asked.addresses) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service),
+		ConnectFailed: true, PathLost: lost, ConnectRefused: !lost && t.config.Paths.IsRefused(to.Key()),
 		Err: fmt.Errorf("connect to %s: %w", to.ID, last),
 	}
 }
@@ -196,14 +200,17 @@
 }
 
 // sendError returns the error of a request that no other peer may send.
-func sendError(to turmericwall.Upstream, err error) error {
+func (t *Transport) sendError(to turmericwall.Upstream, err error) error {
 	var sent *turmericwall.SendError
 	if errors.As(err, &sent) {
 		return err
 	}
 	var refusal *turmericwall.EgressRefusal
 	unreachable := errors.As(err, &refusal) && refusal.Reason == turmericwall.EgressUnreachable
-	return &turmericwall.SendError{ConnectFailed: unreachable, Err: fmt.Errorf("connect to %s: %w", to.ID, err)}
+	return &turmericwall.SendError{
+		ConnectFailed: unreachable, ConnectRefused: unreachable && t.config.Paths.IsRefused(to.Key()),
+		Err: fmt.Errorf("connect to %s: %w", to.ID, err),
+	}
 }
 
 func (t *Transport) requestRefresh() {
--- a/internal/delivery/twdirect/transport.go
+++ b/internal/delivery/twdirect/transport.go
@@ -147,7 +147,10 @@
 // recordLoss records a lost path and closes its idle connections, on which a request would be lost.
 func (t *Transport) recordLoss(to turmericwall.Upstream, cause error) {
 	now := time.Now()
-	if !t.config.Paths.RecordLoss(now, to) {
+	isNew := t.config.Paths.RecordLoss(now, to)
+	var sent *turmericwall.SendError
+	t.config.Paths.RecordRefused(to.Key(), errors.As(cause, &sent) && sent.ConnectRefused)
+	if !isNew {
 		return
 	}
 	t.config.Connections.CloseIdle(to)
--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -54,8 +54,29 @@
 	Result      turmericwall.EndResult
 	// Answered is set if the upstream answered, whichever incarnation it is.
 	Answered bool
+	// Evidence is what the result rests on; empty before the end of a query.
+	Evidence Evidence
 }
 
+// Evidence is what became of a query.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// EvidenceAnswer is an answer of the upstream, with or without a start.
+	EvidenceAnswer Evidence = "answer"
+	// EvidenceReplaced is the statement of another incarnation at the address.
+	EvidenceReplaced Evidence = "replaced"
+	// EvidenceRefused is a connection that was refused: no process listens.
+	EvidenceRefused Evidence = "refused"
+	// EvidenceUnconnected is a connection that was not established in time.
+	EvidenceUnconnected Evidence = "unconnected"
+	// EvidenceReset is a connection that was established and broke off.
+	EvidenceReset Evidence = "reset"
+	// EvidenceNone is a query without an answer in time, or one that was not sent.
+	EvidenceNone Evidence = "none"
+)
+
 // knowledge is what is known of one upstream.
 type knowledge struct {
 	last      *check
@@ -77,6 +98,7 @@
 	// answered is set if the upstream itself answered, and startedMillis the start that it stated. gone is set if it has ended.
 	answered, gone bool
 	startedMillis  int64
+	evidence       Evidence
 }
 
 // New returns a checker.
@@ -96,11 +118,12 @@
 			return found
 		}
 		found.Result, found.Answered = joined.resultFor(found.Incarnation.StartedMillis), joined.answered
+		found.Evidence = joined.evidence
 		isLater := !joined.beganAt.Before(run.BrokenAt)
 		if isLater || (found.Result == turmericwall.EndProved && joined.beganAt.After(run.SentAt)) {
 			return found
 		}
-		found.Result, found.Answered = turmericwall.EndUnknown, false
+		found.Result, found.Answered, found.Evidence = turmericwall.EndUnknown, false, ""
 	}
 }
 
@@ -170,9 +193,29 @@
 	case isSendError && ((sent.ConnectFailed && !sent.PathLost) || isBrokenOff(err)) && ctx.Err() == nil:
 		started.gone = c.reachesOthers(upstream)
 	}
+	started.evidence = evidenceOf(err)
 	c.finish(started, upstream)
 }
 
+// evidenceOf returns what became of a query with the error.
+func evidenceOf(err error) Evidence {
+	var sent *turmericwall.SendError
+	isSendError := errors.As(err, &sent)
+	switch {
+	case isSendError && sent.IncarnationReplaced:
+		return EvidenceReplaced
+	case err == nil, isSendError && sent.Status != 0, exceedsLimit(err):
+		return EvidenceAnswer
+	case isSendError && sent.ConnectRefused && !sent.PathLost:
+		return EvidenceRefused
+	case isSendError && sent.ConnectFailed && !sent.PathLost:
+		return EvidenceUnconnected
+	case isBrokenOff(err):
+		return EvidenceReset
+	}
+	return EvidenceNone
+}
+
 // ownDelay returns by how much this daemon may delay the answers to queries.
 func (c *Checker) ownDelay() time.Duration {
 	if c.config.OwnDelay == nil {
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -118,7 +118,7 @@
 	started := int64(2)
 	checker := newChecker(func(context.Context) (int64, error) { return started, nil }, nil)
 	g.Expect(checker.Check(context.Background(), broken())).To(Equal(twendcheck.Finding{
-		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 1}, Result: turmericwall.EndProved, Answered: true,
+		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 1}, Result: turmericwall.EndProved, Answered: true, Evidence: twendcheck.EvidenceAnswer,
 	}))
 	later := func() twendcheck.Run {
 		return twendcheck.Run{Upstream: upstream, SentAt: time.Now(), BrokenAt: time.Now()}
@@ -126,7 +126,7 @@
 	g.Expect(checker.Check(context.Background(), later()).Result).To(Equal(turmericwall.EndRefuted))
 	started = 3
 	g.Expect(checker.Check(context.Background(), later())).To(Equal(twendcheck.Finding{
-		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 2}, Result: turmericwall.EndProved, Answered: true,
+		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 2}, Result: turmericwall.EndProved, Answered: true, Evidence: twendcheck.EvidenceAnswer,
 	}))
 }
 
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -61,6 +62,9 @@
 type Run struct {
 	Engine turmericwall.Upstream
 	CallID string
+	// SentAt is when the call was sent to the engine, and HasBegun whether the engine was seen to work on it.
+	SentAt   time.Time
+	HasBegun bool
 }
 
 // New returns a fence.
@@ -129,7 +133,8 @@
 // record records how the end was proved, or that it wasn't, and returns the error then.
 func (f *Fence) record(run Run, proof Proof, span time.Duration, tries int, cause error) error {
 	entry := f.config.Recorder.Record(turmericwall.EventRunEndProved).Str("request", run.CallID).Str("upstream", run.Engine.ID).
-		Str("proof", string(proof)).Int("millis", span.Milliseconds()).Int("tries", int64(tries))
+		Str("proof", string(proof)).Int("millis", span.Milliseconds()).Int("tries", int64(tries)).
+		Str("begun", strconv.FormatBool(run.HasBegun)).Int("sinceSentMillis", time.Since(run.SentAt).Milliseconds())
 	if proof != "" {
 		entry.Send()
 		return nil
--- a/internal/delivery/twpath/paths.go
+++ b/internal/delivery/twpath/paths.go
@@ -48,6 +48,8 @@
 	usedAt, probedAt time.Time
 	// atFaultUntil is the time until which the upstream counts as failing, because a peer could not connect either.
 	atFaultUntil time.Time
+	// refused is set if the last attempt to connect was refused, and not only unanswered.
+	refused bool
 }
 
 // New returns paths none of which is lost.
@@ -87,6 +89,23 @@
 	return true
 }
 
+// RecordRefused records whether the last attempt to connect on a lost path was refused.
+func (p *Paths) RecordRefused(upstream turmericwall.UpstreamKey, refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.lost[upstream]; ok {
+		l.refused = refused
+	}
+}
+
+// IsRefused reports whether the last attempt to connect on a lost path was refused.
+func (p *Paths) IsRefused(upstream turmericwall.UpstreamKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.lost[upstream]
+	return ok && l.refused
+}
+
 // RecordAtFault records that a peer could not connect to the upstream either.
 func (p *Paths) RecordAtFault(now time.Time, upstream turmericwall.UpstreamKey) {
 	p.mu.Lock()
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -64,7 +64,7 @@
 	switch {
 	case r.config.Quarantine == nil, r.config.CheckEnd == nil, !mayHaveBegun(broken.cause):
 	case hasAnswered(broken.cause):
-		r.logBroken(broken, "no")
+		r.logBroken(broken, "no", "")
 	case isUnread(broken.cause):
 		update.Ended = r.settleUnread(ctx, a, broken)
 	case errors.Is(broken.cause, errSilent), hasLeft(ctx, broken.cause) && r.isListed(broken.input):
@@ -92,7 +92,7 @@
 	if errors.As(broken.cause, &unread) {
 		unread.isAlive = found.Result == turmericwall.EndRefuted
 	}
-	r.logBroken(broken, "unread")
+	r.logBroken(broken, "unread", found.Evidence)
 	return nil
 }
 
@@ -139,7 +139,7 @@
 func (r *Relay) recordEnd(
 	ctx context.Context, a *attempt, broken brokenRun, found twendcheck.Finding,
 ) *turmericwall.UpstreamKey {
-	r.logBroken(broken, found.Result.String())
+	r.logBroken(broken, found.Result.String(), found.Evidence)
 	if found.Result == turmericwall.EndRefuted {
 		return nil
 	}
@@ -155,10 +155,10 @@
 	return &found.Incarnation
 }
 
-// logBroken writes the line about a broken run, and what was found of its upstream.
-func (r *Relay) logBroken(broken brokenRun, found string) {
+// logBroken writes the line about a broken run, and what was found of its upstream by which evidence.
+func (r *Relay) logBroken(broken brokenRun, found string, evidence twendcheck.Evidence) {
 	r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", broken.callID).Str("upstream", broken.upstream.ID).
-		Int("started", broken.upstream.StartedMillis).Str("found", found).Int("events", int64(broken.events)).
+		Int("started", broken.upstream.StartedMillis).Str("found", found).Str("evidence", string(evidence)).Int("events", int64(broken.events)).
 		Int("sinceFirstMillis", broken.sinceFirstMillis).Str("fingerprint", broken.input.Request).
 		Str("parts", strings.Join(broken.input.Parts, ",")).Err(broken.cause).Send()
 }
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -27,13 +27,18 @@
 	if a.former == nil || r.config.ProveEnd == nil {
 		return nil
 	}
-	if _, err := r.config.ProveEnd(ctx, twfence.Run{Engine: a.former.engine, CallID: a.call.ID}); err != nil {
+	if _, err := r.config.ProveEnd(ctx, a.former.fenced()); err != nil {
 		return unknownProblem(err)
 	}
 	a.former = nil
 	return nil
 }
 
+// fenced returns the run whose end is to be proved.
+func (m *modelRun) fenced() twfence.Run {
+	return twfence.Run{Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.received > 0}
+}
+
 // standsStill reports whether the engine of a silent run accepts connections and doesn't answer: its process may go on with the run
 // at any time, and takes no order to stop it before.
 func (r *Relay) standsStill(ctx context.Context, a *attempt, run *modelRun) bool {
--- a/upstreams.go
+++ b/upstreams.go
@@ -227,6 +227,9 @@
 	Reused bool
 	// ConnectFailed is set if no connection to the upstream could be established.
 	ConnectFailed bool
+	// ConnectRefused is set beside ConnectFailed if no process listens at the upstream's address. Without it the connection was
+	// not established in time, which a lost packet or a process that stands still gives too.
+	ConnectRefused bool
 	// PathLost is set if the cause is this daemon's network path and not the upstream.
 	PathLost bool
 	// ShareUsed is set if this daemon's share of the upstream's connections is in use.
