fix: take no 404 for the end of a call that may still wait at its engine

What callers saw: a stream of one call written by two engines at the same time; the first one began after the call had gone on elsewhere.

Cause: an engine that is asked to stop a run answers 404 if it works on none. That is true of a call in its queue as well, and a request starts to run with its first token. The fence took it for the end (proof=notRunning, begun=false in the log). A silent call was even taken from its engine by closing the connection first, which not every engine heeds.

The fence believes a 404 only of a run of which events were received. A silent call that has not begun stays at an engine that answers; a silent run that has begun is stopped while its exchange is still open, and stays if the end isn't proved.

--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -1,8 +1,9 @@
 // Package twfence proves that a run has ended before its stream goes on at another engine.
 //
 // A connection that broke, and an engine that is silent, don't show that: the answer may have been lost on its way, and a
-// process that stands still works on later. The engine itself stops the run, or states that it doesn't have it. One that can't
-// be reached at all is fenced off: nothing that it works on reaches a caller.
+// process that stands still works on later. The engine itself stops the run, or states that it no longer has one that had begun;
+// of a call that hasn't begun yet that statement says nothing, since the call may still wait there. An engine that can't be
+// reached at all is fenced off: nothing that it works on reaches a caller.
 package twfence
 
 import (
@@ -22,6 +23,9 @@
 	retryDelay, maxRetryDelay = 30 * time.Millisecond, 500 * time.Millisecond
 	// dropTimeout bounds the release of a copy that nobody needs.
 	dropTimeout = time.Second
+	// beginSpan is how long a call that hasn't begun is watched for its begin, upon which the next order stops it. Its caller has
+	// received nothing from that run, and loses less by another try than by a longer wait.
+	beginSpan = 600 * time.Millisecond
 )
 
 // Proof is how a run is known to have ended.
@@ -31,7 +35,7 @@
 const (
 	// ProofStopped: the engine has stopped the run.
 	ProofStopped Proof = "stopped"
-	// ProofNotRunning: the engine doesn't run the call.
+	// ProofNotRunning: the engine, which had begun to run the call, doesn't run it any more.
 	ProofNotRunning Proof = "notRunning"
 	// ProofReplaced: another incarnation has the engine's address.
 	ProofReplaced Proof = "replaced"
@@ -42,6 +46,9 @@
 // ErrUnproved means that the call's time was over before the end of its run was proved.
 var ErrUnproved = errors.New("nothing shows that the run before has ended")
 
+// errMayBegin is wrapped beside ErrUnproved if the call may still wait at its engine.
+var errMayBegin = errors.New("the engine doesn't run the call, which may still wait there")
+
 // Config configures a Fence.
 type Config struct {
 	// Stop orders an engine to stop a run and to copy its memory to another engine. The error is a SendError.
@@ -75,12 +82,18 @@
 	return &Fence{config: config}
 }
 
-// Prove returns once the end of the run is proved, or with ErrUnproved once ctx ends. The run is stopped if it works.
+// Prove returns once the end of the run is proved, or with ErrUnproved once ctx ends or the call has not begun for beginSpan. The
+// run is stopped if it works.
 func (f *Fence) Prove(ctx context.Context, run Run) (Proof, error) {
 	beganAt, delay := time.Now(), retryDelay
+	giveUpAt := time.Time{}
 	for try := 0; ; try++ {
 		proof, err := f.try(ctx, run, try)
-		if proof != "" || ctx.Err() != nil {
+		if errors.Is(err, errMayBegin) && giveUpAt.IsZero() {
+			giveUpAt = time.Now().Add(beginSpan)
+		}
+		isWatched := errors.Is(err, errMayBegin) && !time.Now().Before(giveUpAt)
+		if proof != "" || ctx.Err() != nil || isWatched {
 			return proof, f.record(run, proof, time.Since(beganAt), try+1, err)
 		}
 		select {
@@ -110,8 +123,10 @@
 		return "", err
 	case sent.IncarnationReplaced:
 		return ProofReplaced, err
-	case sent.Status == http.StatusNotFound:
+	case sent.Status == http.StatusNotFound && run.HasBegun:
 		return ProofNotRunning, err
+	case sent.Status == http.StatusNotFound:
+		return "", errors.Join(errMayBegin, err)
 	case sent.ConnectFailed && !sent.Sent && ctx.Err() == nil:
 		return ProofUnreachable, err
 	}
--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -27,8 +27,13 @@
 	return stopResult{err: &sent}
 }
 
-// prove proves the end of a run whose engine gives the answers, one after the other.
+// prove proves the end of a run that had begun and whose engine gives the answers, one after the other.
 func prove(answers ...stopResult) (proof twfence.Proof, targets []string, dropped int, err error) {
+	return proveWithin(200*time.Millisecond, true, answers...)
+}
+
+// proveWithin is prove for a run that may not have begun, for the span at most.
+func proveWithin(span time.Duration, begun bool, answers ...stopResult) (proof twfence.Proof, targets []string, dropped int, err error) {
 	drops := make(chan string, 1)
 	fence := twfence.New(twfence.Config{
 		Stop: func(ctx context.Context, _, to turmericwall.Upstream, _ string) (turmericwall.EngineExport, bool, error) {
@@ -49,9 +54,9 @@
 		},
 		Recorder: tweventlog.New(tweventlog.Config{Output: io.Discard}),
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), span)
 	defer cancel()
-	proof, err = fence.Prove(ctx, twfence.Run{Engine: turmericwall.Upstream{ID: "d1"}, CallID: "call"})
+	proof, err = fence.Prove(ctx, twfence.Run{Engine: turmericwall.Upstream{ID: "d1"}, CallID: "call", SentAt: time.Now(), HasBegun: begun})
 	select {
 	case <-drops:
 		dropped++
@@ -93,6 +98,26 @@
 	}
 }
 
+// Guards against a call that waits at its engine, counts as ended there, and runs later.
+func TestCallThatMayStillBeginHasNotEnded(t *testing.T) {
+	absent := refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})
+	t.Run("until it begins and is stopped", func(t *testing.T) {
+		g := NewWithT(t)
+		proof, targets, _, err := proveWithin(time.Second, false, absent, absent, absent, stopResult{export: turmericwall.EngineExport{Handle: "h"}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(proof).To(Equal(twfence.ProofStopped))
+		g.Expect(targets).To(HaveLen(4))
+	})
+	t.Run("if it never begins", func(t *testing.T) {
+		g := NewWithT(t)
+		beganAt := time.Now()
+		proof, _, _, err := proveWithin(5*time.Second, false, absent)
+		g.Expect(err).To(MatchError(twfence.ErrUnproved))
+		g.Expect(proof).To(BeEmpty())
+		g.Expect(time.Since(beganAt)).To(BeNumerically("<", 2*time.Second), "its caller can try again")
+	})
+}
+
 // Guards against a run that goes on elsewhere while the process of its engine stands still, is busy, or has no share of
 // connections left.
 func TestEndOfRunStaysUnprovedWithoutAnswer(t *testing.T) {
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
 )
 
+// stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
+const stopSilentTimeout = 2 * time.Second
+
 // keepFormer notes that a run ended here with the error, and may still work at its engine.
 func (a *attempt) keepFormer(run *modelRun, cause error) {
 	a.former = nil
-	if cause != nil && !endedAtEngine(cause) {
+	if cause != nil && !run.endProved && !endedAtEngine(cause) {
 		a.former = run
 	}
 }
@@ -39,12 +43,30 @@
 	return twfence.Run{Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.received > 0}
 }
 
-// standsStill reports whether the engine of a silent run accepts connections and doesn't answer: its process may go on with the run
-// at any time, and takes no order to stop it before.
-func (r *Relay) standsStill(ctx context.Context, a *attempt, run *modelRun) bool {
+// mustStay reports whether a silent run must stay at its engine, since its end can't be proved. An engine that accepts connections
+// and doesn't answer may go on with the run at any time, and takes no order to stop it before. At one that answers, a call that
+// hasn't begun waits for its turn, and there is no run yet that an order could stop.
+func (r *Relay) mustStay(ctx context.Context, a *attempt, run *modelRun) bool {
 	if r.config.CheckEnd == nil || r.pathLost(run.engine) {
 		return false
 	}
 	found := r.checkEnd(ctx, a.brokenModelRun(run, errSilent))
-	return found.Result == turmericwall.EndUnknown && !found.Answered && !r.pathLost(run.engine)
+	if found.Result == turmericwall.EndUnknown && !found.Answered {
+		return !r.pathLost(run.engine)
+	}
+	run.endProved = found.Result == turmericwall.EndProved
+	return found.Result == turmericwall.EndRefuted && run.received == 0 && r.config.ProveEnd != nil
+}
+
+// stopSilent has the engine of a silent run stop it, while the exchange is still open: if the end can't be proved, the run stays
+// there. It reports whether the run has ended.
+func (r *Relay) stopSilent(ctx context.Context, run *modelRun) bool {
+	if run.endProved || r.config.ProveEnd == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopSilentTimeout)
+	defer cancel()
+	_, err := r.config.ProveEnd(ctx, run.fenced())
+	run.endProved = err == nil
+	return run.endProved
 }
--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -81,3 +81,53 @@
 	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
 	g.Expect(s.upstreams.prefills).To(Equal(1))
 }
+
+// Guards against a silent call that is taken from the engine at which it waits for its turn, and runs there later.
+func TestACallThatWaitsAtItsEngineStaysThere(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+	s.found.Store(int64(turmericwall.EndRefuted))
+	s.withProofs(func(context.Context, twfence.Run) (twfence.Proof, error) { return "", twfence.ErrUnproved })
+	s.upstreams.send = engineAnswers{"d1": func(context.Context, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		time.Sleep(2500 * time.Millisecond)
+		return answer(200, events(1, 6)), nil
+	}}.send
+	w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+	g.Expect(s.upstreams.prefills).To(Equal(1))
+}
+
+// Guards against a silent stream whose exchange is closed before it is known that its engine has ended the run.
+func TestASilentStreamIsStoppedBeforeItsExchangeIsClosed(t *testing.T) {
+	for name, proof := range map[string]twfence.Proof{"stopped": twfence.ProofStopped, "unproved": ""} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+			s.found.Store(int64(turmericwall.EndRefuted))
+			var silent *silentBody
+			s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+				silent = newSilentBody(ctx, events(1, 2))
+				silent.pause, silent.rest = 2500*time.Millisecond, strings.NewReader(events(3, 6))
+				return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: silent}, nil
+			}}.send
+			s.withProofs(func(_ context.Context, run twfence.Run) (twfence.Proof, error) {
+				g.Expect(run.HasBegun).To(BeTrue())
+				g.Expect(silent.closed).NotTo(BeClosed())
+				if proof == "" {
+					return "", twfence.ErrUnproved
+				}
+				return proof, nil
+			})
+			w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+			want := []string{"d1", "d2"}
+			if proof == "" {
+				want = want[:1]
+			}
+			g.Expect(s.upstreams.sentTo()).To(Equal(want))
+		})
+	}
+}
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer arrived.cancelNext(cancel)()
-	if r.standsStill(ctx, a, run) || ctx.Err() != nil || !r.mayReplace(ctx, a, run) {
+	if r.mustStay(ctx, a, run) || ctx.Err() != nil || !r.mayReplace(ctx, a, run) {
 		return false
 	}
 	a.takeovers++
@@ -120,7 +120,7 @@
 	if err == nil {
 		a.prepared = next
 	}
-	if err == nil && !arrived.isPending() {
+	if err == nil && !arrived.isPending() && r.stopSilent(ctx, run) {
 		return true
 	}
 	r.releasePrepared(a)
