fix: take no reset connection for the end of an upstream

What callers saw: a stream that went on elsewhere while the engine before worked on, and inputs that were blamed for ends of engines that had not ended.

Cause: the check of the end sent its query twice; with both connections reset the upstream counted as ended, no order to stop was sent, and the end became evidence on the input. An engine that has all the connections that it accepts resets new ones: somebody listens there.

A reset query is repeated in the time of the check now, since a process that is ending soon refuses connections, and one with too many accepts some again; after that the end is unknown, and the fence asks the engine. The case "closes each connection" of TestCheckTellsEndedFromAliveAndUnknown asked for the fault; three stricter ones replace it.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -1,5 +1,8 @@
 // Package twendcheck tells an upstream that has ended from one that broke a single answer off, by a query that is sent after the
 // run had broken off. It knows incarnations by the starts that upstreams state in their reports.
+//
+// An upstream has ended if another incarnation answers at its address, or if nothing listens there. One that accepts a connection
+// and resets it may have as many as it accepts.
 package twendcheck
 
 import (
@@ -15,6 +18,8 @@
 	// queryTimeout bounds the query, and controlTimeout that of other upstreams, as the caller of the broken answer waits.
 	queryTimeout   = 400 * time.Millisecond
 	controlTimeout = 200 * time.Millisecond
+	// repeatDelay is the pause before the second repetition of a query whose connection broke; it doubles.
+	repeatDelay = 40 * time.Millisecond
 	// checkRetention is how long a check is remembered, and maxSightings the starts that are remembered of an upstream.
 	checkRetention = 30 * time.Second
 	maxSightings   = 4
@@ -172,15 +177,30 @@
 	}
 }
 
-// run makes the check. It doesn't end with the call that started it, as other calls wait for it too. A query that breaks off
-// is repeated once, since it may have been sent on a connection that broke with the answers.
+// query asks the upstream for its start. A query that breaks off is repeated at once, since it may have been sent on a connection
+// that broke with the answers, and then in the time that is left: a process that is ending refuses connections soon, and one that
+// has too many accepts some again.
+func (c *Checker) query(ctx context.Context, upstream turmericwall.Upstream) (startedMillis int64, err error) {
+	delay := time.Duration(0)
+	for {
+		startedMillis, err = c.config.Query(ctx, upstream)
+		if !isBrokenOff(err) || exceedsLimit(err) {
+			return startedMillis, err
+		}
+		select {
+		case <-ctx.Done():
+			return startedMillis, err
+		case <-time.After(delay):
+		}
+		delay = max(2*delay, repeatDelay)
+	}
+}
+
+// run makes the check. It doesn't end with the call that started it, as other calls wait for it too.
 func (c *Checker) run(started *check, upstream turmericwall.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout+c.ownDelay())
 	defer cancel()
-	startedMillis, err := c.config.Query(ctx, upstream)
-	if isBrokenOff(err) && !exceedsLimit(err) && ctx.Err() == nil {
-		startedMillis, err = c.config.Query(ctx, upstream)
-	}
+	startedMillis, err := c.query(ctx, upstream)
 	var sent *turmericwall.SendError
 	isSendError := errors.As(err, &sent)
 	switch {
@@ -190,7 +210,7 @@
 		started.gone = true
 	case isSendError && sent.Status != 0, exceedsLimit(err):
 		started.answered = true
-	case isSendError && ((sent.ConnectFailed && !sent.PathLost) || isBrokenOff(err)) && ctx.Err() == nil:
+	case isSendError && sent.ConnectFailed && !sent.PathLost && ctx.Err() == nil:
 		started.gone = c.reachesOthers(upstream)
 	}
 	started.evidence = evidenceOf(err)
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -57,7 +57,9 @@
 		"no free connection":                   {0, []error{failed(turmericwall.SendError{})}, nil, turmericwall.EndUnknown},
 		"this daemon has no path":              {0, []error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, nil, turmericwall.EndUnknown},
 		"answers on a new connection":          {1, []error{brokenOff, nil}, nil, turmericwall.EndRefuted},
-		"closes each connection":               {0, []error{brokenOff, brokenOff}, nil, turmericwall.EndProved},
+		"resets each connection":               {0, []error{brokenOff}, nil, turmericwall.EndUnknown},
+		"resets some connections":              {1, []error{brokenOff, brokenOff, brokenOff, nil}, nil, turmericwall.EndRefuted},
+		"resets connections, then refuses":     {0, []error{brokenOff, brokenOff, refused}, nil, turmericwall.EndProved},
 		"nobody answers this daemon":           {0, []error{brokenOff, brokenOff}, brokenOff, turmericwall.EndUnknown},
 		"answers without end":                  {0, []error{endless}, nil, turmericwall.EndUnknown},
 		"refuses, after a connection was open": {0, []error{brokenOff, refused}, nil, turmericwall.EndProved},
@@ -66,7 +68,7 @@
 			queries := 0
 			checker := newChecker(func(context.Context) (int64, error) {
 				queries++
-				return test.started, test.errs[queries-1]
+				return test.started, test.errs[min(queries, len(test.errs))-1]
 			}, test.control)
 			NewWithT(t).Expect(checker.Check(context.Background(), broken()).Result).To(Equal(test.want))
 		})
