fix: take no unanswered connection for the end of an upstream

What callers saw: a stream that went on elsewhere while the engine before worked on.

Cause: a connection that wasn't established within 250 ms counted as the end of the upstream (found=ended, evidence=unconnected), and for the fence as an engine out of reach. One lost packet gives that, and so does a process that stands still with a full queue of connections.

Only a refused connection shows that nobody listens, and proves the end (proof=refused). The fence takes an engine for unreachable once at least three connections in a row, over 0.7 s, were not established, from here or through peers.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -2,7 +2,8 @@
 // run had broken off. It knows incarnations by the starts that upstreams state in their reports.
 //
 // An upstream has ended if another incarnation answers at its address, or if nothing listens there. One that accepts a connection
-// and resets it may have as many as it accepts.
+// and resets it may have as many as it accepts; a connection that isn't established may be due to a lost packet, or to a process
+// that stands still.
 package twendcheck
 
 import (
@@ -210,7 +211,7 @@
 		started.gone = true
 	case isSendError && sent.Status != 0, exceedsLimit(err):
 		started.answered = true
-	case isSendError && sent.ConnectFailed && !sent.PathLost && ctx.Err() == nil:
+	case isSendError && sent.ConnectRefused && !sent.PathLost && ctx.Err() == nil:
 		started.gone = c.reachesOthers(upstream)
 	}
 	started.evidence = evidenceOf(err)
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -40,7 +40,8 @@
 }
 
 func TestCheckTellsEndedFromAliveAndUnknown(t *testing.T) {
-	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true}), failed(turmericwall.SendError{Sent: true})
+	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true}), failed(turmericwall.SendError{Sent: true})
+	unconnected := failed(turmericwall.SendError{ConnectFailed: true})
 	endless := &turmericwall.SendError{Sent: true, Err: &turmericwall.LimitError{Limit: turmericwall.LimitHeadBytes}}
 	for name, test := range map[string]struct {
 		started int64
@@ -53,6 +54,7 @@
 		"states no start":                      {0, []error{nil}, nil, turmericwall.EndUnknown},
 		"answers with a failure":               {0, []error{failed(turmericwall.SendError{Sent: true, Status: 500})}, nil, turmericwall.EndUnknown},
 		"refuses":                              {0, []error{refused}, nil, turmericwall.EndProved},
+		"accepts no connection in time":        {0, []error{unconnected}, nil, turmericwall.EndUnknown},
 		"another upstream answers":             {0, []error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, nil, turmericwall.EndProved},
 		"no free connection":                   {0, []error{failed(turmericwall.SendError{})}, nil, turmericwall.EndUnknown},
 		"this daemon has no path":              {0, []error{failed(turmericwall.SendError{ConnectFailed: true, PathLost: true})}, nil, turmericwall.EndUnknown},
@@ -82,7 +84,7 @@
 	checker := newChecker(func(context.Context) (int64, error) {
 		queries.Add(1)
 		time.Sleep(20 * time.Millisecond)
-		return 0, failed(turmericwall.SendError{ConnectFailed: true})
+		return 0, failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})
 	}, nil)
 	var answers sync.WaitGroup
 	var ended atomic.Int64
@@ -104,7 +106,7 @@
 	var crashed atomic.Bool
 	checker := newChecker(func(context.Context) (int64, error) {
 		if crashed.Load() {
-			return 0, failed(turmericwall.SendError{ConnectFailed: true})
+			return 0, failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})
 		}
 		return 1, nil
 	}, nil)
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -2,8 +2,8 @@
 //
 // A connection that broke, and an engine that is silent, don't show that: the answer may have been lost on its way, and a
 // process that stands still works on later. The engine itself stops the run, or states that it no longer has one that had begun;
-// of a call that hasn't begun yet that statement says nothing, since the call may still wait there. An engine that can't be
-// reached at all is fenced off: nothing that it works on reaches a caller.
+// of a call that hasn't begun yet that statement says nothing, since the call may still wait there. An engine at whose address
+// nothing listens has ended. One that can't be reached for a while is fenced off: nothing that it works on reaches a caller.
 package twfence
 
 import (
@@ -26,6 +26,10 @@
 	// beginSpan is how long a call that hasn't begun is watched for its begin, upon which the next order stops it. Its caller has
 	// received nothing from that run, and loses less by another try than by a longer wait.
 	beginSpan = 600 * time.Millisecond
+	// unreachableSpan is how long no connection to an engine that counts as unreachable is established, and unreachableTries in how
+	// many attempts: one lost packet fails one of them.
+	unreachableSpan  = 700 * time.Millisecond
+	unreachableTries = 3
 )
 
 // Proof is how a run is known to have ended.
@@ -39,13 +43,18 @@
 	ProofNotRunning Proof = "notRunning"
 	// ProofReplaced: another incarnation has the engine's address.
 	ProofReplaced Proof = "replaced"
-	// ProofUnreachable: no connection to the engine can be established, from here or from peers.
+	// ProofRefused: no process listens at the engine's address.
+	ProofRefused Proof = "refused"
+	// ProofUnreachable: no connection to the engine could be established for unreachableSpan, from here or from peers.
 	ProofUnreachable Proof = "unreachable"
 )
 
 // ErrUnproved means that the call's time was over before the end of its run was proved.
 var ErrUnproved = errors.New("nothing shows that the run before has ended")
 
+// errUnconnected is the error of an order for which no connection was established.
+var errUnconnected = errors.New("no connection to the engine was established")
+
 // errMayBegin is wrapped beside ErrUnproved if the call may still wait at its engine.
 var errMayBegin = errors.New("the engine doesn't run the call, which may still wait there")
 
@@ -86,9 +95,14 @@
 // run is stopped if it works.
 func (f *Fence) Prove(ctx context.Context, run Run) (Proof, error) {
 	beganAt, delay := time.Now(), retryDelay
-	giveUpAt := time.Time{}
+	var giveUpAt time.Time
+	var unconnected series
 	for try := 0; ; try++ {
+		triedAt := time.Now()
 		proof, err := f.try(ctx, run, try)
+		if unconnected.add(triedAt, errors.Is(err, errUnconnected)) && ctx.Err() == nil {
+			proof = ProofUnreachable
+		}
 		if errors.Is(err, errMayBegin) && giveUpAt.IsZero() {
 			giveUpAt = time.Now().Add(beginSpan)
 		}
@@ -104,6 +118,25 @@
 	}
 }
 
+// series counts the attempts in a row for which no connection was established.
+type series struct {
+	since time.Time
+	tries int
+}
+
+// add adds an attempt that began at the time. It reports whether the engine counts as unreachable.
+func (s *series) add(at time.Time, unconnected bool) bool {
+	if !unconnected {
+		*s = series{}
+		return false
+	}
+	if s.tries == 0 {
+		s.since = at
+	}
+	s.tries++
+	return s.tries >= unreachableTries && time.Since(s.since) >= unreachableSpan
+}
+
 // try sends one order; the proof is empty if it proved nothing.
 func (f *Fence) try(ctx context.Context, run Run, try int) (Proof, error) {
 	target := run.Engine
@@ -127,8 +160,10 @@
 		return ProofNotRunning, err
 	case sent.Status == http.StatusNotFound:
 		return "", errors.Join(errMayBegin, err)
+	case sent.ConnectRefused && !sent.PathLost && ctx.Err() == nil:
+		return ProofRefused, err
 	case sent.ConnectFailed && !sent.Sent && ctx.Err() == nil:
-		return ProofUnreachable, err
+		return "", errors.Join(errUnconnected, err)
 	}
 	return "", err
 }
--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -78,11 +78,14 @@
 		{"stopped", []stopResult{{export: turmericwall.EngineExport{Handle: "h"}}}, twfence.ProofStopped, []string{"d2"}, 1},
 		{"no such run", []stopResult{refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})}, twfence.ProofNotRunning, []string{"d2"}, 0},
 		{"another incarnation", []stopResult{refused(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, twfence.ProofReplaced, []string{"d2"}, 0},
-		{"no connection", []stopResult{refused(turmericwall.SendError{ConnectFailed: true})}, twfence.ProofUnreachable, []string{"d2"}, 0},
+		{"nobody listens", []stopResult{refused(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})}, twfence.ProofRefused, []string{"d2"}, 0},
 		{
-			"a connection that breaks, a target without room, then no connection",
-			[]stopResult{unanswered, refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 503}), refused(turmericwall.SendError{ConnectFailed: true})},
-			twfence.ProofUnreachable,
+			"a connection that breaks, a target without room, then nobody listens",
+			[]stopResult{
+				unanswered, refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 503}),
+				refused(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true}),
+			},
+			twfence.ProofRefused,
 			[]string{"d2", "d3", "d2"},
 			0,
 		},
@@ -98,6 +101,27 @@
 	}
 }
 
+// Guards against an engine that counts as unreachable because one packet was lost, and against a stream that waits for one that
+// stays unreachable.
+func TestEngineIsUnreachableOnlyAfterAWhile(t *testing.T) {
+	unconnected := refused(turmericwall.SendError{ConnectFailed: true})
+	t.Run("stays so", func(t *testing.T) {
+		g := NewWithT(t)
+		beganAt := time.Now()
+		proof, targets, _, err := proveWithin(5*time.Second, true, unconnected)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(proof).To(Equal(twfence.ProofUnreachable))
+		g.Expect(len(targets)).To(BeNumerically(">=", 3))
+		g.Expect(time.Since(beganAt)).To(And(BeNumerically(">=", 700*time.Millisecond), BeNumerically("<", 2*time.Second)))
+	})
+	t.Run("answers again", func(t *testing.T) {
+		g := NewWithT(t)
+		proof, _, _, err := proveWithin(5*time.Second, true, unconnected, unconnected, unconnected, stopResult{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(proof).To(Equal(twfence.ProofStopped))
+	})
+}
+
 // Guards against a call that waits at its engine, counts as ended there, and runs later.
 func TestCallThatMayStillBeginHasNotEnded(t *testing.T) {
 	absent := refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})
@@ -126,6 +150,7 @@
 		"a move under way":          refused(turmericwall.SendError{Sent: true, Status: 409}),
 		"all connections in use":    refused(turmericwall.SendError{ShareUsed: true}),
 		"an answer that broke off":  refused(turmericwall.SendError{Sent: true}),
+		"a lost packet":             refused(turmericwall.SendError{ConnectFailed: true}),
 		"a peer that fell silent":   refused(turmericwall.SendError{Sent: true, PathLost: true}),
 		"an error of another layer": {err: errors.New("odd")},
 	} {
