fix: count an engine of the older interface as ended only if nobody listens there

The same fault as in the check of the end, sought elsewhere: any query that failed, a refusal for want of memory too, counted as the end of the engine, and became evidence on its request. Two of four cases of the new TestOnlyAnEngineThatRefusesConnectionsHasEnded failed before.

--- a/internal/delivery/twdelivery/ends.go
+++ b/internal/delivery/twdelivery/ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/turmericwall/turmericwall"
@@ -59,18 +60,19 @@
 	}
 }
 
-// CheckEnd queries an engine after it broke a request off.
+// CheckEnd queries an engine after it broke a request off. Only a refused connection shows that no process listens any more.
 func (d *Delivery) CheckEnd(ctx context.Context, address string) turmericwall.EndResult {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	_, err := d.config.Engines.Engine(address).Report(ctx, true)
+	var failed *turmericwall.EngineError
 	switch {
-	case err == nil:
+	case err == nil, errors.As(err, &failed) && failed.Reason() != turmericwall.EngineUnreachable:
 		return turmericwall.EndRefuted
-	case ctx.Err() != nil:
-		return turmericwall.EndUnknown
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return turmericwall.EndProved
 	}
-	return turmericwall.EndProved
+	return turmericwall.EndUnknown
 }
 
 // EndsUnder returns the ends of engines that this daemon knows under a request.
