fix: take no call in a planned stop that can only be cut

What callers saw: in a planned stop of one daemon, in calm, calls that came late in the grace were passed on and cut with 502 at its end, among them calls that run at most once.

Cause: two constants decided what is taken, 0.6 s before the exit for plain calls and 4.5 s for streams, whatever the route, the deadline, or how long the call had waited. A call that waited for its placement was not looked at again.

A call is taken if its deadline is before the exit. All others are refused at once, unread by any engine, with a Retry-After of 50 ms; so are calls that wait for a placement, at the moment from which on they could only be cut.

TestAStoppingDaemonRefusesStreamsThatItCannotComplete asked for a refusal 2 s before the exit although the call's deadline was 1 s away; TestAStoppingDaemonRefusesCallsThatItCannotComplete replaces it, for all kinds of calls.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/admission/twdrain"
 	"github.com/turmericwall/turmericwall/internal/admission/twreadiness"
 	"github.com/turmericwall/turmericwall/internal/delivery/twconcurrency"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
@@ -201,7 +202,7 @@
 	throttle  *fakeThrottle
 	view      *twupstreams.View
 	outcomes  []twrelay.Outcome
-	stopsAt   time.Time
+	drain     *twdrain.Drain
 	slack     float64
 	retries   *twretries.Budget
 	routes    *twroutes.Table
@@ -250,6 +251,7 @@
 		view: twupstreams.New(twupstreams.Config{}), slack: 50,
 	}
 	s.setEnded(false)
+	s.drain = twdrain.New(twdrain.Config{})
 	s.proof = twproof.New(twproof.Config{MaxAge: time.Minute, InForceWithin: time.Minute})
 	s.proof.Confirm(twboottime.Now())
 	s.log = &logBuffer{}
@@ -325,7 +327,7 @@
 		Quarantine:    s.quarantine,
 		FlushEvidence: func(context.Context) { s.flushes.Add(1) },
 		Observe:       func(o twrelay.Outcome) { s.outcomes = append(s.outcomes, o) },
-		StopsAt:       func() (time.Time, bool) { return s.stopsAt, !s.stopsAt.IsZero() },
+		Drain:         s.drain,
 	}
 	s.relay = twrelay.New(s.config)
 	return s
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -101,7 +101,7 @@
 		request.ReceivedAt = time.Now()
 		request.TargetDeadline = request.ReceivedAt.Add(a.target())
 	}
-	placement, err := r.placeAtVersion(ctx, request)
+	placement, err := r.placeInTime(ctx, a, request)
 	if err != nil {
 		return placement, err
 	}
--- a/internal/delivery/twrelay/model_test.go
+++ b/internal/delivery/twrelay/model_test.go
@@ -342,20 +342,6 @@
 	g.Expect(w.Body.String()).To(Equal(events(1, 5)))
 }
 
-// A stream that reaches a stopping daemon late would be cut short. If it is refused at once, its caller reaches another
-// daemon.
-func TestAStoppingDaemonRefusesStreamsThatItCannotComplete(t *testing.T) {
-	g := NewWithT(t)
-	s := newModelFixture(splitPlacement("d1"))
-	s.stopsAt = time.Now().Add(2 * time.Second)
-	w, _ := s.serve(context.Background(), "/m/x")
-	g.Expect(w.Code).To(Equal(503))
-	g.Expect(s.upstreams.prefills).To(BeZero())
-	s.stopsAt = time.Now().Add(time.Minute)
-	w, _ = s.serve(context.Background(), "/m/x")
-	g.Expect(w.Code).To(Equal(200))
-}
-
 func TestARefusalOfThePlacerReachesTheCallerWithItsRetryTime(t *testing.T) {
 	g := NewWithT(t)
 	s := newModelFixture()
--- a/internal/delivery/twrelay/outcome.go
+++ b/internal/delivery/twrelay/outcome.go
@@ -101,6 +101,9 @@
 func (r *Relay) finish(ctx context.Context, a *attempt, err error) error {
 	outcome := a.outcome()
 	status := 0
+	if a.endInDrain != nil {
+		a.endInDrain(err == nil)
+	}
 	if err != nil {
 		outcome.EndedBy = endedBy(ctx, err)
 	}
@@ -146,6 +149,9 @@
 	if cause == nil {
 		return
 	}
+	if a.endInDrain != nil {
+		a.endInDrain(false)
+	}
 	outcome := a.outcome()
 	outcome.Result, outcome.EndedBy = "brokenOff", endedByProcess
 	r.record(a, outcome, 0, fmt.Errorf("%w: %v", errPanicked, cause))
--- a/internal/delivery/twrelay/placer_test.go
+++ b/internal/delivery/twrelay/placer_test.go
@@ -17,9 +17,15 @@
 	refusal    error
 	// found is the version that is found for streams that calls take up.
 	found turmericwall.SoftwareVersion
+	// waits is set if calls wait for a placement that never comes.
+	waits bool
 }
 
-func (p *fakePlacer) Place(_ context.Context, request turmericwall.PlaceRequest) (turmericwall.Placement, error) {
+func (p *fakePlacer) Place(ctx context.Context, request turmericwall.PlaceRequest) (turmericwall.Placement, error) {
+	if p.waits {
+		<-ctx.Done()
+		return turmericwall.Placement{}, ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, request)
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -206,7 +206,7 @@
 			avoid[upstream.ID] = true
 			continue
 		}
-		if !r.spendSend(a) {
+		if a.heldBack = r.checkPlainDrain(a); a.heldBack != nil || !r.spendSend(a) {
 			r.config.Throttle.ReturnSend(upstream.Key())
 			r.releasePick(a, upstream)
 			return upstream, false
--- a/internal/delivery/twrelay/prepare.go
+++ b/internal/delivery/twrelay/prepare.go
@@ -47,6 +47,9 @@
 	if err := r.checkQuarantine(a); err != nil {
 		return true, err
 	}
+	if err := r.checkDrain(a); err != nil {
+		return true, err
+	}
 	if limitedID, err := r.admitPlacement(ctx, p); err != nil {
 		a.avoid = append(a.avoid, limitedID)
 		a.recordThrottled(err)
@@ -220,7 +223,8 @@
 	return false, nil
 }
 
-// checkBeforeDecode checks what may have changed during the prefill: the engine, the caller's key and the retry budget.
+// checkBeforeDecode checks what may have changed during the prefill: the engine, the caller's key, a planned stop and the retry
+// budget.
 // done reports whether the call must not be placed again.
 func (r *Relay) checkBeforeDecode(a *attempt, decode turmericwall.Upstream) (done bool, err error) {
 	if err := r.checkAcceptsCalls(decode); err != nil {
@@ -229,6 +233,9 @@
 	if err := r.config.Authenticator.CheckCredential(a.credential); err != nil {
 		return true, err
 	}
+	if err := r.checkDrain(a); err != nil {
+		return true, err
+	}
 	if !r.spendSend(a) {
 		return true, noEngineProblem(errRetryBudgetUsed)
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/admission/twauthenticator"
+	"github.com/turmericwall/turmericwall/internal/admission/twdrain"
 	"github.com/turmericwall/turmericwall/internal/admission/twreadiness"
 	"github.com/turmericwall/turmericwall/internal/delivery/twconcurrency"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
@@ -28,12 +29,6 @@
 const (
 	// noUpstreamRetryAfter is the retry time for a service without upstreams: an upstream's first heartbeat.
 	noUpstreamRetryAfter = 600 * time.Millisecond
-	// expectedStreamDuration covers nine in ten streams of 3,500 tokens at the speed of a full engine.
-	expectedStreamDuration = 4500 * time.Millisecond
-	// maxPlainCallDuration is the duration of the slowest calls of a plain service.
-	maxPlainCallDuration = 600 * time.Millisecond
-	// stoppingRetryAfter is short, because the caller reaches another daemon on its next connection.
-	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // ErrAnswerTruncated means that an answer was begun and can't be completed. The caller's connection must be closed, so
@@ -94,8 +89,8 @@
 	Zone   string
 	// MaxEventHold is how long an event of a stream may be held back to be sent with the next ones; 0 means not at all.
 	MaxEventHold time.Duration
-	// StopsAt returns when this daemon will terminate, and whether it has received a stop signal; it may be nil.
-	StopsAt func() (time.Time, bool)
+	// Drain decides which calls are taken in a planned stop; it may be nil.
+	Drain *twdrain.Drain
 	// Buffers is the memory for what is read from upstreams and not passed on yet, beyond what each call may always have; it
 	// may be nil.
 	Buffers *twbudget.Budget
@@ -139,6 +134,8 @@
 	deadline time.Time
 	// headerWritten is set once the answer's status and header were written.
 	headerWritten bool
+	// endInDrain records the end of the call, and whether its answer is complete; nil if that isn't needed.
+	endInDrain func(isComplete bool)
 	// countedSends counts the sends that are attempts of the call; those after the first use the retry budget.
 	countedSends int
 	// retryDenied is set when the retry budget did not allow a further send.
@@ -243,10 +240,14 @@
 			return r.finish(ctx, a, err)
 		}
 	}
-	if r.stopsBeforeAnswer(a) {
-		return r.finish(ctx, a, turmericwall.NewProblem(turmericwall.KindNotReady, "this daemon is stopping",
-			"come back on a new connection").WithRetryAt(time.Now().Add(stoppingRetryAfter)))
+	a.deadline = call.ReceivedAt.Add(time.Duration(a.route.TimeoutMillis) * time.Millisecond)
+	if call.Deadline.Before(a.deadline) {
+		a.deadline = call.Deadline
 	}
+	if err := r.checkDrain(a); err != nil {
+		return r.finish(ctx, a, err)
+	}
+	r.openInDrain(a)
 	if limit := plan.Limits.MaxBodyBytes; limit > 0 && int64(len(call.Body)) > limit {
 		return r.finish(ctx, a, turmericwall.NewProblem(turmericwall.KindTooLarge, "the body is too large",
 			"send less"))
@@ -256,10 +257,6 @@
 	if !ok {
 		return r.finish(ctx, a, noUpstreamProblem())
 	}
-	a.deadline = call.ReceivedAt.Add(time.Duration(a.route.TimeoutMillis) * time.Millisecond)
-	if call.Deadline.Before(a.deadline) {
-		a.deadline = call.Deadline
-	}
 	r.config.Retries.Earn(time.Now(), a.service.Name)
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
@@ -314,22 +311,3 @@
 	}
 	return nil
 }
-
-// stopsBeforeAnswer reports whether this daemon terminates before the call can be answered.
-//
-// Calls still arrive on connections that callers keep open. A stream that is accepted in the last seconds would be cut
-// short; if it is refused at once, its caller reaches another daemon.
-func (r *Relay) stopsBeforeAnswer(a *attempt) bool {
-	if r.config.StopsAt == nil {
-		return false
-	}
-	at, stopping := r.config.StopsAt()
-	if !stopping {
-		return false
-	}
-	span := maxPlainCallDuration
-	if a.route.Kind == turmericwall.CallStream {
-		span = expectedStreamDuration
-	}
-	return time.Now().Add(span).After(at)
-}
--- a/internal/delivery/twrelay/stopping_test.go
+++ b/internal/delivery/twrelay/stopping_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -60,3 +61,44 @@
 		})
 	}
 }
+
+// Guards against calls that are taken in a planned stop and cut at its end.
+func TestAStoppingDaemonRefusesCallsThatItCannotComplete(t *testing.T) {
+	for _, path := range []string{"/m/x", "/r/x", "/p/x"} {
+		for name, c := range map[string]struct {
+			exitIn, waits time.Duration
+			status        int
+		}{
+			"the exit is before the deadline": {400 * time.Millisecond, 2 * time.Second, 503},
+			"the deadline is before the exit": {time.Minute, 2 * time.Second, 200},
+			"the caller leaves before":        {400 * time.Millisecond, 300 * time.Millisecond, 200},
+		} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newModelFixture(splitPlacement("d1"))
+				s.upstreams.send = engineAnswers{}.send
+				s.drain.Begin(time.Now().Add(c.exitIn))
+				w, _ := s.serveWithin(context.Background(), path, c.waits)
+				g.Expect(w.Code).To(Equal(c.status))
+				if c.status == 503 {
+					g.Expect(w.Header().Get("Retry-After")).To(Equal("0.05"))
+					g.Expect(s.upstreams.prefills).To(BeZero())
+					g.Expect(s.upstreams.sentTo()).To(BeEmpty())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a call that waits for its placement as the daemon stops, until it can only be cut.
+func TestAWaitingCallIsRefusedOnceTheDaemonStops(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"))
+	s.placer.waits = true
+	time.AfterFunc(200*time.Millisecond, func() { s.drain.Begin(time.Now().Add(time.Second)) })
+	began := time.Now()
+	w, _ := s.serveWithin(context.Background(), "/r/x", 5*time.Second)
+	g.Expect(w.Code).To(Equal(503))
+	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	g.Expect(s.upstreams.sentTo()).To(BeEmpty())
+}
