fix: wait for no more than one buffer of what a peer sends after a refusal

Met while bytes without end were played: a peer that refused an exchange and sent on without end held the call until its deadline, as the rest of the body was read to its end. Nothing was kept. TestPeerThatSendsWithoutEndDelaysNothing: 2.0 s before (the test's deadline), at once after.

--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -123,7 +123,8 @@
 			Sent: true, PathLost: true, Err: fmt.Errorf("read the peer's answer of %s: %w", to.ID, err),
 		})
 	case reply.Refused != "":
-		_, _ = io.Copy(io.Discard, reader)
+		// The end of a short body lets the connection be used again.
+		_, _ = io.CopyN(io.Discard, reader, exchangeBufferBytes)
 		return fail(&turmericwall.EgressRefusal{Reason: reply.Refused, LostShare: reply.LostShare})
 	case reply.Limit != "":
 		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf(
