fix: let the caller of a broken answer wait for three repetitions of the query at most

The check repeated a query that was reset for the whole 0.4 s, in which the caller of the broken answer waits. Three repetitions take 0.12 s; what is still unknown then is settled later, as all open ends are.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -19,8 +19,10 @@
 	// queryTimeout bounds the query, and controlTimeout that of other upstreams, as the caller of the broken answer waits.
 	queryTimeout   = 400 * time.Millisecond
 	controlTimeout = 200 * time.Millisecond
-	// repeatDelay is the pause before the second repetition of a query whose connection broke; it doubles.
+	// repeatDelay is the pause before the second repetition of a query whose connection broke, which doubles, and maxRepeats the
+	// number of repetitions: what isn't known by then is settled later.
 	repeatDelay = 40 * time.Millisecond
+	maxRepeats  = 3
 	// checkRetention is how long a check is remembered, and maxSightings the starts that are remembered of an upstream.
 	checkRetention = 30 * time.Second
 	maxSightings   = 4
@@ -179,13 +181,13 @@
 }
 
 // query asks the upstream for its start. A query that breaks off is repeated at once, since it may have been sent on a connection
-// that broke with the answers, and then in the time that is left: a process that is ending refuses connections soon, and one that
-// has too many accepts some again.
+// that broke with the answers, and then after a pause: a process that is ending refuses connections soon, and one that has too many
+// accepts some again.
 func (c *Checker) query(ctx context.Context, upstream turmericwall.Upstream) (startedMillis int64, err error) {
 	delay := time.Duration(0)
-	for {
+	for repeats := 0; ; repeats++ {
 		startedMillis, err = c.config.Query(ctx, upstream)
-		if !isBrokenOff(err) || exceedsLimit(err) {
+		if !isBrokenOff(err) || exceedsLimit(err) || repeats == maxRepeats {
 			return startedMillis, err
 		}
 		select {
