fix: take a refused connection for the end of a run only if it was refused after the send

Met while the diff was read: a path keeps that its last attempt was refused, and that attempt may be older than the run. An upstream that was back at once under its id, reached through peers, and then out of their reach too, would have counted as ended by the refusal of its former process. SendError states when the connection was refused, and both the check of the end and the fence compare that with the send. By reading and unit tests (the cases of a refusal before the send fail without the comparison); not met in a run.

--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -108,7 +108,7 @@
 ) (*turmericwall.Answer, error) {
 	if t.config.Paths.IsAtFault(time.Now(), to.Key()) {
 		return nil, &turmericwall.SendError{
-			ConnectFailed: true, ConnectRefused: t.config.Paths.IsRefused(to.Key()),
+			ConnectFailed: true, RefusedAt: t.config.Paths.RefusedAt(to.Key()),
 			Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault),
 		}
 	}
@@ -133,7 +133,7 @@
 	t.config.Count("detours_failed")
 	lost := len(asked.addresses) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service)
 	return nil, &turmericwall.SendError{
-		ConnectFailed: true, PathLost: lost, ConnectRefused: !lost && t.config.Paths.IsRefused(to.Key()),
+		ConnectFailed: true, PathLost: lost, RefusedAt: t.config.Paths.RefusedAt(to.Key()),
 		Err: fmt.Errorf("connect to %s: %w", to.ID, last),
 	}
 }
@@ -207,10 +207,11 @@
 	}
 	var refusal *turmericwall.EgressRefusal
 	unreachable := errors.As(err, &refusal) && refusal.Reason == turmericwall.EgressUnreachable
-	return &turmericwall.SendError{
-		ConnectFailed: unreachable, ConnectRefused: unreachable && t.config.Paths.IsRefused(to.Key()),
-		Err: fmt.Errorf("connect to %s: %w", to.ID, err),
+	failed := &turmericwall.SendError{ConnectFailed: unreachable, Err: fmt.Errorf("connect to %s: %w", to.ID, err)}
+	if unreachable {
+		failed.RefusedAt = t.config.Paths.RefusedAt(to.Key())
 	}
+	return failed
 }
 
 func (t *Transport) requestRefresh() {
--- a/internal/delivery/twdirect/transport.go
+++ b/internal/delivery/twdirect/transport.go
@@ -149,7 +149,9 @@
 	now := time.Now()
 	isNew := t.config.Paths.RecordLoss(now, to)
 	var sent *turmericwall.SendError
-	t.config.Paths.RecordRefused(to.Key(), errors.As(cause, &sent) && sent.ConnectRefused)
+	if errors.As(cause, &sent) {
+		t.config.Paths.RecordRefused(sent.RefusedAt, to.Key())
+	}
 	if !isNew {
 		return
 	}
--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -103,10 +103,12 @@
 	done    chan struct{}
 	// isRunning is set until then, under the checker's lock.
 	isRunning bool
-	// answered is set if the upstream itself answered, and startedMillis the start that it stated. gone is set if it has ended.
-	answered, gone bool
-	startedMillis  int64
-	evidence       Evidence
+	// answered is set if the upstream itself answered, and startedMillis the start that it stated.
+	answered      bool
+	startedMillis int64
+	// goneAt is when it was seen to have ended; zero if it wasn't.
+	goneAt   time.Time
+	evidence Evidence
 }
 
 // New returns a checker.
@@ -125,7 +127,7 @@
 		case <-ctx.Done():
 			return found
 		}
-		found.Result, found.Answered = joined.resultFor(found.Incarnation.StartedMillis), joined.answered
+		found.Result, found.Answered = joined.resultFor(run, found.Incarnation.StartedMillis), joined.answered
 		found.Evidence = joined.evidence
 		isLater := !joined.beganAt.Before(run.BrokenAt)
 		if isLater || (found.Result == turmericwall.EndProved && joined.beganAt.After(run.SentAt)) {
@@ -210,11 +212,11 @@
 	case err == nil:
 		started.answered, started.startedMillis = true, startedMillis
 	case isSendError && sent.IncarnationReplaced:
-		started.gone = true
+		started.goneAt = time.Now()
 	case isSendError && sent.Status != 0, exceedsLimit(err):
 		started.answered = true
-	case isSendError && sent.ConnectRefused && !sent.PathLost && ctx.Err() == nil:
-		started.gone = c.reachesOthers(upstream)
+	case isSendError && sent.ShowsEndAfter(time.Time{}) && ctx.Err() == nil && c.reachesOthers(upstream):
+		started.goneAt = sent.RefusedAt
 	}
 	started.evidence = evidenceOf(err)
 	c.finish(started, upstream)
@@ -229,7 +231,7 @@
 		return EvidenceReplaced
 	case err == nil, isSendError && sent.Status != 0, exceedsLimit(err):
 		return EvidenceAnswer
-	case isSendError && sent.ConnectRefused && !sent.PathLost:
+	case isSendError && sent.ShowsEndAfter(time.Time{}):
 		return EvidenceRefused
 	case isSendError && sent.ConnectFailed && !sent.PathLost:
 		return EvidenceUnconnected
@@ -268,10 +270,10 @@
 	known.sightings = known.sightings[max(len(known.sightings)-maxSightings, 0):]
 }
 
-// resultFor returns what the check says of the incarnation with the start.
-func (c *check) resultFor(startedMillis int64) turmericwall.EndResult {
+// resultFor returns what the check says of the incarnation with the start, which ran the run.
+func (c *check) resultFor(run Run, startedMillis int64) turmericwall.EndResult {
 	switch {
-	case c.gone, c.answered && c.startedMillis != 0 && startedMillis != 0 && c.startedMillis != startedMillis:
+	case !c.goneAt.IsZero() && !c.goneAt.Before(run.SentAt), c.answered && c.startedMillis != 0 && startedMillis != 0 && c.startedMillis != startedMillis:
 		return turmericwall.EndProved
 	case c.answered && (c.startedMillis != 0 || startedMillis == 0):
 		return turmericwall.EndRefuted
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -40,8 +40,9 @@
 }
 
 func TestCheckTellsEndedFromAliveAndUnknown(t *testing.T) {
-	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true}), failed(turmericwall.SendError{Sent: true})
+	refused, brokenOff := failed(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)}), failed(turmericwall.SendError{Sent: true})
 	unconnected := failed(turmericwall.SendError{ConnectFailed: true})
+	refusedBefore := failed(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(-time.Minute)})
 	endless := &turmericwall.SendError{Sent: true, Err: &turmericwall.LimitError{Limit: turmericwall.LimitHeadBytes}}
 	for name, test := range map[string]struct {
 		started int64
@@ -54,6 +55,7 @@
 		"states no start":                      {0, []error{nil}, nil, turmericwall.EndUnknown},
 		"answers with a failure":               {0, []error{failed(turmericwall.SendError{Sent: true, Status: 500})}, nil, turmericwall.EndUnknown},
 		"refuses":                              {0, []error{refused}, nil, turmericwall.EndProved},
+		"refused before the run was sent":      {0, []error{refusedBefore}, nil, turmericwall.EndUnknown},
 		"accepts no connection in time":        {0, []error{unconnected}, nil, turmericwall.EndUnknown},
 		"another upstream answers":             {0, []error{failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, nil, turmericwall.EndProved},
 		"no free connection":                   {0, []error{failed(turmericwall.SendError{})}, nil, turmericwall.EndUnknown},
@@ -84,7 +86,7 @@
 	checker := newChecker(func(context.Context) (int64, error) {
 		queries.Add(1)
 		time.Sleep(20 * time.Millisecond)
-		return 0, failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})
+		return 0, failed(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)})
 	}, nil)
 	var answers sync.WaitGroup
 	var ended atomic.Int64
@@ -106,7 +108,7 @@
 	var crashed atomic.Bool
 	checker := newChecker(func(context.Context) (int64, error) {
 		if crashed.Load() {
-			return 0, failed(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})
+			return 0, failed(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)})
 		}
 		return 1, nil
 	}, nil)
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -160,7 +160,7 @@
 		return ProofNotRunning, err
 	case sent.Status == http.StatusNotFound:
 		return "", errors.Join(errMayBegin, err)
-	case sent.ConnectRefused && !sent.PathLost && ctx.Err() == nil:
+	case sent.ShowsEndAfter(run.SentAt) && ctx.Err() == nil:
 		return ProofRefused, err
 	case sent.ConnectFailed && !sent.Sent && ctx.Err() == nil:
 		return "", errors.Join(errUnconnected, err)
--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -78,12 +78,12 @@
 		{"stopped", []stopResult{{export: turmericwall.EngineExport{Handle: "h"}}}, twfence.ProofStopped, []string{"d2"}, 1},
 		{"no such run", []stopResult{refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})}, twfence.ProofNotRunning, []string{"d2"}, 0},
 		{"another incarnation", []stopResult{refused(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true})}, twfence.ProofReplaced, []string{"d2"}, 0},
-		{"nobody listens", []stopResult{refused(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true})}, twfence.ProofRefused, []string{"d2"}, 0},
+		{"nobody listens", []stopResult{refused(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)})}, twfence.ProofRefused, []string{"d2"}, 0},
 		{
 			"a connection that breaks, a target without room, then nobody listens",
 			[]stopResult{
 				unanswered, refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 503}),
-				refused(turmericwall.SendError{ConnectFailed: true, ConnectRefused: true}),
+				refused(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)}),
 			},
 			twfence.ProofRefused,
 			[]string{"d2", "d3", "d2"},
@@ -151,6 +151,7 @@
 		"all connections in use":    refused(turmericwall.SendError{ShareUsed: true}),
 		"an answer that broke off":  refused(turmericwall.SendError{Sent: true}),
 		"a lost packet":             refused(turmericwall.SendError{ConnectFailed: true}),
+		"a refusal before the send": refused(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(-time.Minute)}),
 		"a peer that fell silent":   refused(turmericwall.SendError{Sent: true, PathLost: true}),
 		"an error of another layer": {err: errors.New("odd")},
 	} {
--- a/internal/delivery/twpath/paths.go
+++ b/internal/delivery/twpath/paths.go
@@ -48,8 +48,8 @@
 	usedAt, probedAt time.Time
 	// atFaultUntil is the time until which the upstream counts as failing, because a peer could not connect either.
 	atFaultUntil time.Time
-	// refused is set if the last attempt to connect was refused, and not only unanswered.
-	refused bool
+	// refusedAt is when the last attempt to connect was refused; zero if it was only unanswered.
+	refusedAt time.Time
 }
 
 // New returns paths none of which is lost.
@@ -89,21 +89,23 @@
 	return true
 }
 
-// RecordRefused records whether the last attempt to connect on a lost path was refused.
-func (p *Paths) RecordRefused(upstream turmericwall.UpstreamKey, refused bool) {
+// RecordRefused records when the last attempt to connect on a lost path was refused; zero means that it was only unanswered.
+func (p *Paths) RecordRefused(refusedAt time.Time, upstream turmericwall.UpstreamKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, ok := p.lost[upstream]; ok {
-		l.refused = refused
+		l.refusedAt = refusedAt
 	}
 }
 
-// IsRefused reports whether the last attempt to connect on a lost path was refused.
-func (p *Paths) IsRefused(upstream turmericwall.UpstreamKey) bool {
+// RefusedAt returns when the last attempt to connect on a lost path was refused; zero if it wasn't.
+func (p *Paths) RefusedAt(upstream turmericwall.UpstreamKey) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.lost[upstream]
-	return ok && l.refused
+	if l, ok := p.lost[upstream]; ok {
+		return l.refusedAt
+	}
+	return time.Time{}
 }
 
 // RecordAtFault records that a peer could not connect to the upstream either.
--- a/upstreams.go
+++ b/upstreams.go
@@ -227,9 +227,10 @@
 	Reused bool
 	// ConnectFailed is set if no connection to the upstream could be established.
 	ConnectFailed bool
-	// ConnectRefused is set beside ConnectFailed if no process listens at the upstream's address. Without it the connection was
-	// not established in time, which a lost packet or a process that stands still gives too.
-	ConnectRefused bool
+	// RefusedAt is set beside ConnectFailed if no process listened at the upstream's address at that time, which may be before the
+	// request. Zero means that the connection was not established in time, which a lost packet or a process that stands still gives
+	// too.
+	RefusedAt time.Time
 	// PathLost is set if the cause is this daemon's network path and not the upstream.
 	PathLost bool
 	// ShareUsed is set if this daemon's share of the upstream's connections is in use.
@@ -243,6 +244,12 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// ShowsEndAfter reports whether no process listened at the upstream's address after the time, so that one which worked then has
+// ended.
+func (e *SendError) ShowsEndAfter(at time.Time) bool {
+	return !e.PathLost && !e.RefusedAt.IsZero() && !e.RefusedAt.Before(at)
+}
+
 // IsSafeToResend reports whether the call has certainly not run at this upstream, so that it may be sent to another
 // one.
 func (e *SendError) IsSafeToResend() bool { return !e.Sent || e.NotRun }
