fix: take a run for begun with the first byte of its body

A run counted as waiting until a whole event of it had been received, so that a 404 proved nothing although the engine had begun to write. The first byte of the body shows that it has begun; its head alone doesn't, as a request starts to run with its first token.

--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -40,7 +40,7 @@
 
 // fenced returns the run whose end is to be proved.
 func (m *modelRun) fenced() twfence.Run {
-	return twfence.Run{Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.received > 0}
+	return twfence.Run{Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.hasBegun}
 }
 
 // mustStay reports whether a silent run must stay at its engine, since its end can't be proved. An engine that accepts connections
@@ -55,7 +55,7 @@
 		return !r.pathLost(run.engine)
 	}
 	run.endProved = found.Result == turmericwall.EndProved
-	return found.Result == turmericwall.EndRefuted && run.received == 0 && r.config.ProveEnd != nil
+	return found.Result == turmericwall.EndRefuted && !run.hasBegun && r.config.ProveEnd != nil
 }
 
 // stopSilent has the engine of a silent run stop it, while the exchange is still open: if the end can't be proved, the run stays
--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -82,6 +83,25 @@
 	g.Expect(s.upstreams.prefills).To(Equal(1))
 }
 
+// Guards against a stream that is lost because its run counts as waiting, although its engine had begun to write the first event.
+func TestARunHasBegunWithTheFirstByteOfItsBody(t *testing.T) {
+	for body, begun := range map[string]bool{"": false, "i": true, events(1, 1): true} {
+		t.Run(fmt.Sprint(len(body), " bytes"), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+			s.upstreams.send = engineAnswers{"d1": stream(body, io.ErrUnexpectedEOF)}.send
+			var asked []bool
+			s.withProofs(func(_ context.Context, run twfence.Run) (twfence.Proof, error) {
+				asked = append(asked, run.HasBegun)
+				return twfence.ProofStopped, nil
+			})
+			_, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(asked).To(Equal([]bool{begun}))
+		})
+	}
+}
+
 // Guards against a silent call that is taken from the engine at which it waits for its turn, and runs there later.
 func TestACallThatWaitsAtItsEngineStaysThere(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -29,6 +29,8 @@
 	events       int
 	// received counts the events that arrived, also those that the caller has already.
 	received int
+	// hasBegun is set once a byte of the answer's body was received: an engine that has only sent the head may not have begun.
+	hasBegun bool
 	// endProved is set once it is proved that the run has ended, while its exchange was still open.
 	endProved bool
 	// progressRecorded is set once it was recorded that the engine has written for a while.
