--- a/internal/admission/twdrain/drain.go
+++ b/internal/admission/twdrain/drain.go
@@ -1,9 +1,9 @@
 // Package twdrain decides which calls a daemon takes in a planned stop: those that end before it exits.
 //
 // What is still open then is cut, and its caller can't repeat a call that runs at most once. A call certainly ends in time if its
-// deadline is before the exit. For a moment after the signal new callers keep coming, as nobody knows of the stop yet; so long a call
-// is also taken if the answers of its route usually end in time. All others are refused at once, since their callers reach
-// another daemon on their next connection.
+// deadline is before the exit. Right after the signal new callers keep coming, as nobody knows of the stop yet; until they do, a call is
+// also taken if the answers of its route usually end in time. All others are refused at once, since their callers reach another daemon
+// on their next connection.
 package twdrain
 
 import (
@@ -27,7 +27,7 @@
 	answerMargin = 50 * time.Millisecond
 )
 
-// ErrStopping is the cause with which the context of a held call ends that can't end before the exit any more.
+// ErrStopping is the cause with which the context of a held call ends once the call can't end before the exit.
 var ErrStopping = errors.New("the daemon exits before the call could end")
 
 // Config configures a Drain.
@@ -159,7 +159,7 @@
 	h.cancel(nil)
 }
 
-// arm lets the context of a held call end in time, if the stop has begun; the lock is held.
+// arm schedules the end of a held call's context, if the stop has begun; the lock is held.
 func (d *Drain) arm(h *hold) {
 	if until, limited := d.takenUntil(h.call); limited {
 		h.timer = time.AfterFunc(until.Sub(d.config.Now()), func() { h.cancel(ErrStopping) })
@@ -182,8 +182,8 @@
 	return until, true
 }
 
-// usual returns the span within which answers usually end: usualShare of the latest ones did, and no call was open for longer as
-// the stop began. Without the open calls, long answers would be missing that began with the load.
+// usual returns the span within which answers usually end: usualShare of the latest ones did, and no call was open for longer at the
+// time. Open calls count, since the longest answers are the last to be known.
 func (s *samples) usual(at time.Time) time.Duration {
 	sorted := slices.Sorted(slices.Values(s.spans))
 	usual := sorted[int(usualShare*float64(len(sorted)-1))]
