fix: count daemons that were lost one after the other as one loss

A leader that counts too few gives each daemon too large a part of the retry budget and of the connections that all share.

Cause: the number that is halved was that of the live daemons while a majority replied, at any query. Replies stop at different times, so that a query between two of them (since also by those who are told of a lost daemon) took 5, then 4 of 6 for the fleet's size, and half of 4 is 2.

Evidence: TestLeaderThatLosesRepliesOneByOneCountsHalfOfAllDaemons stops the replies of two daemons, one after the other, and then of all. Before: 2 where 3 is asked, on the one run. After: it passes, as does the whole package with the race detector (105 s, once).

--- a/internal/membership/twcluster/cluster.go
+++ b/internal/membership/twcluster/cluster.go
@@ -139,8 +139,8 @@
 	sortedAddresses []string
 	// lost are the incarnations that are no longer live, as long as OnPeerLost isn't called for them.
 	lost []string
-	// countedDaemons is the number of live daemons, this one included, when a majority of the members last replied in
-	// this daemon's term as the leader; 0 before that.
+	// countedDaemons is the number of live and unresponsive daemons, this one included, when a majority of the members
+	// last replied in this daemon's term as the leader; 0 before that.
 	countedDaemons int
 	// copiedVersion is the version of the leader's list of members that this daemon has copied.
 	copiedVersion int64
--- a/internal/membership/twcluster/cluster_test.go
+++ b/internal/membership/twcluster/cluster_test.go
@@ -542,3 +542,21 @@
 	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(3))
 	g.Consistently(a.cluster.LiveDaemons, "1s").Should(Equal(3))
 }
+
+// Daemons whose replies stop one after the other each lower the number that is halved, and the retry budget of the few that
+// remain is that of a small fleet.
+func TestLeaderThatLosesRepliesOneByOneCountsHalfOfAllDaemons(t *testing.T) {
+	g := NewWithT(t)
+	s, n, a := startLeader(t, g)
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		startWithDelay(t, s, n, name, time.Hour)
+	}
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(6))
+	n.setPartitioned("f", true)
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(5))
+	n.setPartitioned("e", true)
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(4))
+	n.setPartitioned("a", true)
+	g.Eventually(a.cluster.LiveDaemons, eventualTimeout).Should(Equal(3))
+	g.Consistently(a.cluster.LiveDaemons, "1s").Should(Equal(3))
+}
--- a/internal/membership/twcluster/counts.go
+++ b/internal/membership/twcluster/counts.go
@@ -24,7 +24,8 @@
 		}
 	}
 	if 2*n > len(c.members)+1 {
-		c.countedDaemons = n
+		// Replies rarely stop all at once: those that stopped lately are of the same loss.
+		c.countedDaemons = n + c.unresponsiveDaemons()
 	}
 	lastKnown := c.countedDaemons
 	if lastKnown == 0 {
@@ -53,6 +54,11 @@
 func (c *Cluster) UnresponsiveDaemons() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.unresponsiveDaemons()
+}
+
+// unresponsiveDaemons returns what UnresponsiveDaemons does; the lock is held.
+func (c *Cluster) unresponsiveDaemons() int {
 	n := 0
 	for _, m := range c.members {
 		if !m.live && m.Incarnation != "" && !m.Stopping && time.Since(m.answeredAt) < unresponsiveSpan {
