fix: stop and send a moved run only if its target hasn't left meanwhile

What callers saw: streams broken off after their engine left, although it could have gone on with them for a while.

Cause: the target of a move was asked for before the copy of the memory only. The copy isn't bounded in time, and the run was stopped and sent to the target afterwards whatever the view listed by then.

Change: the target is asked for again after the copy, before the run is stopped: if it has left, the copy is released, the run goes on and is moved elsewhere 250 ms later. It is asked for once more before the send: if it left while the run was being stopped, the call returns to its source (within 0.5 s of its leaving, as before), and the tries at the target end.

Conclusion: a run is stopped only for a target that is listed as serving at that moment. What remains: a target that leaves during the stop itself, while the source may take nothing back.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -54,7 +54,8 @@
 	move           func(from, to turmericwall.Upstream) (turmericwall.EngineExport, bool, error)
 	// copyErr is the error of copies that are made while the run continues.
 	copyErr error
-	// onMove is called when a move begins, and moveSpan is how long it takes.
+	// onCopy is called while a copy is made. onMove is called when a move begins, and moveSpan is how long it takes.
+	onCopy   func()
 	onMove   func()
 	moveSpan time.Duration
 }
@@ -119,6 +120,9 @@
 func (u *fakeUpstreams) CopyRun(
 	context.Context, turmericwall.Upstream, turmericwall.Upstream, string,
 ) (turmericwall.EngineExport, error) {
+	if u.onCopy != nil {
+		u.onCopy()
+	}
 	return turmericwall.EngineExport{Address: "d1:1", Handle: "copy"}, u.copyErr
 }
 
--- /dev/null
+++ b/internal/delivery/twrelay/left_test.go
@@ -0,0 +1,96 @@
+package twrelay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+)
+
+// newMovingFixture returns a fixture in which the run at d1 is placed on d2, and then on d3, because d1 leaves. The run sends an event
+// each 50 ms until it is stopped.
+func newMovingFixture() *fixture {
+	move := func(to string) turmericwall.Placement {
+		return turmericwall.Placement{Decode: engine(to, turmericwall.RoleDecode)}
+	}
+	s := newModelFixture(splitPlacement("d1"), move("d2"), move("d3"))
+	s.view.Put(2, engine("d3", turmericwall.RoleDecode))
+	stopped := make(chan struct{})
+	stop := sync.OnceFunc(func() { close(stopped) })
+	s.upstreams.send = func(
+		_ context.Context, to turmericwall.Upstream, call turmericwall.OutgoingCall,
+	) (*turmericwall.Answer, error) {
+		if call.ResumeAfter > 0 {
+			return answer(200, events(int(call.ResumeAfter)+1, 30)), nil
+		}
+		reader, writer := io.Pipe()
+		go func() {
+			for i := 1; i <= 30; i++ {
+				_, _ = io.WriteString(writer, events(i, i))
+				if i == 3 {
+					s.announceLeaving(to.ID)
+				}
+				select {
+				case <-stopped:
+					_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+			_ = writer.Close()
+		}()
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: reader}, nil
+	}
+	s.upstreams.move = func(_, _ turmericwall.Upstream) (turmericwall.EngineExport, bool, error) {
+		stop()
+		return turmericwall.EngineExport{Address: "d1:1", Handle: "m"}, true, nil
+	}
+	return s
+}
+
+// Guards against a run that is stopped for an engine which left while the copy was made.
+func TestARunIsNotStoppedForATargetThatLeftDuringTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	s := newMovingFixture()
+	s.upstreams.onCopy = func() { s.announceLeaving("d2") }
+	stop := s.upstreams.move
+	s.upstreams.move = func(from, to turmericwall.Upstream) (turmericwall.EngineExport, bool, error) {
+		g.Expect(to.ID).To(Equal("d3"))
+		return stop(from, to)
+	}
+	w, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 30)))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1", "d3"}))
+	g.Eventually(func() int {
+		s.upstreams.mu.Lock()
+		defer s.upstreams.mu.Unlock()
+		return s.upstreams.droppedExports
+	}).Should(Equal(1), "the unused copy is released")
+	g.Expect(s.throttle.admitted["d2"]).To(BeZero())
+}
+
+// Guards against a moved run that is sent to an engine which left while the run was being stopped.
+func TestAMovedRunReturnsIfItsTargetLeftMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	s := newMovingFixture()
+	s.upstreams.onMove = func() { s.announceLeaving("d2") }
+	stop := s.upstreams.move
+	s.upstreams.move = func(from, to turmericwall.Upstream) (turmericwall.EngineExport, bool, error) {
+		if to.ID == "d3" {
+			return turmericwall.EngineExport{}, false, notRunError()
+		}
+		return stop(from, to)
+	}
+	w, err := s.serve(context.Background(), "/m/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 30)))
+	g.Expect(s.upstreams.sentTo()[:2]).To(Equal([]string{"d1", "d1"}))
+	g.Expect(s.upstreams.sentTo()).NotTo(ContainElement("d2"))
+}
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -132,10 +132,15 @@
 		abandon()
 		return moveResult{err: err}
 	}
-	if !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+	// The copy may have taken long.
+	err = r.checkAcceptsCalls(placement.Decode)
+	if err == nil && !r.config.Retries.Spend(time.Now(), a.service.Name, r.config.Daemons()) {
+		err = errRetryBudgetUsed
+	}
+	if err != nil {
 		abandon()
 		go r.releaseEngines(placement.Decode, "", request.from, copied)
-		return moveResult{err: errRetryBudgetUsed}
+		return moveResult{err: err}
 	}
 	export, moved, err := r.config.Upstreams.MoveRun(ctx, request.from, placement.Decode, a.call.ID)
 	if err != nil {
@@ -253,7 +258,7 @@
 		switch {
 		case time.Since(s.move.noticedAt) < maxReturnDelay:
 			engine, delay = source, 0
-		case !result.copied || refusals > maxRefusedImports || time.Now().After(until):
+		case errors.Is(err, errLeaving), !result.copied || refusals > maxRefusedImports || time.Now().After(until):
 			return nil, err
 		}
 		if !pause(ctx, delay) || !s.relay.spendSend(s.attempt) {
@@ -288,6 +293,9 @@
 		// Engines have ended under other tries of the request meanwhile.
 		return err
 	}
+	if err := s.checkTarget(run, engine); err != nil {
+		return err
+	}
 	run.engine, run.sentAt = engine, time.Now()
 	s.attempt.upstreamID = engine.ID
 	repeats := s.relay.recordSent(s.attempt, run.engine)
@@ -308,6 +316,24 @@
 	return err
 }
 
+// checkTarget returns an error if the engine to which a run was moved has left since the run was stopped. The run's source, to which
+// it may return, is leaving anyway.
+func (s *answerStream) checkTarget(run *modelRun, engine turmericwall.Upstream) error {
+	if engine.Key() != run.placement.Decode.Key() {
+		return nil
+	}
+	err := s.relay.checkAcceptsCalls(engine)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, errLeaving) {
+		s.relay.returnAdmissions(engine)
+	}
+	err = &turmericwall.SendError{Err: err}
+	s.relay.returnUnsent(s.attempt, err)
+	return err
+}
+
 func (s *answerStream) logMove(outcome moveResult) {
 	entry := s.relay.config.Recorder.Record(turmericwall.EventRunMoved).Str("request", s.attempt.call.ID).
 		Str("from", s.run.engine.ID).
