fix: send a prepared run only to an engine that hasn't left meanwhile

Cause: another engine is prepared for a silent stream, its prompt is read there, and then the end of the silent run is proved, which may take up to two seconds. The run was then sent without a look at the engine.

Change: the engine is asked for right before each send of a run; if it has left or asks for a pause, the prepared run is released and another one is placed.

Evidence: TestAPreparedRunIsNotSentToAnEngineThatLeftMeanwhile fails before (d1, then d2, which had left) and passes after (d1, then d3). The whole package passes with the race detector (39 s).

The prompt that was read for the engine that left is lost, as it was with the send.

--- a/internal/delivery/twrelay/left_test.go
+++ b/internal/delivery/twrelay/left_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
 )
 
 // newMovingFixture returns a fixture in which the run at d1 is placed on d2, and then on d3, because d1 leaves. The run sends an event
@@ -94,3 +95,24 @@
 	g.Expect(s.upstreams.sentTo()[:2]).To(Equal([]string{"d1", "d1"}))
 	g.Expect(s.upstreams.sentTo()).NotTo(ContainElement("d2"))
 }
+
+// Guards against a stream that goes on at an engine which left while the end of the run before was proved.
+func TestAPreparedRunIsNotSentToAnEngineThatLeftMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"), splitPlacement("d3"))
+	s.view.Put(2, engine("d3", turmericwall.RoleDecode))
+	s.found.Store(int64(turmericwall.EndRefuted))
+	s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: newSilentBody(ctx, events(1, 2))}, nil
+	}}.send
+	s.upstreams.copyErr = errConnectionReset
+	s.withProofs(func(context.Context, twfence.Run) (twfence.Proof, error) {
+		s.announceLeaving("d2")
+		return twfence.ProofStopped, nil
+	})
+	w, err := s.serveWithin(context.Background(), "/r/x", resumeSpan)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 6)))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1", "d3"}))
+	g.Expect(s.throttle.admitted["d2"]).To(BeZero())
+}
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -162,15 +162,10 @@
 // fails, done reports whether the call must not be placed again.
 func (r *Relay) sendRun(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
 	a.upstreamID = run.engine.ID
-	err = r.proveFormerEnded(ctx, a)
-	if err == nil {
-		err = r.checkQuarantine(a)
-	}
-	if err != nil {
-		// The run may have been prepared long before, while another run of the request ended its engine.
+	if done, err = r.checkBeforeSend(ctx, a, run); err != nil {
 		a.prepared = run
 		r.releasePrepared(a)
-		return true, err
+		return done, err
 	}
 	a.runs++
 	run.sentAt = time.Now()
@@ -191,6 +186,22 @@
 	return done, err
 }
 
+// checkBeforeSend checks what may have changed since the run was prepared, which may have been long before: whether the run before has
+// ended, whether other runs of the request ended their engines, and the engine. done reports whether the call must not be placed
+// again.
+func (r *Relay) checkBeforeSend(ctx context.Context, a *attempt, run *modelRun) (done bool, err error) {
+	if err := r.proveFormerEnded(ctx, a); err != nil {
+		return true, err
+	}
+	if err := r.checkQuarantine(a); err != nil {
+		return true, err
+	}
+	if err := r.checkAcceptsCalls(run.engine); err != nil {
+		return false, notRunProblem(err)
+	}
+	return false, nil
+}
+
 // awaitHead sends the run and waits for the head of its answer, or until another run is prepared because the engine is
 // silent.
 func (r *Relay) awaitHead(ctx context.Context, a *attempt, run *modelRun) (*turmericwall.Answer, error) {
