fix: send a plain call only to an upstream that hasn't left meanwhile

Cause: a plain call's upstream is picked from the view, and then the send is admitted, which may take a request to the daemon that keeps the rates, and a suspected call waits up to 0.3 s for its turn. It was sent afterwards without a look at the upstream.

Change: the upstream is asked for after both waits. If it has left, the send, the turn and the pick are returned, and another upstream is picked.

Evidence: TestNoPlainCallIsSentToAnUpstreamThatLeftDuringItsAdmission fails before (the call goes to the upstream that left) and passes after, for calls that may be repeated and others. All packages of internal/delivery and internal/membership pass with the race detector.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -165,9 +165,14 @@
 	// backoffUntil holds the upstreams that are in back-off for this daemon.
 	backoffUntil map[string]time.Time
 	admitted     map[string]int
+	// onAdmit is called while a send is admitted, which may take a request to another daemon.
+	onAdmit func(id string)
 }
 
 func (t *fakeThrottle) Admit(_ context.Context, upstream turmericwall.UpstreamKey) error {
+	if t.onAdmit != nil {
+		t.onAdmit(upstream.ID)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if until, closed := t.closedUntil[upstream.ID]; closed {
--- a/internal/delivery/twrelay/left_test.go
+++ b/internal/delivery/twrelay/left_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -116,3 +117,26 @@
 	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1", "d3"}))
 	g.Expect(s.throttle.admitted["d2"]).To(BeZero())
 }
+
+// Guards against a call that is sent to an upstream which left while the send was admitted.
+func TestNoPlainCallIsSentToAnUpstreamThatLeftDuringItsAdmission(t *testing.T) {
+	for _, kind := range plainKinds {
+		g := NewWithT(t)
+		s := newFixture(kind)
+		s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+			return answer(200, "ok"), nil
+		}
+		left := ""
+		s.throttle.onAdmit = func(id string) {
+			if left == "" {
+				left = id
+				s.announceLeaving(id)
+			}
+		}
+		w, _ := s.serve(context.Background(), "/p/x")
+		g.Expect(w.Code).To(Equal(200))
+		g.Expect(s.upstreams.sentTo()).To(HaveLen(1))
+		g.Expect(strings.Join(s.upstreams.sentTo(), "")).NotTo(Equal(left))
+		g.Expect(s.throttle.admitted[left]).To(BeZero(), "the send that was not made is returned")
+	}
+}
--- a/internal/delivery/twrelay/plain.go
+++ b/internal/delivery/twrelay/plain.go
@@ -217,7 +217,15 @@
 			r.releasePick(a, upstream)
 			return upstream, false
 		}
-		return upstream, true
+		if r.config.View.AcceptsCalls(upstream.Key()) {
+			return upstream, true
+		}
+		// It has left while the call was admitted or waited for its turn.
+		r.returnTurn(a)
+		r.returnUnsent(a, &turmericwall.SendError{Err: errLeaving})
+		r.config.Throttle.ReturnSend(upstream.Key())
+		r.releasePick(a, upstream)
+		avoid[upstream.ID] = true
 	}
 }
 
--- a/internal/delivery/twrelay/turn.go
+++ b/internal/delivery/twrelay/turn.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// returnTurn ends a turn in which nothing was sent.
+func (r *Relay) returnTurn(a *attempt) {
+	if a.turn != "" {
+		r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: a.turn, Service: a.service.Name, NotRun: true})
+		a.turn = ""
+	}
+}
+
 // recordPlainAnswer records that a plain upstream has answered the call completely.
 func (r *Relay) recordPlainAnswer(a *attempt) {
 	if r.config.Quarantine != nil {
