feat: state a daemon's other connections to an upstream

A lost answer, a closed port and a crash look alike to the call that is concerned. They differ in the other connections: a process that ends takes all of them with it at once, one that has closed its port keeps those with open answers, and the system of one that stands still acknowledges keep-alive probes. States counts those that are open, heard, ended inside an answer at the same time, and closed while idle. What ended before the upstream was last seen alive doesn't count.

--- a/internal/delivery/twdirect/transport_test.go
+++ b/internal/delivery/twdirect/transport_test.go
@@ -45,6 +45,10 @@
 	return c.connectErr
 }
 
+func (c *fakeConnections) States(turmericwall.Upstream, string, time.Time) turmericwall.ConnectionStates {
+	return turmericwall.ConnectionStates{}
+}
+
 func (c *fakeConnections) CloseIdle(turmericwall.Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/upstreams.go
+++ b/upstreams.go
@@ -104,6 +104,18 @@
 	CloseIdle(to Upstream)
 	// LastReceivedAt returns when anything was last received from the upstream; zero if that was never.
 	LastReceivedAt(to Upstream) time.Time
+	// States returns the states of the connections to the upstream, without those of one call, which ended at the time.
+	States(to Upstream, callID string, endedAt time.Time) ConnectionStates
+}
+
+// ConnectionStates counts a daemon's connections to one upstream by their states.
+type ConnectionStates struct {
+	// Open are established. Heard is set if the upstream's system acknowledged something on one of them lately, which a machine
+	// does whose process stands still.
+	Open  int
+	Heard bool
+	// Broken are those that the upstream ended inside an answer at about the time, and Closed idle ones that it has closed.
+	Broken, Closed int
 }
 
 // UpstreamStatement is what one answer of an upstream states about the upstream itself.
