fix: let a stream whose engine has no such run now go on at that engine only

What callers saw: a stream went on at another engine while the engine before worked on (TWICE).

Cause: the engine was asked to stop the run and answered 404. Of a run that had begun this counted as the end; but an engine that is short of memory preempts runs, has none of them meanwhile, and reads them in again.

What a fact proves is now decided in one place (twrunend), from the engine's answer to the order, its start, and the attempts to connect. A 404 proves nothing. The stream goes on at once at the same engine (Only, in the request for a placement; a leader of an earlier build that doesn't keep to it is found out and its placement given back), which still has the parts of the prompt and may run a stream that may be resumed twice itself. A call that hadn't begun does the same after 0.6 s, instead of getting 502. While two runs of one call may be at an engine, an order that stops one of them proves nothing about the other, and none of them is moved. An engine that leaves gets no more runs: then the stream ends, and its caller can take it up.

An order that is refused with 421 shows another incarnation only if the engine's start says so too: an engine that changes its role may refuse like that.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -1,7 +1,8 @@
 // Package twendcheck tells an upstream that has ended from one that broke a single answer off, by a query that is sent after the
 // run had broken off. It knows incarnations by the starts that upstreams state in their reports.
 //
-// An upstream has ended if another incarnation answers at its address, or if nothing listens there. One that accepts a connection
+// An upstream has ended if another incarnation answers at its address, or if nothing listens there, as far as evidence on inputs is
+// concerned; what that proves about its runs is for twrunend to say. One that accepts a connection
 // and resets it may have as many as it accepts; a connection that isn't established may be due to a lost packet, or to a process
 // that stands still.
 package twendcheck
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
 )
 
 const (
@@ -26,6 +28,9 @@
 	// checkRetention is how long a check is remembered, and maxSightings the starts that are remembered of an upstream.
 	checkRetention = 30 * time.Second
 	maxSightings   = 4
+	// settleDelay is the pause before the connections of an upstream are looked at again, and settleTries how often that is done.
+	settleDelay = 10 * time.Millisecond
+	settleTries = 3
 )
 
 // Config configures a Checker.
@@ -37,6 +42,10 @@
 	// direct path: otherwise this daemon is cut off, which it may not know yet.
 	Others      func(upstream turmericwall.Upstream) []turmericwall.Upstream
 	QueryDirect func(ctx context.Context, to turmericwall.Upstream) error
+	// Connections returns the states of this daemon's connections to an upstream, without those of a call that ended at the time, and
+	// AcceptsCalls whether an upstream is listed and hasn't announced that it leaves. They may be nil.
+	Connections  func(upstream turmericwall.Upstream, callID string, endedAt time.Time) turmericwall.ConnectionStates
+	AcceptsCalls func(upstream turmericwall.UpstreamKey) bool
 	// OwnDelay returns by how much this daemon may delay the answers to queries; it may be nil.
 	OwnDelay func() time.Duration
 }
@@ -51,6 +60,8 @@
 // Run is a run that ended without a complete answer.
 type Run struct {
 	Upstream turmericwall.Upstream
+	// CallID is the id of its call; empty if it is unknown.
+	CallID string
 	// SentAt is when the run was sent, and BrokenAt when it ended.
 	SentAt, BrokenAt time.Time
 }
@@ -64,6 +75,10 @@
 	Answered bool
 	// Evidence is what the result rests on; empty before the end of a query.
 	Evidence Evidence
+	// Proof is how the run itself is known to have ended; empty if it may work on.
+	Proof twrunend.Proof
+	// Connections are the daemon's other connections to an upstream that refused the query.
+	Connections turmericwall.ConnectionStates
 }
 
 // Evidence is what became of a query.
@@ -131,12 +146,47 @@
 		found.Evidence = joined.evidence
 		isLater := !joined.beganAt.Before(run.BrokenAt)
 		if isLater || (found.Result == turmericwall.EndProved && joined.beganAt.After(run.SentAt)) {
-			return found
+			return c.withProof(ctx, run, found)
 		}
 		found.Result, found.Answered, found.Evidence = turmericwall.EndUnknown, false, ""
 	}
 }
 
+// withProof adds what the finding proves about the run.
+func (c *Checker) withProof(ctx context.Context, run Run, found Finding) Finding {
+	if found.Result != turmericwall.EndProved {
+		return found
+	}
+	facts := twrunend.Facts{At: time.Now(), Replaced: found.Evidence != EvidenceRefused}
+	if !facts.Replaced {
+		facts.RefusedSince, facts.RefusedTries = facts.At, 1
+		facts.Leaving = c.config.AcceptsCalls != nil && !c.config.AcceptsCalls(run.Upstream.Key())
+		found.Connections = c.settledConnections(ctx, run)
+		facts.Connections = found.Connections
+	}
+	found.Proof = facts.Proof()
+	return found
+}
+
+// settledConnections returns the states of the connections to an upstream that refuses connections. Those that broke with the run's
+// may not have been read yet.
+func (c *Checker) settledConnections(ctx context.Context, run Run) (states turmericwall.ConnectionStates) {
+	if c.config.Connections == nil {
+		return states
+	}
+	for range settleTries {
+		states = c.config.Connections(run.Upstream, run.CallID, run.BrokenAt)
+		if states.Open == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(settleDelay + c.ownDelay()):
+		}
+	}
+	return states
+}
+
 // incarnationOf returns the incarnation that ran the run: the newest that was seen before the run was sent, as long as its entry
 // didn't change since, else that of the entry.
 func (c *Checker) incarnationOf(run Run) turmericwall.UpstreamKey {
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
 )
 
 // upstream is listed with a start of 1.
@@ -125,6 +126,7 @@
 	checker := newChecker(func(context.Context) (int64, error) { return started, nil }, nil)
 	g.Expect(checker.Check(context.Background(), broken())).To(Equal(twendcheck.Finding{
 		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 1}, Result: turmericwall.EndProved, Answered: true, Evidence: twendcheck.EvidenceAnswer,
+		Proof: twrunend.ProofReplaced,
 	}))
 	later := func() twendcheck.Run {
 		return twendcheck.Run{Upstream: upstream, SentAt: time.Now(), BrokenAt: time.Now()}
@@ -133,6 +135,7 @@
 	started = 3
 	g.Expect(checker.Check(context.Background(), later())).To(Equal(twendcheck.Finding{
 		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 2}, Result: turmericwall.EndProved, Answered: true, Evidence: twendcheck.EvidenceAnswer,
+		Proof: twrunend.ProofReplaced,
 	}))
 }
 
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -1,9 +1,8 @@
 // Package twfence proves that a run has ended before its stream goes on at another engine.
 //
-// A connection that broke, and an engine that is silent, don't show that: the answer may have been lost on its way, and a
-// process that stands still works on later. The engine itself stops the run, or states that it no longer has one that had begun;
-// of a call that hasn't begun yet that statement says nothing, since the call may still wait there. An engine at whose address
-// nothing listens has ended. One that can't be reached for a while is fenced off: nothing that it works on reaches a caller.
+// The engine is ordered to stop the run, and asked for its start, until twrunend finds a proof in what it answers, or doesn't. An
+// engine that answers that it has no such run may have preempted it, or not have begun it: then the stream may go on at this engine,
+// and nowhere else.
 package twfence
 
 import (
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twendcheck"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
 )
 
 const (
@@ -23,40 +24,19 @@
 	retryDelay, maxRetryDelay = 30 * time.Millisecond, 500 * time.Millisecond
 	// dropTimeout bounds the release of a copy that nobody needs.
 	dropTimeout = time.Second
-	// beginSpan is how long a call that hasn't begun is watched for its begin, upon which the next order stops it. Its caller has
-	// received nothing from that run, and loses less by another try than by a longer wait.
+	// beginSpan is how long a call that hasn't begun is watched for its begin, upon which the next order stops it. Then its caller loses
+	// less by another run at the same engine than by a longer wait.
 	beginSpan = 600 * time.Millisecond
-	// unreachableSpan is how long no connection to an engine that counts as unreachable is established, and unreachableTries in how
-	// many attempts: one lost packet fails one of them.
-	unreachableSpan  = 700 * time.Millisecond
-	unreachableTries = 3
-)
-
-// Proof is how a run is known to have ended.
-type Proof string
-
-// The proofs.
-const (
-	// ProofStopped: the engine has stopped the run.
-	ProofStopped Proof = "stopped"
-	// ProofNotRunning: the engine, which had begun to run the call, doesn't run it any more.
-	ProofNotRunning Proof = "notRunning"
-	// ProofReplaced: another incarnation has the engine's address.
-	ProofReplaced Proof = "replaced"
-	// ProofRefused: no process listens at the engine's address.
-	ProofRefused Proof = "refused"
-	// ProofUnreachable: no connection to the engine could be established for unreachableSpan, from here or from peers.
-	ProofUnreachable Proof = "unreachable"
+	// unconnectedSpan is how long an engine is tried to which no connection can be established. A caller whose stream ends can take it
+	// up elsewhere, and one who waits for longer leaves.
+	unconnectedSpan = 1300 * time.Millisecond
 )
 
 // ErrUnproved means that the call's time was over before the end of its run was proved.
 var ErrUnproved = errors.New("nothing shows that the run before has ended")
 
-// errUnconnected is the error of an order for which no connection was established.
-var errUnconnected = errors.New("no connection to the engine was established")
-
-// errMayBegin is wrapped beside ErrUnproved if the call may still wait at its engine.
-var errMayBegin = errors.New("the engine doesn't run the call, which may still wait there")
+// ErrAbsent is wrapped beside ErrUnproved if the engine doesn't run the call now, and may run it later.
+var ErrAbsent = errors.New("the engine doesn't run the call now, and may run it later")
 
 // Config configures a Fence.
 type Config struct {
@@ -64,6 +44,12 @@
 	Stop func(ctx context.Context, from, to turmericwall.Upstream, callID string) (turmericwall.EngineExport, bool, error)
 	// Drop releases the memory of a run that was stopped.
 	Drop func(ctx context.Context, from turmericwall.Upstream, export turmericwall.EngineExport) error
+	// CheckEnd asks the run's engine for its start.
+	CheckEnd func(ctx context.Context, run twendcheck.Run) twendcheck.Finding
+	// Connections returns the states of this daemon's connections to an engine, without those of the call.
+	Connections func(engine turmericwall.Upstream, callID string, endedAt time.Time) turmericwall.ConnectionStates
+	// AcceptsCalls reports whether an engine is listed and hasn't announced that it leaves.
+	AcceptsCalls func(engine turmericwall.UpstreamKey) bool
 	// Others returns other engines of the same service; an order to stop names one of them as the target of the copy.
 	Others   func(engine turmericwall.Upstream) []turmericwall.Upstream
 	Recorder turmericwall.Recorder
@@ -81,6 +67,10 @@
 	// SentAt is when the call was sent to the engine, and HasBegun whether the engine was seen to work on it.
 	SentAt   time.Time
 	HasBegun bool
+	// EndedAt is when its exchange ended here; zero if it hasn't.
+	EndedAt time.Time
+	// IsShared is set if the engine may have an earlier run of the call.
+	IsShared bool
 }
 
 // New returns a fence.
@@ -91,81 +81,126 @@
 	return &Fence{config: config}
 }
 
-// Prove returns once the end of the run is proved, or with ErrUnproved once ctx ends or the call has not begun for beginSpan. The
-// run is stopped if it works.
-func (f *Fence) Prove(ctx context.Context, run Run) (Proof, error) {
-	beganAt, delay := time.Now(), retryDelay
-	var giveUpAt time.Time
-	var unconnected series
-	for try := 0; ; try++ {
-		triedAt := time.Now()
-		proof, err := f.try(ctx, run, try)
-		if unconnected.add(triedAt, errors.Is(err, errUnconnected)) && ctx.Err() == nil {
-			proof = ProofUnreachable
-		}
-		if errors.Is(err, errMayBegin) && giveUpAt.IsZero() {
-			giveUpAt = time.Now().Add(beginSpan)
-		}
-		isWatched := errors.Is(err, errMayBegin) && !time.Now().Before(giveUpAt)
-		if proof != "" || ctx.Err() != nil || isWatched {
-			return proof, f.record(run, proof, time.Since(beganAt), try+1, err)
+// Prove returns once the end of the run is proved, or with ErrUnproved once ctx ends, no connection to the engine could be established
+// for unconnectedSpan, or the engine has no such run, if the call had begun or has not begun for beginSpan. The run is stopped if it
+// works.
+func (f *Fence) Prove(ctx context.Context, run Run) (twrunend.Proof, error) {
+	p := &proving{run: run, beganAt: time.Now()}
+	for delay := retryDelay; ; delay = min(2*delay, maxRetryDelay) {
+		err := f.try(ctx, p)
+		proof := p.facts.Proof()
+		if now := time.Now(); proof != "" || ctx.Err() != nil || p.isAbsent(now) || p.isUnconnected(now) {
+			return proof, f.record(p, proof, err)
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay):
 		}
-		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
-// series counts the attempts in a row for which no connection was established.
-type series struct {
-	since time.Time
-	tries int
+// proving is what is known of a run whose end is being proved.
+type proving struct {
+	run     Run
+	beganAt time.Time
+	tries   int
+	facts   twrunend.Facts
+	// absentSince is when the engine first had no such run, and unconnectedSince when the first attempt in a row to connect failed.
+	absentSince, unconnectedSince time.Time
 }
 
-// add adds an attempt that began at the time. It reports whether the engine counts as unreachable.
-func (s *series) add(at time.Time, unconnected bool) bool {
-	if !unconnected {
-		*s = series{}
-		return false
+// isAbsent reports whether the engine has no such run now, and its begin isn't awaited any more.
+func (p *proving) isAbsent(now time.Time) bool {
+	return p.facts.Order == twrunend.OrderAbsent && (p.run.HasBegun || !now.Before(p.absentSince.Add(beginSpan)))
+}
+
+// isUnconnected reports whether no connection could be established for as long as that is tried.
+func (p *proving) isUnconnected(now time.Time) bool {
+	return !p.unconnectedSince.IsZero() && !now.Before(p.unconnectedSince.Add(unconnectedSpan))
+}
+
+// try sends one order and adds what it shows to the facts.
+func (f *Fence) try(ctx context.Context, p *proving) error {
+	triedAt, engine := time.Now(), p.run.Engine
+	target := engine
+	if others := f.config.Others(engine); len(others) > 0 {
+		target = others[p.tries%len(others)]
 	}
-	if s.tries == 0 {
-		s.since = at
+	p.tries++
+	tryCtx, cancel := context.WithTimeout(ctx, tryTimeout+f.config.OwnDelay())
+	defer cancel()
+	export, _, err := f.config.Stop(tryCtx, engine, target, p.run.CallID)
+	var sent *turmericwall.SendError
+	isSendError := errors.As(err, &sent)
+	refused := isSendError && sent.ShowsEndAfter(p.run.SentAt) && tryCtx.Err() == nil
+	unconnected := isSendError && !refused && sent.ConnectFailed && !sent.Sent && tryCtx.Err() == nil
+	p.addAttempt(triedAt, refused, unconnected)
+	p.facts.Order = twrunend.OrderUnanswered
+	switch {
+	case err == nil:
+		p.facts.Order = twrunend.OrderStopped
+		f.drop(engine, export)
+	case isSendError && (sent.IncarnationReplaced || sent.Status == http.StatusNotFound):
+		p.facts.Replaced = f.isReplaced(tryCtx, p.run)
+		if sent.Status == http.StatusNotFound {
+			p.addAbsent(triedAt)
+		}
 	}
-	s.tries++
-	return s.tries >= unreachableTries && time.Since(s.since) >= unreachableSpan
+	if refused || unconnected {
+		p.facts.Leaving = !f.config.AcceptsCalls(engine.Key())
+		p.facts.Connections = f.connections(p.run)
+	}
+	p.facts.At, p.facts.Shared = time.Now(), p.run.IsShared
+	return err
 }
 
-// try sends one order; the proof is empty if it proved nothing.
-func (f *Fence) try(ctx context.Context, run Run, try int) (Proof, error) {
-	target := run.Engine
-	if others := f.config.Others(run.Engine); len(others) > 0 {
-		target = others[try%len(others)]
+// connections returns the states of the connections to the run's engine. That of the run itself tells as much as the others while it is
+// open.
+func (f *Fence) connections(run Run) turmericwall.ConnectionStates {
+	if run.EndedAt.IsZero() {
+		return f.config.Connections(run.Engine, "", time.Now())
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+f.config.OwnDelay())
-	defer cancel()
-	export, _, err := f.config.Stop(ctx, run.Engine, target, run.CallID)
-	if err == nil {
-		f.drop(run.Engine, export)
-		return ProofStopped, nil
+	return f.config.Connections(run.Engine, run.CallID, run.EndedAt)
+}
+
+// addAttempt adds an attempt to connect to the series of those before.
+func (p *proving) addAttempt(at time.Time, refused, unconnected bool) {
+	facts := &p.facts
+	switch {
+	case !refused && !unconnected:
+		p.unconnectedSince = time.Time{}
+	case p.unconnectedSince.IsZero():
+		p.unconnectedSince = at
 	}
-	var sent *turmericwall.SendError
+	facts.RefusedSince, facts.RefusedTries = continueSeries(facts.RefusedSince, facts.RefusedTries, at, refused)
+	facts.UnconnectedSince, facts.UnconnectedTries = continueSeries(facts.UnconnectedSince, facts.UnconnectedTries, at, unconnected)
+}
+
+// continueSeries returns a series of attempts in a row after one more.
+func continueSeries(since time.Time, tries int, at time.Time, belongs bool) (time.Time, int) {
 	switch {
-	case !errors.As(err, &sent):
-		return "", err
-	case sent.IncarnationReplaced:
-		return ProofReplaced, err
-	case sent.Status == http.StatusNotFound && run.HasBegun:
-		return ProofNotRunning, err
-	case sent.Status == http.StatusNotFound:
-		return "", errors.Join(errMayBegin, err)
-	case sent.ShowsEndAfter(run.SentAt) && ctx.Err() == nil:
-		return ProofRefused, err
-	case sent.ConnectFailed && !sent.Sent && ctx.Err() == nil:
-		return "", errors.Join(errUnconnected, err)
+	case !belongs:
+		return time.Time{}, 0
+	case tries == 0:
+		return at, 1
+	}
+	return since, tries + 1
+}
+
+// addAbsent adds that the engine has no such run.
+func (p *proving) addAbsent(at time.Time) {
+	p.facts.Order = twrunend.OrderAbsent
+	if p.absentSince.IsZero() {
+		p.absentSince = at
 	}
-	return "", err
+}
+
+// isReplaced reports whether another incarnation has the engine's address. An order may be refused as one for another engine also
+// by an engine that changes its role, so that the start that it states decides.
+func (f *Fence) isReplaced(ctx context.Context, run Run) bool {
+	now := time.Now()
+	found := f.config.CheckEnd(ctx, twendcheck.Run{Upstream: run.Engine, CallID: run.CallID, SentAt: run.SentAt, BrokenAt: now})
+	return found.Proof == twrunend.ProofReplaced
 }
 
 // drop releases the memory of a stopped run, which its engine keeps for a while otherwise.
@@ -181,14 +216,21 @@
 }
 
 // record records how the end was proved, or that it wasn't, and returns the error then.
-func (f *Fence) record(run Run, proof Proof, span time.Duration, tries int, cause error) error {
+func (f *Fence) record(p *proving, proof twrunend.Proof, cause error) error {
+	run, connections := p.run, p.facts.Connections
 	entry := f.config.Recorder.Record(turmericwall.EventRunEndProved).Str("request", run.CallID).Str("upstream", run.Engine.ID).
-		Str("proof", string(proof)).Int("millis", span.Milliseconds()).Int("tries", int64(tries)).
-		Str("begun", strconv.FormatBool(run.HasBegun)).Int("sinceSentMillis", time.Since(run.SentAt).Milliseconds())
+		Str("proof", string(proof)).Str("order", string(p.facts.Order)).
+		Int("millis", time.Since(p.beganAt).Milliseconds()).Int("tries", int64(p.tries)).
+		Str("begun", strconv.FormatBool(run.HasBegun)).Int("sinceSentMillis", time.Since(run.SentAt).Milliseconds()).
+		Int("refusedTries", int64(p.facts.RefusedTries)).Int("unconnectedTries", int64(p.facts.UnconnectedTries)).
+		Int("open", int64(connections.Open)).Int("broken", int64(connections.Broken)).Int("closed", int64(connections.Closed))
 	if proof != "" {
 		entry.Send()
 		return nil
 	}
 	entry.Err(cause).Send()
+	if p.isAbsent(time.Now()) {
+		return errors.Join(ErrUnproved, ErrAbsent, cause)
+	}
 	return errors.Join(ErrUnproved, cause)
 }
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -64,7 +64,7 @@
 	switch {
 	case r.config.Quarantine == nil, r.config.CheckEnd == nil, !mayHaveBegun(broken.cause):
 	case hasAnswered(broken.cause):
-		r.logBroken(broken, "no", "")
+		r.logBroken(broken, "no", twendcheck.Finding{})
 	case isUnread(broken.cause):
 		update.Ended = r.settleUnread(ctx, a, broken)
 	case errors.Is(broken.cause, errSilent), hasLeft(ctx, broken.cause) && r.isListed(broken.input):
@@ -92,7 +92,7 @@
 	if errors.As(broken.cause, &unread) {
 		unread.isAlive = found.Result == turmericwall.EndRefuted
 	}
-	r.logBroken(broken, "unread", found.Evidence)
+	r.logBroken(broken, "unread", found)
 	return nil
 }
 
@@ -118,7 +118,7 @@
 // the run was ended here: a process that ends closes its connections.
 func (r *Relay) checkEnd(ctx context.Context, broken brokenRun) twendcheck.Finding {
 	found := r.config.CheckEnd(ctx, twendcheck.Run{
-		Upstream: broken.upstream, SentAt: broken.sentAt, BrokenAt: broken.brokenAt,
+		Upstream: broken.upstream, CallID: broken.callID, SentAt: broken.sentAt, BrokenAt: broken.brokenAt,
 	})
 	if found.Result == turmericwall.EndUnknown && found.Answered && wasEndedHere(broken.cause) {
 		found.Result = turmericwall.EndRefuted
@@ -139,14 +139,14 @@
 func (r *Relay) recordEnd(
 	ctx context.Context, a *attempt, broken brokenRun, found twendcheck.Finding,
 ) *turmericwall.UpstreamKey {
-	r.logBroken(broken, found.Result.String(), found.Evidence)
+	r.logBroken(broken, found.Result.String(), found)
 	if found.Result == turmericwall.EndRefuted {
 		return nil
 	}
 	if a != nil {
 		a.upstreamEnds.Add(1)
 		// The sends of a plain call, which may end at the same time, leave no run behind.
-		if found.Result == turmericwall.EndProved && a.former != nil {
+		if found.Proof != "" {
 			a.former = nil
 		}
 	}
@@ -155,10 +155,14 @@
 	return &found.Incarnation
 }
 
-// logBroken writes the line about a broken run, and what was found of its upstream by which evidence.
-func (r *Relay) logBroken(broken brokenRun, found string, evidence twendcheck.Evidence) {
+// logBroken writes the line about a broken run: what is stated of its upstream, by which evidence, and what that proves about the run.
+func (r *Relay) logBroken(broken brokenRun, stated string, found twendcheck.Finding) {
+	connections := found.Connections
 	r.config.Recorder.Record(turmericwall.EventRunBroken).Str("request", broken.callID).Str("upstream", broken.upstream.ID).
-		Int("started", broken.upstream.StartedMillis).Str("found", found).Str("evidence", string(evidence)).Int("events", int64(broken.events)).
+		Int("started", broken.upstream.StartedMillis).Str("found", stated).Str("evidence", string(found.Evidence)).
+		Str("proof", string(found.Proof)).
+		Int("open", int64(connections.Open)).Int("broken", int64(connections.Broken)).Int("closed", int64(connections.Closed)).
+		Int("events", int64(broken.events)).
 		Int("sinceFirstMillis", broken.sinceFirstMillis).Str("fingerprint", broken.input.Request).
 		Str("parts", strings.Join(broken.input.Parts, ",")).Err(broken.cause).Send()
 }
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -12,11 +12,15 @@
 // stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
 const stopSilentTimeout = 2 * time.Second
 
-// keepFormer notes that a run ended here with the error, and may still work at its engine.
+// keepFormer notes that a run ended here with the error, and may still work at its engine. A run that shared its engine with an earlier
+// one of the call leaves that one behind if it has ended itself.
 func (a *attempt) keepFormer(run *modelRun, cause error) {
-	a.former = nil
-	if cause != nil && !run.endProved && !endedAtEngine(cause) {
+	run.endedAt = time.Now()
+	switch {
+	case cause != nil && !run.endProved && !endedAtEngine(cause):
 		a.former = run
+	case cause == nil || run.endProved || !run.isShared:
+		a.former = nil
 	}
 }
 
@@ -25,22 +29,50 @@
 	return errors.Is(cause, errEngineFailed) || !mayHaveBegun(cause)
 }
 
-// proveFormerEnded returns once the run before has certainly ended, so that the call may run elsewhere. The error is that of a call
-// whose time was over before.
-func (r *Relay) proveFormerEnded(ctx context.Context, a *attempt) error {
+// settleFormer returns once the run before has certainly ended, so that the call may run anywhere, or once its engine states that it
+// doesn't run it now: then the call may go on there, and nowhere else. The error is that of a call that may not run again.
+func (r *Relay) settleFormer(ctx context.Context, a *attempt) error {
 	if a.former == nil || r.config.ProveEnd == nil {
 		return nil
 	}
-	if _, err := r.config.ProveEnd(ctx, a.former.fenced()); err != nil {
+	_, err := r.config.ProveEnd(ctx, a.former.fenced())
+	switch {
+	case err == nil:
+		a.former = nil
+	case !errors.Is(err, twfence.ErrAbsent), r.checkAcceptsCalls(a.former.engine) != nil:
 		return unknownProblem(err)
+	default:
+		a.absent = a.former
 	}
-	a.former = nil
 	return nil
 }
 
+// settleFormerBefore is settleFormer just before a run is sent, which may go to the engine of the run before at any time.
+func (r *Relay) settleFormerBefore(ctx context.Context, a *attempt, run *modelRun) error {
+	if a.isBound() && run.engine.Key() == a.former.engine.Key() {
+		run.isShared = true
+		return nil
+	}
+	if err := r.settleFormer(ctx, a); err != nil {
+		return err
+	}
+	if a.isBound() {
+		return unknownProblem(errBound)
+	}
+	return nil
+}
+
+// errBound is the error of a run that was prepared at another engine than the one that may still run the call.
+var errBound = errors.New("the call may run only at the engine of the run before")
+
+// isBound reports whether the call may run only at the engine of the run before, which may run it later.
+func (a *attempt) isBound() bool { return a.former != nil && a.former == a.absent }
+
 // fenced returns the run whose end is to be proved.
 func (m *modelRun) fenced() twfence.Run {
-	return twfence.Run{Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.hasBegun}
+	return twfence.Run{
+		Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.hasBegun, EndedAt: m.endedAt, IsShared: m.isShared,
+	}
 }
 
 // mustStay reports whether a silent run must stay at its engine, since its end can't be proved. An engine that accepts connections
@@ -54,8 +86,8 @@
 	if found.Result == turmericwall.EndUnknown && !found.Answered {
 		return !r.pathLost(run.engine)
 	}
-	run.endProved = found.Result == turmericwall.EndProved
-	return found.Result == turmericwall.EndRefuted && !run.hasBegun && r.config.ProveEnd != nil
+	run.endProved = found.Proof != ""
+	return !run.endProved && run.isShared || found.Result == turmericwall.EndRefuted && !run.hasBegun && r.config.ProveEnd != nil
 }
 
 // stopSilent has the engine of a silent run stop it, while the exchange is still open: if the end can't be proved, the run stays
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -84,7 +84,7 @@
 // another engine.
 func (s *answerStream) moveIfLeaving(ctx context.Context) {
 	m := &s.move
-	if m.isPending() || s.attempt.versionUnknown || s.relay.config.View.AcceptsCalls(s.run.engine.Key()) {
+	if m.isPending() || s.run.isShared || s.attempt.versionUnknown || s.relay.config.View.AcceptsCalls(s.run.engine.Key()) {
 		return
 	}
 	now := time.Now()
--- a/internal/delivery/twrelay/pace.go
+++ b/internal/delivery/twrelay/pace.go
@@ -115,7 +115,7 @@
 	if limitMillis <= 0 || float64(s.run.pace.eventMillis()) < paceMoveShare*limitMillis {
 		return
 	}
-	if m.isPending() || a.versionUnknown || a.lastEventID == 0 || m.moves >= maxMoves ||
+	if m.isPending() || s.run.isShared || a.versionUnknown || a.lastEventID == 0 || m.moves >= maxMoves ||
 		m.paceRequests >= maxPaceMoveRequests || time.Now().Before(m.nextAt) {
 		return
 	}
--- a/internal/delivery/twrelay/relay.go
+++ b/internal/delivery/twrelay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twpicker"
 	"github.com/turmericwall/turmericwall/internal/delivery/twretries"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
 	"github.com/turmericwall/turmericwall/internal/membership/twupstreams"
 	"github.com/turmericwall/turmericwall/internal/operations/twbudget"
 	"github.com/turmericwall/turmericwall/internal/routing/twmatcher"
@@ -78,8 +79,9 @@
 	AwaitStart func(ctx context.Context, id string, describe func() twreadiness.Call) error
 	// CheckEnd checks whether the upstream of a broken run has ended; it may be nil.
 	CheckEnd func(ctx context.Context, run twendcheck.Run) twendcheck.Finding
-	// ProveEnd returns once a run has certainly ended, or with an error once ctx ends; it may be nil.
-	ProveEnd func(ctx context.Context, run twfence.Run) (twfence.Proof, error)
+	// ProveEnd returns once a run has certainly ended, or with an error once ctx ends or its engine doesn't run the call now; it may be
+	// nil.
+	ProveEnd func(ctx context.Context, run twfence.Run) (twrunend.Proof, error)
 	// Streams has the software versions that began streams.
 	Streams turmericwall.StreamVersions
 	// Daemons returns the number of live daemons, which share the retry budget.
@@ -146,6 +148,8 @@
 	resumes int
 	// former is the run that ended last, if it may still work at its engine; nil otherwise.
 	former *modelRun
+	// absent is the former run of which its engine stated that it doesn't run it now.
+	absent *modelRun
 	// prepared is the run that replaces a silent one; nil if there is none. takeovers counts the runs prepared for that.
 	prepared  *modelRun
 	takeovers int
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -31,6 +31,10 @@
 	received int
 	// hasBegun is set once a byte of the answer's body was received: an engine that has only sent the head may not have begun.
 	hasBegun bool
+	// endedAt is when its exchange ended here; zero before that.
+	endedAt time.Time
+	// isShared is set if its engine may still have an earlier run of the call, so that an order to the engine may concern that one.
+	isShared bool
 	// endProved is set once it is proved that the run has ended, while its exchange was still open.
 	endProved bool
 	// progressRecorded is set once it was recorded that the engine has written for a while.
--- a/internal/delivery/twrelay/version.go
+++ b/internal/delivery/twrelay/version.go
@@ -13,28 +13,41 @@
 
 var errOtherVersion = errors.New("the engine has another software version than the one that began the stream")
 
-// versionIgnoredRetryAfter is the retry time while the leader does not know of software versions: leaders of an earlier
+// placementIgnoredRetryAfter is the retry time while the leader does not know of software versions: leaders of an earlier
 // build are replaced within seconds.
-const versionIgnoredRetryAfter = time.Second
+const placementIgnoredRetryAfter = time.Second
 
-// placeAtVersion requests a placement, and releases one that isn't at the required software version: a leader of an
-// earlier build doesn't keep to it.
+// placeAtVersion requests a placement, and releases one that isn't at the required software version, or at the only engine that may
+// run the call: a leader of an earlier build doesn't keep to them.
 func (r *Relay) placeAtVersion(
 	ctx context.Context, request turmericwall.PlaceRequest,
 ) (turmericwall.Placement, error) {
 	placement, err := r.config.Placer.Place(ctx, request)
-	if err != nil || (request.Version == "" && !request.TakesUp) {
+	if err != nil {
 		return placement, err
 	}
-	if placement.Version != "" && placement.Decode.Version == placement.Version &&
-		(placement.Version == request.Version || request.TakesUp) {
+	ignored := ""
+	switch {
+	case request.Only != "" && placement.Decode.ID != request.Only:
+		ignored = fmt.Sprintf("the leader placed the call at %s, and it may run only at %s", placement.Decode.ID, request.Only)
+	case !isAtVersion(request, placement):
+		ignored = fmt.Sprintf("the leader placed the call at the software version %q, which may not be that of its stream",
+			placement.Decode.Version)
+	default:
 		return placement, nil
 	}
 	r.config.Placer.ApplyUpdate(turmericwall.PlacementUpdate{ID: placement.ID, Service: request.Service, NotRun: true})
-	return turmericwall.Placement{}, turmericwall.NewProblem(turmericwall.KindOverloaded,
-		fmt.Sprintf("the leader placed the call at the software version %q, which may not be that of its stream",
-			placement.Decode.Version),
-		"come back at the time given").WithRetryAt(time.Now().Add(versionIgnoredRetryAfter))
+	return turmericwall.Placement{}, turmericwall.NewProblem(turmericwall.KindOverloaded, ignored,
+		"come back at the time given").WithRetryAt(time.Now().Add(placementIgnoredRetryAfter))
+}
+
+// isAtVersion reports whether a placement is at the software version that the request requires, if it requires one.
+func isAtVersion(request turmericwall.PlaceRequest, placement turmericwall.Placement) bool {
+	if request.Version == "" && !request.TakesUp {
+		return true
+	}
+	return placement.Version != "" && placement.Decode.Version == placement.Version &&
+		(placement.Version == request.Version || request.TakesUp)
 }
 
 // keepVersion checks the software version of the present run before its first event is passed on. The first event of the
--- /dev/null
+++ b/internal/delivery/twrunend/facts_test.go
@@ -0,0 +1,42 @@
+package twrunend_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
+)
+
+var now = time.Now()
+
+// Guards against facts that are taken for the end of a run without proving it.
+func TestFactsProveOnlyWhatTheyShow(t *testing.T) {
+	unconnected := func(states turmericwall.ConnectionStates, span time.Duration, tries int) twrunend.Facts {
+		return twrunend.Facts{At: now, UnconnectedSince: now.Add(-span), UnconnectedTries: tries, Connections: states}
+	}
+	refused := func(states turmericwall.ConnectionStates, leaving bool) twrunend.Facts {
+		return twrunend.Facts{At: now, RefusedSince: now.Add(-time.Minute), RefusedTries: 9, Connections: states, Leaving: leaving}
+	}
+	silent := turmericwall.ConnectionStates{Open: 1}
+	for _, c := range []struct {
+		name  string
+		facts twrunend.Facts
+		want  twrunend.Proof
+	}{
+		{"nothing", twrunend.Facts{}, ""},
+		{"stopped", twrunend.Facts{Order: twrunend.OrderStopped}, twrunend.ProofStopped},
+		{"one of two runs stopped", twrunend.Facts{Order: twrunend.OrderStopped, Shared: true}, ""},
+		{"absent", twrunend.Facts{Order: twrunend.OrderAbsent}, ""},
+		{"absent, replaced", twrunend.Facts{Order: twrunend.OrderAbsent, Replaced: true}, twrunend.ProofReplaced},
+		{"refused, all connections ended", refused(turmericwall.ConnectionStates{Broken: 1, Closed: 1}, true), twrunend.ProofRefused},
+		{"refused, idle ones closed", refused(turmericwall.ConnectionStates{Closed: 1}, false), twrunend.ProofRefused},
+		{"unconnected, its machine is silent", unconnected(silent, time.Second, 3), twrunend.ProofUnreachable},
+		{"unconnected for a moment", unconnected(silent, 100*time.Millisecond, 3), ""},
+		{"unconnected twice", unconnected(silent, time.Second, 2), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) { NewWithT(t).Expect(c.facts.Proof()).To(Equal(c.want)) })
+	}
+}
--- a/internal/membership/twpeerhttp/messages.go
+++ b/internal/membership/twpeerhttp/messages.go
@@ -37,6 +37,7 @@
 	PrefillLost bool     `json:"prefillLost,omitempty"`
 	Moving      bool     `json:"moving,omitempty"`
 	SlowEngine  string   `json:"slowEngine,omitempty"`
+	Only        string   `json:"only,omitempty"`
 	Avoid       []string `json:"avoid,omitempty"`
 	Account     string   `json:"account,omitempty"`
 	Units       float64  `json:"units,omitempty"`
@@ -100,6 +101,7 @@
 		PrefillLost:  request.PrefillLost,
 		Moving:       request.Moving,
 		SlowEngine:   request.SlowEngine,
+		Only:         request.Only,
 		Avoid:        request.Avoid,
 		Account:      request.Account,
 		Units:        request.Units,
@@ -132,6 +134,7 @@
 		PrefillLost:    request.PrefillLost,
 		Moving:         request.Moving,
 		SlowEngine:     request.SlowEngine,
+		Only:           request.Only,
 		Avoid:          request.Avoid,
 		Account:        request.Account,
 		Units:          request.Units,
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -148,7 +148,11 @@
 		}
 		return true
 	}
-	a.considerEngines(a.decodes, a.decodes.sample(a.maxCandidates(st)), request.Version, consider)
+	if request.Only == "" {
+		a.considerEngines(a.decodes, a.decodes.sample(a.maxCandidates(st)), request.Version, consider)
+	} else if e := a.engines[request.Only]; e != nil && e.upstream.Role == turmericwall.RoleDecode {
+		consider(e)
+	}
 	return pace.choose(st, best, bestPeak, request.EventGapMillis)
 }
 
@@ -162,7 +166,7 @@
 	}
 	best := a.leastFilledDecode(st, request, st.demand, prefillEngine,
 		func(*engine) (float64, bool) { return startMillis, true })
-	if best != nil || len(request.Avoid) > 0 {
+	if best != nil || request.Only != "" || len(request.Avoid) > 0 {
 		return best
 	}
 	unplaced := unplacedCall{forecast: st.demand, version: request.Version}
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -247,7 +247,7 @@
 // spares most of the work while many calls wait for memory.
 func (a *Allocator) waitsForMemory(st *decisionState, w *waitingCall) bool {
 	e := st.fastestPrefill
-	return e != nil && !w.late && !a.mixed && len(w.request.Avoid) == 0 && st.cannotFit(st.demand, w.request) &&
+	return e != nil && !w.late && !a.mixed && w.request.Only == "" && len(w.request.Avoid) == 0 && st.cannotFit(st.demand, w.request) &&
 		a.acceptsCall(st.now, e, w.request) &&
 		a.meetsTarget(st.now, w, a.prefillMillisOf(st.now, e, w.request.Work.PromptTokens)+prefillOverheadMillis)
 }
--- a/internal/placement/twallocator/promptcache.go
+++ b/internal/placement/twallocator/promptcache.go
@@ -52,6 +52,9 @@
 	if !ok || tokens == 0 || e.upstream.Key() != known.engine || e.role() != turmericwall.RoleDecode {
 		return nil, 0
 	}
+	if request.Only != "" && request.Only != e.upstream.ID {
+		return nil, 0
+	}
 	if a.promptEvicted(st, e, known) {
 		return nil, 0
 	}
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -53,7 +53,7 @@
 // The share of the memory at which that happens depends on how the lengths and the ends of runs are spread, and may exceed 1.
 func (a *Allocator) recordMemoryFull(request turmericwall.PlaceRequest) {
 	total := a.decodeMemory()
-	if total <= 0 || request.Version != "" || len(request.Avoid) > 0 {
+	if total <= 0 || request.Version != "" || request.Only != "" || len(request.Avoid) > 0 {
 		return
 	}
 	a.memoryFull = movingAverage(a.memoryFull, a.shares.Used(twshares.Memory)/total)
--- a/internal/placement/twallocator/version_test.go
+++ b/internal/placement/twallocator/version_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// Guards against a call that is placed elsewhere while an engine may still run it, and against one that isn't placed since a sample of
+// the engines doesn't have that one.
+func TestCallThatMayRunAtOneEngineOnlyIsPlacedThere(t *testing.T) {
+	g := NewWithT(t)
+	a := versionedAllocator(40, 200)
+	only := engines(40, 200)[187].ID
+	for i := range 4 {
+		bound := placeRequest(fmt.Sprintf("b%d", i), start, 3000, 1000)
+		bound.Only = only
+		a.Enqueue(start, bound)
+		d := a.Decide(start)
+		g.Expect(d.Placed).To(HaveLen(1))
+		g.Expect(d.Placed[0].Decode.ID).To(Equal(only))
+	}
+	unknown := placeRequest("u", start, 3000, 1000)
+	unknown.Only = "unknown"
+	a.Enqueue(start, unknown)
+	g.Expect(a.Decide(start).Placed).To(BeEmpty())
+}
+
 // Guards against a call that waits for a version of which no engine is left.
 func TestCallOfAVersionThatIsGoneIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/placements.go
+++ b/placements.go
@@ -43,6 +43,8 @@
 	// SlowEngine is the ID of the engine that a moving run leaves because the engine has become slow; empty if it leaves
 	// for another reason.
 	SlowEngine string
+	// Only is the ID of the only decode engine at which the call may run, since it may still run there; empty if it may run at any.
+	Only string
 	// Avoid are the IDs of engines that failed this call.
 	Avoid []string
 	// Version is the only software version at which the call may run; empty if it may run at any.
