fix: take a refused connection for the end of a process only if its other connections ended too

What callers saw: a stream went on at another engine while the engine before worked on (TWICE).

Cause: a refused connection counted as the end of the engine's process. It says that nobody listens: a server that shuts down in order closes its port first and ends its open answers then.

A refusal proves the end now if no other connection of the daemon is open, and others ended inside an answer with the run's, or idle ones were closed by an engine that hasn't announced that it leaves.

--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -180,6 +180,31 @@
 	g.Expect(dropped).To(Equal(1))
 }
 
+// Guards against an engine that has closed its port, or has a full queue of connections, and counts as ended.
+func TestEngineWithOpenConnectionsHasNotEnded(t *testing.T) {
+	refusal := refused(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)})
+	for _, c := range []struct {
+		name   string
+		f      fixture
+		answer stopResult
+		want   twrunend.Proof
+	}{
+		{"refuses, another connection is open", fixture{states: turmericwall.ConnectionStates{Open: 1, Broken: 1}}, refusal, ""},
+		{"refuses, leaving, idle connections closed", fixture{leaving: true, states: turmericwall.ConnectionStates{Closed: 2}}, refusal, ""},
+		{"refuses for long, no other connection", fixture{}, refusal, ""},
+		{"unconnected, its machine isn't heard", fixture{states: turmericwall.ConnectionStates{Open: 1}}, refused(turmericwall.SendError{ConnectFailed: true}), twrunend.ProofUnreachable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			c.f.begun = true
+			g, beganAt := NewWithT(t), time.Now()
+			proof, _, _, _ := proveWithin(5*time.Second, c.f, c.answer)
+			g.Expect(proof).To(Equal(c.want))
+			g.Expect(time.Since(beganAt)).To(BeNumerically("<", 3*time.Second), "its caller can take it up elsewhere")
+		})
+	}
+}
+
 // Guards against a call that waits at its engine, counts as ended there, and runs later.
 func TestCallThatMayStillBeginHasNotEnded(t *testing.T) {
 	absent := refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})
--- a/internal/delivery/twrunend/facts.go
+++ b/internal/delivery/twrunend/facts.go
@@ -39,7 +39,7 @@
 	ProofStopped Proof = "stopped"
 	// ProofReplaced: another incarnation has the engine's address.
 	ProofReplaced Proof = "replaced"
-	// ProofRefused: no process listens at the engine's address.
+	// ProofRefused: no process listens at the engine's address, and none has a connection to this daemon.
 	ProofRefused Proof = "refused"
 	// ProofUnreachable: no connection to the engine could be established for a while, from here or from peers, and its machine
 	// acknowledges nothing on one that is open. It may work on where nobody hears it.
@@ -72,10 +72,23 @@
 		return ProofReplaced
 	case f.Order == OrderStopped && !f.Shared:
 		return ProofStopped
-	case f.RefusedTries > 0:
+	case f.RefusedTries > 0 && f.isProcessGone():
 		return ProofRefused
 	case f.UnconnectedTries >= minTries && f.At.Sub(f.UnconnectedSince) >= unreachableSpan:
 		return ProofUnreachable
 	}
 	return ""
 }
+
+// isProcessGone reports whether the process of an engine that refuses connections has ended. A process that ends takes all its
+// connections with it at once; one that has closed its port keeps those with open answers. Without another connection nothing tells
+// the two apart.
+func (f Facts) isProcessGone() bool {
+	switch {
+	case f.Connections.Open > 0:
+		return false
+	case f.Connections.Broken > 0:
+		return true
+	}
+	return f.Connections.Closed > 0 && !f.Leaving
+}
