fix: take an engine for unreachable only if its machine acknowledges nothing

What callers saw: a stream went on at another engine while the engine before worked on (TWICE).

Cause: an engine to which no connection was established for 0.7 s counted as unreachable. So does one whose process stands still, or accepts slowly, behind a full queue of connections.

Its machine still acknowledges keep-alive probes on connections that are open.

--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -192,6 +192,8 @@
 		{"refuses, another connection is open", fixture{states: turmericwall.ConnectionStates{Open: 1, Broken: 1}}, refusal, ""},
 		{"refuses, leaving, idle connections closed", fixture{leaving: true, states: turmericwall.ConnectionStates{Closed: 2}}, refusal, ""},
 		{"refuses for long, no other connection", fixture{}, refusal, ""},
+		{"unconnected for long, no other connection", fixture{}, refused(turmericwall.SendError{ConnectFailed: true}), ""},
+		{"unconnected, its machine is heard", fixture{states: turmericwall.ConnectionStates{Open: 1, Heard: true}}, refused(turmericwall.SendError{ConnectFailed: true}), ""},
 		{"unconnected, its machine isn't heard", fixture{states: turmericwall.ConnectionStates{Open: 1}}, refused(turmericwall.SendError{ConnectFailed: true}), twrunend.ProofUnreachable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/delivery/twrunend/facts.go
+++ b/internal/delivery/twrunend/facts.go
@@ -74,7 +74,7 @@
 		return ProofStopped
 	case f.RefusedTries > 0 && f.isProcessGone():
 		return ProofRefused
-	case f.UnconnectedTries >= minTries && f.At.Sub(f.UnconnectedSince) >= unreachableSpan:
+	case f.UnconnectedTries >= minTries && f.At.Sub(f.UnconnectedSince) >= unreachableSpan && f.isMachineSilent():
 		return ProofUnreachable
 	}
 	return ""
@@ -92,3 +92,7 @@
 	}
 	return f.Connections.Closed > 0 && !f.Leaving
 }
+
+// isMachineSilent reports whether the machine of an engine to which no connection is established doesn't acknowledge anything either. It
+// does while only the process stands still.
+func (f Facts) isMachineSilent() bool { return f.Connections.Open > 0 && !f.Connections.Heard }
--- a/internal/delivery/twrunend/facts_test.go
+++ b/internal/delivery/twrunend/facts_test.go
@@ -37,6 +37,8 @@
 		{"refused, idle ones closed", refused(turmericwall.ConnectionStates{Closed: 1}, false), twrunend.ProofRefused},
 		{"refused, idle ones closed by one that leaves", refused(turmericwall.ConnectionStates{Closed: 1}, true), ""},
 		{"unconnected, its machine is silent", unconnected(silent, time.Second, 3), twrunend.ProofUnreachable},
+		{"unconnected, its machine answers", unconnected(turmericwall.ConnectionStates{Open: 1, Heard: true}, time.Second, 3), ""},
+		{"unconnected, nothing else known", unconnected(turmericwall.ConnectionStates{}, time.Minute, 9), ""},
 		{"unconnected for a moment", unconnected(silent, 100*time.Millisecond, 3), ""},
 		{"unconnected twice", unconnected(silent, time.Second, 2), ""},
 	} {
