fix: state whether a peer's answer came on a connection that had carried other requests

What callers could see: as with a copy of a 421 on an own connection, a stream that goes on at another engine while the engine before works (TWICE), if the daemon's own path to it is lost.

Cause: a peer didn't say whether its connection had carried earlier requests, so that a copy of an earlier answer was believed.

--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -53,8 +53,10 @@
 	Header http.Header `json:"header,omitempty"`
 	Length int64       `json:"length"`
 	NotRun bool        `json:"notRun,omitempty"`
-	// Framing is that of the upstream's answer; a peer of an earlier version doesn't state it.
+	// Framing is that of the upstream's answer, and Reused is set if its connection had carried an earlier request. A peer of an
+	// earlier version doesn't state them.
 	Framing turmericwall.Framing `json:"framing,omitempty"`
+	Reused  bool                 `json:"reused,omitempty"`
 }
 
 // Exchange has a peer send a request to an upstream. Its time limit is that of ctx.
@@ -135,7 +137,7 @@
 	}
 	return &turmericwall.Answer{
 		Status: reply.Status, Header: reply.Header, Length: reply.Length, NotRun: reply.NotRun, SentAt: sentAt,
-		Framing: reply.Framing,
+		Framing: reply.Framing, Reused: reply.Reused,
 		Body:    &exchangeBody{reader: reader, Closer: response.Body},
 	}, nil
 }
@@ -200,7 +202,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	writeLine(w, wireExchangeReply{
 		Status: answer.Status, Header: answer.Header, Length: answer.Length, NotRun: answer.NotRun,
-		Framing: answer.Framing,
+		Framing: answer.Framing, Reused: answer.Reused,
 	})
 	if err := copyAsItArrives(w, answer.Body); err != nil {
 		// The peer must not take the part for the whole answer.
--- a/internal/membership/twpeerhttp/exchange_test.go
+++ b/internal/membership/twpeerhttp/exchange_test.go
@@ -133,18 +133,19 @@
 }
 
 // Guards against a body that counts as complete at its end because a peer doesn't state that only its connection ends it.
-func TestFramingPassesThroughAPeer(t *testing.T) {
+func TestStateOfTheConnectionPassesThroughAPeer(t *testing.T) {
 	g := NewWithT(t)
 	address := newPeer(t, func(
 		context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
 	) (*turmericwall.Answer, error) {
 		return &turmericwall.Answer{
-			Status: 200, Length: -1, Framing: turmericwall.FramingConnection, Body: io.NopCloser(strings.NewReader("whole")),
+			Status: 200, Length: -1, Framing: turmericwall.FramingConnection, Reused: true, Body: io.NopCloser(strings.NewReader("whole")),
 		}, nil
 	})
 	answer, err := twpeerhttp.NewClient(nil).Exchange(context.Background(), address, exchangeTarget, exchangeRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.Framing).To(Equal(turmericwall.FramingConnection))
+	g.Expect(answer.Reused).To(BeTrue(), "a refusal on it may be that of an earlier request")
 	g.Expect(io.ReadAll(answer.Body)).To(BeEquivalentTo("whole"))
 }
 
