fix: tie control requests to engines to their answers by an id

What callers could see: a stream goes on from another run's memory, or elsewhere while its engine works (MIXED, TWICE), once an engine sends a second copy of a control answer: all later answers of that connection are shifted by one.

Each control request to a model engine has an id of its own now, which the transport, and a peer, expect in the answer.

A failed try: ids for plain upstreams too. They get none.

A peer of an earlier version doesn't know the id and takes the answer for another request's, so that control requests fail that go through it during an update: the call is placed elsewhere.

--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -30,6 +30,8 @@
 	To     turmericwall.Upstream `json:"to"`
 	Method string                `json:"method"`
 	CallID string                `json:"callId,omitempty"`
+	// ControlID is that of a control request; a peer of an earlier version takes its answer for that to another request.
+	ControlID string `json:"controlId,omitempty"`
 	// OwnConnection is that of the request; a peer of an earlier version doesn't know it.
 	OwnConnection bool `json:"ownConnection,omitempty"`
 	// HeadBytes is the length of the request's head.
@@ -63,7 +65,7 @@
 func (c *Client) Exchange(
 	ctx context.Context, address string, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
 ) (*turmericwall.Answer, error) {
-	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, OwnConnection: request.OwnConnection, HeadBytes: len(request.Head)}
+	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, ControlID: request.ControlID, OwnConnection: request.OwnConnection, HeadBytes: len(request.Head)}
 	if deadline, ok := ctx.Deadline(); ok {
 		message.RemainingMillis = max(time.Until(deadline).Milliseconds(), 1)
 	}
@@ -138,7 +140,7 @@
 	return &turmericwall.Answer{
 		Status: reply.Status, Header: reply.Header, Length: reply.Length, NotRun: reply.NotRun, SentAt: sentAt,
 		Framing: reply.Framing, Reused: reply.Reused,
-		Body:    &exchangeBody{reader: reader, Closer: response.Body},
+		Body: &exchangeBody{reader: reader, Closer: response.Body},
 	}, nil
 }
 
@@ -224,7 +226,7 @@
 		return message, turmericwall.UpstreamRequest{}, errors.New("the request's head is incomplete")
 	}
 	return message, turmericwall.UpstreamRequest{
-		Head: rest[:message.HeadBytes:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID,
+		Head: rest[:message.HeadBytes:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID, ControlID: message.ControlID,
 		OwnConnection: message.OwnConnection,
 	}, nil
 }
--- a/upstreams.go
+++ b/upstreams.go
@@ -84,6 +84,8 @@
 	Method string
 	// CallID is the id of the caller's call that the request belongs to. It is empty for control requests.
 	CallID string
+	// ControlID is the id of a control request, which an upstream may repeat in its answer; empty for calls.
+	ControlID string
 	// OwnConnection is set if the request must be the first one on its connection: a later copy of the answer to an earlier
 	// request could be taken for its answer there.
 	OwnConnection bool
