fix: end a stream that its only engine doesn't take, so that its caller can take it up

What callers could see: a stream that may go on only at the engine before, since that one has no such run now, waits there until they leave: for room, for the end of an ejection after the broken answer, or for a time to come back.

Such a stream waits for 1.3 s after its answer broke: the request for the placement, the pauses between two requests and the queries of the engine end then. Its caller, who gives up after two seconds, gets the end of the stream and can take it up at any engine, as a request of its own.

TestARunBesideAnEarlierOneIsNotMoved has a placement for the move now: without one it passed without the check as well.

--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -9,8 +9,13 @@
 	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
 )
 
-// stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
-const stopSilentTimeout = 2 * time.Second
+const (
+	// stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
+	stopSilentTimeout = 2 * time.Second
+	// boundSpan is how long a stream waits for the only engine at which it may go on: its caller can take it up elsewhere once it
+	// ends, and leaves if it is silent for longer.
+	boundSpan = 1300 * time.Millisecond
+)
 
 // keepFormer notes that a run ended here with the error, and may still work at its engine. A run that shared its engine with an earlier
 // one of the call leaves that one behind if it has ended itself.
@@ -39,7 +44,7 @@
 	switch {
 	case err == nil:
 		a.former = nil
-	case !errors.Is(err, twfence.ErrAbsent), r.checkAcceptsCalls(a.former.engine) != nil:
+	case !errors.Is(err, twfence.ErrAbsent), r.checkAcceptsCalls(a.former.engine) != nil, !time.Now().Before(a.boundUntil()):
 		return unknownProblem(err)
 	default:
 		a.absent = a.former
@@ -65,6 +70,9 @@
 // errBound is the error of a run that was prepared at another engine than the one that may still run the call.
 var errBound = errors.New("the call may run only at the engine of the run before")
 
+// boundUntil returns until when a call waits for the engine of the run before, if it may run only there.
+func (a *attempt) boundUntil() time.Time { return a.former.endedAt.Add(boundSpan) }
+
 // isBound reports whether the call may run only at the engine of the run before, which may run it later.
 func (a *attempt) isBound() bool { return a.former != nil && a.former == a.absent }
 
--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -102,10 +102,26 @@
 	}
 }
 
+// Guards against a stream that waits for the only engine at which it may go on until its caller leaves.
+func TestAStreamThatItsEngineDoesNotTakeEndsSoon(t *testing.T) {
+	g := NewWithT(t)
+	s := newModelFixture(splitPlacement("d1"))
+	s.upstreams.send = engineAnswers{"d1": stream(events(1, 2), io.ErrUnexpectedEOF)}.send
+	s.withProofs(func(context.Context, twfence.Run) (twrunend.Proof, error) {
+		return "", errors.Join(twfence.ErrUnproved, twfence.ErrAbsent)
+	})
+	beganAt := time.Now()
+	w, err := s.serveWithin(context.Background(), "/r/x", 8*time.Second)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(w.Body.String()).To(Equal(events(1, 2)))
+	g.Expect(time.Since(beganAt)).To(BeNumerically("<", 2*time.Second))
+	g.Expect(s.placer.requests[1].GiveUpDeadline).To(BeTemporally("<", beganAt.Add(2*time.Second)))
+}
+
 // Guards against the second run of a call at an engine that is moved, or taken over, by an order which may stop the first one.
 func TestARunBesideAnEarlierOneIsNotMoved(t *testing.T) {
 	g := NewWithT(t)
-	s := newModelFixture(splitPlacement("d1"), splitPlacement("d1"))
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d1"), turmericwall.Placement{Decode: engine("d2", turmericwall.RoleDecode)})
 	s.upstreams.send = func(ctx context.Context, _ turmericwall.Upstream, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
 		if call.ResumeAfter == 0 {
 			return brokenAnswer(events(1, 2), io.ErrUnexpectedEOF), nil
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -103,6 +103,9 @@
 	}
 	if a.isBound() {
 		request.Only, request.Avoid = a.former.engine.ID, closed
+		if until := a.boundUntil(); until.Before(request.GiveUpDeadline) {
+			request.GiveUpDeadline = until
+		}
 	}
 	placement, err := r.placeInTime(ctx, a, request)
 	if err != nil {
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -65,7 +65,7 @@
 		}
 		last = err
 		delay, retried := retryDelay(err)
-		if !retried || !pause(ctx, delay) {
+		if !retried || (a.isBound() && time.Now().Add(delay).After(a.boundUntil())) || !pause(ctx, delay) {
 			break
 		}
 		// An engine that failed, or was silent, may be sound again; no other one is left.
--- a/internal/delivery/twrelay/version.go
+++ b/internal/delivery/twrelay/version.go
@@ -13,8 +13,8 @@
 
 var errOtherVersion = errors.New("the engine has another software version than the one that began the stream")
 
-// placementIgnoredRetryAfter is the retry time while the leader does not know of software versions: leaders of an earlier
-// build are replaced within seconds.
+// placementIgnoredRetryAfter is the retry time while the leader does not know of software versions, or of the only engine of a call:
+// leaders of an earlier build are replaced within seconds.
 const placementIgnoredRetryAfter = time.Second
 
 // placeAtVersion requests a placement, and releases one that isn't at the required software version, or at the only engine that may
