--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -122,7 +122,7 @@
 func TestARunBesideAnEarlierOneIsNotMoved(t *testing.T) {
 	g := NewWithT(t)
 	s := newModelFixture(splitPlacement("d1"), splitPlacement("d1"), turmericwall.Placement{Decode: engine("d2", turmericwall.RoleDecode)})
-	s.upstreams.send = func(ctx context.Context, _ turmericwall.Upstream, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+	s.upstreams.send = func(_ context.Context, _ turmericwall.Upstream, call turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
 		if call.ResumeAfter == 0 {
 			return brokenAnswer(events(1, 2), io.ErrUnexpectedEOF), nil
 		}
