--- a/internal/delivery/twrelay/left_test.go
+++ b/internal/delivery/twrelay/left_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twfence"
+	"github.com/turmericwall/turmericwall/internal/delivery/twfingerprint"
 	"github.com/turmericwall/turmericwall/internal/delivery/twrunend"
 )
 
@@ -141,3 +142,35 @@
 		g.Expect(s.throttle.admitted[left]).To(BeZero(), "the send that was not made is returned")
 	}
 }
+
+// Guards against a suspected call that is sent to an upstream which left while the call waited for its turn.
+func TestNoPlainCallIsSentToAnUpstreamThatLeftDuringItsTurn(t *testing.T) {
+	for _, kind := range plainKinds {
+		g := NewWithT(t)
+		s := newFixture(kind)
+		s.upstreams.send = func(context.Context, turmericwall.Upstream, turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+			return answer(200, "ok"), nil
+		}
+		s.placer.placements = make([]turmericwall.Placement, 2)
+		left := ""
+		s.placer.onPlace = func(request turmericwall.PlaceRequest) {
+			g.Expect(request.Turn).To(BeTrue())
+			if left == "" {
+				left = request.Target.ID
+				s.announceLeaving(left)
+			}
+		}
+		request := twfingerprint.Of(turmericwall.RoutedCall{
+			Host: "h", Method: http.MethodPost, Target: "/p/x", Path: "/p/x",
+			Work: turmericwall.ModelWork{PromptTokens: 5000, HintTokens: 3000, MaxTokens: 6500},
+		})
+		s.quarantine.RecordEnd(turmericwall.UpstreamKey{ID: "other"}, time.Now(),
+			turmericwall.Input{Service: "plain", Request: string(request)}, turmericwall.EndProved)
+		w, _ := s.serve(context.Background(), "/p/x")
+		g.Expect(w.Code).To(Equal(200))
+		g.Expect(left).NotTo(BeEmpty(), "the call waits for its turn")
+		g.Expect(s.upstreams.sentTo()).To(HaveLen(1))
+		g.Expect(s.upstreams.sentTo()).NotTo(ContainElement(left))
+		g.Expect(s.throttle.admitted[left]).To(BeZero(), "the send that was not made is returned")
+	}
+}
--- a/internal/delivery/twrelay/placer_test.go
+++ b/internal/delivery/twrelay/placer_test.go
@@ -17,6 +17,8 @@
 	refusal    error
 	// found is the version that is found for streams that calls take up.
 	found turmericwall.SoftwareVersion
+	// onPlace is called for each request; it may be nil.
+	onPlace func(request turmericwall.PlaceRequest)
 	// waits is set if calls wait for a placement that never comes.
 	waits bool
 }
@@ -29,6 +31,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, request)
+	if p.onPlace != nil {
+		p.onPlace(request)
+	}
 	if len(p.requests) > len(p.placements) {
 		return turmericwall.Placement{}, p.refusal
 	}
