--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -159,7 +159,7 @@
 	}
 	facts := twrunend.Facts{At: time.Now(), Replaced: found.Evidence != EvidenceRefused}
 	if !facts.Replaced {
-		facts.RefusedSince, facts.RefusedTries = facts.At, 1
+		facts.RefusedTries = 1
 		facts.Leaving = c.config.AcceptsCalls != nil && !c.config.AcceptsCalls(run.Upstream.Key())
 		found.Connections = c.settledConnections(ctx, run)
 		facts.Connections = found.Connections
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -172,19 +172,18 @@
 	case p.unconnectedSince.IsZero():
 		p.unconnectedSince = at
 	}
-	facts.RefusedSince, facts.RefusedTries = continueSeries(facts.RefusedSince, facts.RefusedTries, at, refused)
-	facts.UnconnectedSince, facts.UnconnectedTries = continueSeries(facts.UnconnectedSince, facts.UnconnectedTries, at, unconnected)
-}
-
-// continueSeries returns a series of attempts in a row after one more.
-func continueSeries(since time.Time, tries int, at time.Time, belongs bool) (time.Time, int) {
+	facts.RefusedTries++
+	if !refused {
+		facts.RefusedTries = 0
+	}
 	switch {
-	case !belongs:
-		return time.Time{}, 0
-	case tries == 0:
-		return at, 1
+	case !unconnected:
+		facts.UnconnectedTries = 0
+	case facts.UnconnectedTries == 0:
+		facts.UnconnectedTries, facts.UnconnectedSince = 1, at
+	default:
+		facts.UnconnectedTries++
 	}
-	return since, tries + 1
 }
 
 // addAbsent adds that the engine has no such run.
--- a/internal/delivery/twrunend/facts.go
+++ b/internal/delivery/twrunend/facts.go
@@ -55,10 +55,10 @@
 	Shared bool
 	// Replaced is set if another incarnation answered at the engine's address after the run was sent.
 	Replaced bool
-	// RefusedSince is when the first of RefusedTries attempts in a row was made for which no process listened, and UnconnectedSince the
-	// same of attempts for which no connection was established in time.
-	RefusedSince, UnconnectedSince time.Time
+	// RefusedTries counts the latest attempts in a row for which no process listened, and UnconnectedTries those for which no connection
+	// was established in time, the first of them at UnconnectedSince.
 	RefusedTries, UnconnectedTries int
+	UnconnectedSince               time.Time
 	// Leaving is set if the engine has announced that it leaves, or isn't listed any more: it may have closed its port.
 	Leaving bool
 	// Connections are the daemon's other connections to the engine.
--- a/internal/delivery/twrunend/facts_test.go
+++ b/internal/delivery/twrunend/facts_test.go
@@ -18,7 +18,7 @@
 		return twrunend.Facts{At: now, UnconnectedSince: now.Add(-span), UnconnectedTries: tries, Connections: states}
 	}
 	refused := func(states turmericwall.ConnectionStates, leaving bool) twrunend.Facts {
-		return twrunend.Facts{At: now, RefusedSince: now.Add(-time.Minute), RefusedTries: 9, Connections: states, Leaving: leaving}
+		return twrunend.Facts{At: now, RefusedTries: 9, Connections: states, Leaving: leaving}
 	}
 	silent := turmericwall.ConnectionStates{Open: 1}
 	for _, c := range []struct {
--- a/internal/delivery/twrunend/model_test.go
+++ b/internal/delivery/twrunend/model_test.go
@@ -118,7 +118,7 @@
 	case processReplaced:
 		facts.Replaced = true
 	case processDead, processPortClosed:
-		facts.RefusedSince, facts.RefusedTries = now.Add(-time.Minute), 100
+		facts.RefusedTries = 100
 	case processStandsStill:
 		facts.UnconnectedSince, facts.UnconnectedTries = now.Add(-time.Minute), 100
 	}
