fix: take a refused connection for the end of a process only if two other answers ended with the run's

Cause: by its log (open 0, broken 1) the engine had lost one other answer within 20 ms of the run's, by chance, and the daemon had no other connection there. One witness is a coincidence away from a closed port.

It takes two other answers that end at the same moment now, or idle connections that were closed by an engine that hasn't announced that it leaves. The model has a second other connection, and an event that loses two answers at once: with the rule of before it finds the fault, with this one no series.

--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -32,7 +32,7 @@
 // prove proves the end of a run that had begun and whose engine, which has lost all its connections, gives the answers, one after the
 // other.
 func prove(answers ...stopResult) (proof twrunend.Proof, targets []string, dropped int, err error) {
-	return proveWithin(200*time.Millisecond, fixture{begun: true, states: turmericwall.ConnectionStates{Broken: 1}}, answers...)
+	return proveWithin(200*time.Millisecond, fixture{begun: true, states: turmericwall.ConnectionStates{Broken: 2}}, answers...)
 }
 
 // fixture is what is known of a run and its engine beside the engine's answers.
@@ -189,7 +189,7 @@
 		answer stopResult
 		want   twrunend.Proof
 	}{
-		{"refuses, another connection is open", fixture{states: turmericwall.ConnectionStates{Open: 1, Broken: 1}}, refusal, ""},
+		{"refuses, another connection is open", fixture{states: turmericwall.ConnectionStates{Open: 1, Broken: 2}}, refusal, ""},
 		{"refuses, leaving, idle connections closed", fixture{leaving: true, states: turmericwall.ConnectionStates{Closed: 2}}, refusal, ""},
 		{"refuses for long, no other connection", fixture{}, refusal, ""},
 		{"unconnected for long, no other connection", fixture{}, refused(turmericwall.SendError{ConnectFailed: true}), ""},
--- a/internal/delivery/twrunend/facts.go
+++ b/internal/delivery/twrunend/facts.go
@@ -81,16 +81,11 @@
 }
 
 // isProcessGone reports whether the process of an engine that refuses connections has ended. A process that ends takes all its
-// connections with it at once; one that has closed its port keeps those with open answers. Without another connection nothing tells
-// the two apart.
+// connections with it at once; one that has closed its port keeps those with open answers, and may lose one of them by chance as it
+// loses the run's. Without other connections nothing tells the two apart.
 func (f Facts) isProcessGone() bool {
-	switch {
-	case f.Connections.Open > 0:
-		return false
-	case f.Connections.Broken > 0:
-		return true
-	}
-	return f.Connections.Closed > 0 && !f.Leaving
+	c := f.Connections
+	return c.Open == 0 && (c.Broken > 1 || (c.Closed > 0 && !f.Leaving))
 }
 
 // isMachineSilent reports whether the machine of an engine to which no connection is established doesn't acknowledge anything either. It
--- a/internal/delivery/twrunend/model_test.go
+++ b/internal/delivery/twrunend/model_test.go
@@ -42,10 +42,10 @@
 type world struct {
 	run, other runState
 	process    processState
-	// own is the connection of the run, busy that of another call, and idle one without a call.
-	own, busy, idle connectionState
-	// busyEndedAlone is set if the busy connection ended at another moment than the own one.
-	busyEndedAlone, leaving bool
+	// own is the connection of the run, busy and second those of other calls, and idle one without a call.
+	own, busy, second, idle connectionState
+	// busyEndedAlone and secondEndedAlone are set if those connections ended at another moment than the own one.
+	busyEndedAlone, secondEndedAlone, leaving bool
 }
 
 // mayWork reports whether a run of the call works now, or may work later.
@@ -71,7 +71,11 @@
 	add("preempt the other", works && w.other == runWorks, func(n *world) { n.other = runPreempted })
 	add("end the other", works && w.other == runWorks, func(n *world) { n.other = runOver })
 	add("lose the answer", w.own == connectionOpen, func(n *world) { n.own = connectionEnded })
-	add("lose the other answer", w.busy == connectionOpen, func(n *world) { n.busy, n.busyEndedAlone = connectionEnded, true })
+	add("lose another answer", w.busy == connectionOpen, func(n *world) { n.busy, n.busyEndedAlone = connectionEnded, true })
+	add("lose the second answer", w.second == connectionOpen, func(n *world) { n.second, n.secondEndedAlone = connectionEnded, true })
+	add("lose two answers at once", w.own == connectionOpen && w.busy == connectionOpen, func(n *world) {
+		n.own, n.busy = connectionEnded, connectionEnded
+	})
 	add("announce", works, func(n *world) { n.leaving = true })
 	add("close the port", w.process == processUp, func(n *world) {
 		n.process = processPortClosed
@@ -86,8 +90,11 @@
 	add("stand still", w.process == processUp, func(n *world) { n.process = processStandsStill })
 	add("go on", w.process == processStandsStill, func(n *world) { n.process = processUp })
 	add("crash", w.process != processDead && w.process != processReplaced, func(n *world) {
+		// Connections that end later than the run's one say nothing about it.
+		n.busyEndedAlone = n.busyEndedAlone || (n.busy == connectionOpen && n.own == connectionEnded)
+		n.secondEndedAlone = n.secondEndedAlone || (n.second == connectionOpen && n.own == connectionEnded)
 		n.process, n.own = processDead, connectionEnded
-		for _, c := range []*connectionState{&n.busy, &n.idle} {
+		for _, c := range []*connectionState{&n.busy, &n.second, &n.idle} {
 			if *c == connectionOpen {
 				*c = connectionEnded
 			}
@@ -100,11 +107,14 @@
 // facts returns what a daemon learns that asks for the end now, at most.
 func (w world) facts() twrunend.Facts {
 	facts := twrunend.Facts{At: now, Shared: w.other != runOver, Leaving: w.leaving}
-	if w.busy == connectionOpen || w.idle == connectionOpen {
+	if w.busy == connectionOpen || w.second == connectionOpen || w.idle == connectionOpen {
 		facts.Connections = turmericwall.ConnectionStates{Open: 1, Heard: true}
 	}
 	if w.busy == connectionEnded && !w.busyEndedAlone {
-		facts.Connections.Broken = 1
+		facts.Connections.Broken++
+	}
+	if w.second == connectionEnded && !w.secondEndedAlone {
+		facts.Connections.Broken++
 	}
 	if w.idle == connectionEnded {
 		facts.Connections.Closed = 1
@@ -141,7 +151,9 @@
 	for _, other := range []runState{runWorks, runOver} {
 		for _, busy := range []connectionState{connectionNone, connectionOpen} {
 			for _, idle := range []connectionState{connectionNone, connectionOpen} {
-				begins = append(begins, world{other: other, own: connectionOpen, busy: busy, idle: idle})
+				for _, second := range []connectionState{connectionNone, connectionOpen} {
+					begins = append(begins, world{other: other, own: connectionOpen, busy: busy, second: second, idle: idle})
+				}
 			}
 		}
 	}
