fix: let a stream go on at its only engine although that one was ejected, and wait as long as callers do

Cause: the leader ejects an engine that broke an answer.

An ejected engine gets the calls that may run nowhere else. A bound stream waits for two thirds of the time that its caller waits for an event (two seconds, four times its target or eight times its longest gap), which is 2.6 s on that route. TestEjectedEngineGetsCallsThatMayRunNowhereElse fails before.

--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -12,9 +12,13 @@
 const (
 	// stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
 	stopSilentTimeout = 2 * time.Second
-	// boundSpan is how long a stream waits for the only engine at which it may go on: its caller can take it up elsewhere once it
-	// ends, and leaves if it is silent for longer.
-	boundSpan = 1300 * time.Millisecond
+	// minPatience is how long a caller waits for the next event at least; patienceTargets and patienceGaps are how many times its target
+	// and its longest gap, if that is longer.
+	minPatience                   = 2 * time.Second
+	patienceTargets, patienceGaps = 4, 8
+	// boundShare is the share of that for which a stream waits for the only engine at which it may go on. Once it ends, its caller can
+	// take it up elsewhere.
+	boundShare = 0.65
 )
 
 // keepFormer notes that a run ended here with the error, and may still work at its engine. A run that shared its engine with an earlier
@@ -71,7 +75,15 @@
 var errBound = errors.New("the call may run only at the engine of the run before")
 
 // boundUntil returns until when a call waits for the engine of the run before, if it may run only there.
-func (a *attempt) boundUntil() time.Time { return a.former.endedAt.Add(boundSpan) }
+func (a *attempt) boundUntil() time.Time {
+	return a.former.endedAt.Add(time.Duration(boundShare * float64(a.patience())))
+}
+
+// patience returns how long the caller of a stream waits for the next event.
+func (a *attempt) patience() time.Duration {
+	gap := time.Duration(a.route.EventGapMillis) * time.Millisecond
+	return max(minPatience, patienceTargets*a.target(), patienceGaps*gap)
+}
 
 // isBound reports whether the call may run only at the engine of the run before, which may run it later.
 func (a *attempt) isBound() bool { return a.former != nil && a.former == a.absent }
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -208,9 +208,11 @@
 const crossZoneTransferPenalty = 0.1
 
 // acceptsCall reports whether the engine may get the call: it accepts calls, is not leaving, ejected or in back-off, has
-// the software version that the call requires, and has not failed the call before.
+// the software version that the call requires, and has not failed the call before. An ejected one still gets the calls that may run
+// nowhere else.
 func (a *Allocator) acceptsCall(now time.Time, e *engine, request turmericwall.PlaceRequest) bool {
-	if e.upstream.Leaving || e.refusing || e.ejected || now.Before(e.backoffUntil) {
+	isEjected := e.ejected && request.Only != e.upstream.ID
+	if e.upstream.Leaving || e.refusing || isEjected || now.Before(e.backoffUntil) {
 		return false
 	}
 	if request.Version != "" && e.upstream.Version != request.Version {
--- a/internal/placement/twallocator/ejection_test.go
+++ b/internal/placement/twallocator/ejection_test.go
@@ -83,3 +83,19 @@
 	g.Expect(placed).To(HaveLen(1))
 	g.Expect(placed[0].Prefill.ID).To(Equal("p00"))
 }
+
+// Guards against a stream that ends because the only engine at which it may go on was ejected for the answer that broke.
+func TestEjectedEngineGetsCallsThatMayRunNowhereElse(t *testing.T) {
+	g := NewWithT(t)
+	a := newAllocator(5, 20)
+	for range 4 {
+		a.ApplyUpdate(start, turmericwall.PlacementUpdate{ID: "none", FailedEngine: "d00"})
+	}
+	at := start.Add(100 * time.Millisecond)
+	bound := placeRequest("bound", at, 2000, 300)
+	bound.Only = "d00"
+	a.Enqueue(at, bound)
+	d := a.Decide(at)
+	g.Expect(d.Placed).To(HaveLen(1))
+	g.Expect(d.Placed[0].Decode.ID).To(Equal("d00"))
+}
