fix: keep an engine for the streams that may go on nowhere else

Callers saw streams that ended early although their engine answered all the time: since a run of which its engine has no trace may have been preempted, its stream goes on at that engine only.

Cause: such a call had no claim to its engine. Here the engine states a rate of one call a second. Each second's call went to whichever call was placed first, which could run at any of the other engines too. The bound call was refused at once, since the pool had room ("no engine has memory in time: 5% taken by 4 runs"), came back at the time given, found the engine refusing again, and ended after 1.3 s. A call without its first event was also counted as its caller's retry, and refused as late.

Now a bound call is considered before all others, waits for its engine until its caller's patience ends, and the engine is kept from calls that may run elsewhere, also in the round that places it: the engine may take only one more. It doesn't yield to other client accounts, and isn't late because its stream began long ago. It is refused at once when its engine leaves, isn't listed or has become a prefill engine. The relay places it again after 50 ms instead of the time that a refusal names, which is for callers with a choice.

Why it works: what the engine takes in 1.3 s is offered to the bound call first, wherever else the others go. With several of them at a rate of one a second the second one may still end.

On the code before, the allocator's tests fail: the bound call is refused at once ("0% taken by 0 runs, room in 1000 ms"), and so is the one of the case named full. The cases of an engine that left, isn't listed or reads prompts hold on both.

--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -19,6 +19,9 @@
 	// boundShare is the share of that for which a stream waits for the only engine at which it may go on. Once it ends, its caller can
 	// take it up elsewhere.
 	boundShare = 0.65
+	// boundRetryDelay is the longest pause before such a stream is placed again: its engine is kept for it while it waits for its placement,
+	// and not meanwhile.
+	boundRetryDelay = 50 * time.Millisecond
 )
 
 // keepFormer notes that a run ended here with the error, and may still work at its engine. A run that shared its engine with an earlier
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -65,7 +65,11 @@
 		}
 		last = err
 		delay, retried := retryDelay(err)
-		if !retried || (a.isBound() && time.Now().Add(delay).After(a.boundUntil())) || !pause(ctx, delay) {
+		if a.isBound() {
+			delay = min(delay, boundRetryDelay)
+			retried = retried && time.Now().Add(delay).Before(a.boundUntil())
+		}
+		if !retried || !pause(ctx, delay) {
 			break
 		}
 		// An engine that failed, or was silent, may be sound again; no other one is left.
--- a/internal/placement/twallocator/allocator.go
+++ b/internal/placement/twallocator/allocator.go
@@ -210,7 +210,7 @@
 	span := request.TargetDeadline.Sub(receivedAt)
 	first, isRetry := a.callers.recordAttempt(now, receivedAt, request)
 	isRetry = isRetry || request.PrefillLost
-	if request.Version != "" {
+	if request.Version != "" || request.Only != "" {
 		// The stream has begun, so that its caller waits for the next event and not since its first attempt.
 		first, isRetry = receivedAt, false
 	}
--- a/internal/placement/twallocator/choose.go
+++ b/internal/placement/twallocator/choose.go
@@ -113,7 +113,7 @@
 	var best *engine
 	bestPeak := math.Inf(1)
 	consider := func(e *engine) bool {
-		if !a.acceptsCall(st.now, e, request) {
+		if !a.acceptsCall(st.now, e, request) || st.isKept(e, request) {
 			return false
 		}
 		a.see(st, &pace, e, request)
@@ -150,7 +150,7 @@
 	}
 	if request.Only == "" {
 		a.considerEngines(a.decodes, a.decodes.sample(a.maxCandidates(st)), request.Version, consider)
-	} else if e := a.engines[request.Only]; e != nil && e.upstream.Role == turmericwall.RoleDecode {
+	} else if e := a.engines[request.Only]; e != nil && e.role() == turmericwall.RoleDecode {
 		consider(e)
 	}
 	return pace.choose(st, best, bestPeak, request.EventGapMillis)
--- a/internal/placement/twallocator/decide.go
+++ b/internal/placement/twallocator/decide.go
@@ -39,6 +39,8 @@
 	earmarks    []earmark
 	closest     *engine
 	closestPeak float64
+	// kept are the engines for which bound calls wait.
+	kept []*engine
 	// shortestBacklog is that of the prefill engines, in milliseconds; it is known once backlogKnown is set.
 	shortestBacklog float64
 	backlogKnown    bool
@@ -57,7 +59,11 @@
 	kept := a.waiting[:0]
 	for n, w := range a.waiting {
 		w.mustYield = false
-		if placement, ok := a.place(st, w); ok {
+		placement, ok := a.place(st, w)
+		if w.isBound() {
+			a.keepForBound(st, w)
+		}
+		if ok {
 			a.shares.Dequeue(w.size)
 			d.Placed = append(d.Placed, placement)
 			continue
@@ -143,7 +149,7 @@
 	return float64(now.Sub(p.origin).Milliseconds())
 }
 
-// sortWaiting sorts the waiting calls: those that can be on time first, then by priority. Of these, the calls that
+// sortWaiting sorts the waiting calls: bound ones first, then those that can be on time, then by priority. Of these, the calls that
 // require a software version go first, since no other engine can run them, then those whose prefill was lost, which keep
 // their turn. Then the shares of the client accounts decide, and then the target deadline.
 func (a *Allocator) sortWaiting(now time.Time) {
@@ -165,6 +171,9 @@
 }
 
 func compareWaiting(x, y *waitingCall) int {
+	if x.isBound() != y.isBound() {
+		return compareBools(x.isBound(), y.isBound())
+	}
 	if x.late != y.late {
 		return compareBools(y.late, x.late)
 	}
@@ -203,7 +212,7 @@
 	if w.request.Moving {
 		return a.placeMovingRun(st, w)
 	}
-	if w.late && a.occupancyOf(st).memoryFill() > a.tuning.LateMemoryShare {
+	if !w.isBound() && w.late && a.occupancyOf(st).memoryFill() > a.tuning.LateMemoryShare {
 		return turmericwall.Placement{}, false
 	}
 	if a.mustYieldMemory(st, w) {
--- a/internal/placement/twallocator/promptcache.go
+++ b/internal/placement/twallocator/promptcache.go
@@ -13,7 +13,7 @@
 func (a *Allocator) placeOnCachedPrompt(
 	st *decisionState, w *waitingCall, e *engine, tokens int,
 ) (turmericwall.Placement, bool) {
-	if !a.acceptsCall(st.now, e, w.request) || len(e.runs) >= a.slotLimit(e) {
+	if !a.acceptsCall(st.now, e, w.request) || st.isKept(e, w.request) || len(e.runs) >= a.slotLimit(e) {
 		return turmericwall.Placement{}, false
 	}
 	speed := a.prefillSpeedOf(st.now, e)
--- a/internal/placement/twallocator/refuse.go
+++ b/internal/placement/twallocator/refuse.go
@@ -47,6 +47,9 @@
 			RetryAt: st.now.Add(versionRetryAfter), VersionGone: true,
 		}, true
 	}
+	if w.isBound() {
+		return a.refuseBound(st, w)
+	}
 	if w.request.Moving {
 		return Refusal{ID: w.request.ID, Reason: moveRefusalReason(w.request), RetryAt: st.now}, true
 	}
--- a/internal/placement/twallocator/shares.go
+++ b/internal/placement/twallocator/shares.go
@@ -81,7 +81,7 @@
 // The order of the waiting calls doesn't suffice for that: a call of an account that surges which arrives when a little
 // memory is free is placed at once, and leaves nothing for those of others that arrive a moment later.
 func (a *Allocator) mustYieldMemory(st *decisionState, w *waitingCall) bool {
-	if w.late || !a.shares.Competing() {
+	if w.late || w.isBound() || !a.shares.Competing() {
 		return false
 	}
 	full := a.memoryFull * a.decodeMemory()
@@ -102,7 +102,7 @@
 // the others are likely to send within a part of its target, prefills would end too late.
 func (a *Allocator) mustYieldPrefill(st *decisionState, w *waitingCall, fastest prefillOption) bool {
 	speed := a.prefillPoolSpeed(st.now)
-	if w.late || fastest.engine == nil || speed == 0 || !a.shares.Competing() || a.isPrefillOverdue(st) {
+	if w.late || w.isBound() || fastest.engine == nil || speed == 0 || !a.shares.Competing() || a.isPrefillOverdue(st) {
 		return false
 	}
 	reserveMillis := math.Min(a.shares.Reserve(w.size, twshares.Prefill, reserveSpanShare*w.spanMillis())/speed,
