--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -12,10 +12,10 @@
 const (
 	// stopSilentTimeout bounds the stop of a silent run, which may go on meanwhile.
 	stopSilentTimeout = 2 * time.Second
-	// minPatience is how long a caller waits for the next event at least; patienceTargets and patienceGaps are how many times its target
+	// minCallerWait is how long a caller waits for the next event at least; waitTargets and waitGaps are how many times its target
 	// and its longest gap, if that is longer.
-	minPatience                   = 2 * time.Second
-	patienceTargets, patienceGaps = 4, 8
+	minCallerWait         = 2 * time.Second
+	waitTargets, waitGaps = 4, 8
 	// boundShare is the share of that for which a stream waits for the only engine at which it may go on. Once it ends, its caller can
 	// take it up elsewhere.
 	boundShare = 0.65
@@ -79,13 +79,13 @@
 
 // boundUntil returns until when a call waits for the engine of the run before, if it may run only there.
 func (a *attempt) boundUntil() time.Time {
-	return a.former.endedAt.Add(time.Duration(boundShare * float64(a.patience())))
+	return a.former.endedAt.Add(time.Duration(boundShare * float64(a.callerWait())))
 }
 
-// patience returns how long the caller of a stream waits for the next event.
-func (a *attempt) patience() time.Duration {
+// callerWait returns how long the caller of a stream waits for the next event.
+func (a *attempt) callerWait() time.Duration {
 	gap := time.Duration(a.route.EventGapMillis) * time.Millisecond
-	return max(minPatience, patienceTargets*a.target(), patienceGaps*gap)
+	return max(minCallerWait, waitTargets*a.target(), waitGaps*gap)
 }
 
 // isBound reports whether the call may run only at the engine of the run before, which may run it later.
