fix: take no attempt for one at the engine that failed since the daemon had lost its own path

No caller was seen to meet this.

Cause: the class of the incident, a fact that is taken for the statement that it resembles. SendError has PathLost for failures that say nothing about the upstream; twfence looked at ConnectFailed alone.

Why it works: such an attempt is no fact about the engine any more; it neither counts nor continues a series.

The new case of TestEngineWithOpenConnectionsHasNotEnded fails before (proof "unreachable" after 0.9 s) and holds now.

--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -134,7 +134,7 @@
 	isSendError := errors.As(err, &sent)
 	refused := isSendError && sent.ShowsEndAfter(p.run.SentAt) && tryCtx.Err() == nil
 	unconnected := isSendError && !refused && sent.ConnectFailed && !sent.Sent && tryCtx.Err() == nil
-	p.addAttempt(triedAt, refused, unconnected)
+	p.addAttempt(triedAt, refused, unconnected, isSendError && sent.PathLost)
 	p.facts.Order = twrunend.OrderUnanswered
 	switch {
 	case err == nil:
@@ -163,8 +163,9 @@
 	return f.config.Connections(run.Engine, run.CallID, run.EndedAt)
 }
 
-// addAttempt adds an attempt to connect to the series of those before.
-func (p *proving) addAttempt(at time.Time, refused, unconnected bool) {
+// addAttempt adds an attempt to connect to the series of those before. One that failed since this daemon has lost its own path shows
+// nothing of the engine.
+func (p *proving) addAttempt(at time.Time, refused, unconnected, pathLost bool) {
 	facts := &p.facts
 	switch {
 	case !refused && !unconnected:
@@ -177,7 +178,7 @@
 		facts.RefusedTries = 0
 	}
 	switch {
-	case !unconnected:
+	case !unconnected, pathLost:
 		facts.UnconnectedTries = 0
 	case facts.UnconnectedTries == 0:
 		facts.UnconnectedTries, facts.UnconnectedSince = 1, at
--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -194,6 +194,7 @@
 		{"refuses for long, no other connection", fixture{}, refusal, ""},
 		{"unconnected for long, no other connection", fixture{}, refused(turmericwall.SendError{ConnectFailed: true}), ""},
 		{"unconnected, its machine is heard", fixture{states: turmericwall.ConnectionStates{Open: 1, Heard: true}}, refused(turmericwall.SendError{ConnectFailed: true}), ""},
+		{"unconnected, its machine isn't heard, as the daemon has lost its path", fixture{states: turmericwall.ConnectionStates{Open: 1}}, refused(turmericwall.SendError{ConnectFailed: true, PathLost: true}), ""},
 		{"unconnected, its machine isn't heard", fixture{states: turmericwall.ConnectionStates{Open: 1}}, refused(turmericwall.SendError{ConnectFailed: true}), twrunend.ProofUnreachable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
