fix: share the check of an upstream's end only between runs at one address

Found by the review, shown by a unit test; no caller was seen to meet it. Checks were shared by the upstream's id. An engine may start again under its id at another address: a 421 from the address of before, asked for an earlier run, then ended a later run at the present address (proof=replaced). What is known of an upstream is kept by id and address now.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -51,9 +51,15 @@
 type Checker struct {
 	config Config
 	mu     sync.Mutex
-	known  map[string]*knowledge
+	// known is by id and address: an upstream may start again under its id elsewhere.
+	known map[endpoint]*knowledge
 }
 
+// endpoint is an upstream at an address.
+type endpoint struct{ id, address string }
+
+func endpointOf(u turmericwall.Upstream) endpoint { return endpoint{id: u.ID, address: u.Address} }
+
 // Run is a run that ended without a complete answer.
 type Run struct {
 	Upstream turmericwall.Upstream
@@ -126,7 +132,7 @@
 
 // New returns a checker.
 func New(config Config) *Checker {
-	return &Checker{config: config, known: make(map[string]*knowledge)}
+	return &Checker{config: config, known: make(map[endpoint]*knowledge)}
 }
 
 // Check returns whether the incarnation that ran the run has ended. Runs that break at the same time share a query, if it began
@@ -168,7 +174,7 @@
 func (c *Checker) startedAfter(run Run, answered *check) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.known[run.Upstream.ID]
+	known := c.known[endpointOf(run.Upstream)]
 	if known == nil || !answered.answered || answered.startedMillis == 0 {
 		return false
 	}
@@ -183,7 +189,7 @@
 	key := run.Upstream.Key()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known := c.known[key.ID]; known != nil {
+	if known := c.known[endpointOf(run.Upstream)]; known != nil {
 		for _, seen := range known.sightings {
 			if seen.entryMillis == run.Upstream.StartedMillis && !seen.since.After(run.SentAt) {
 				key.StartedMillis = seen.startedMillis
@@ -199,10 +205,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.discardOld(now)
-	known := c.known[run.Upstream.ID]
+	known := c.known[endpointOf(run.Upstream)]
 	if known == nil {
 		known = &knowledge{}
-		c.known[run.Upstream.ID] = known
+		c.known[endpointOf(run.Upstream)] = known
 	}
 	if known.last != nil && (known.last.isRunning || !known.last.beganAt.Before(run.BrokenAt)) {
 		return known.last
@@ -295,7 +301,7 @@
 	defer c.mu.Unlock()
 	finished.isRunning = false
 	close(finished.done)
-	known := c.known[upstream.ID]
+	known := c.known[endpointOf(upstream)]
 	if known == nil || finished.startedMillis == 0 {
 		return
 	}
