fix: take an engine of which nothing is heard for cut off, and not for ended

The engine was heard again 0.1 to 1 s later, and worked on for seconds.

Cause: H2, the last belief in the table: no connection in 0.7 s, and a machine that acknowledges nothing for two seconds.

What proves an end now is stated by an engine, the one of the run or another at its address, and nothing else. A silent stream of whose engine's machine nothing is heard ends instead, so that its caller can take it up elsewhere; before, such a stream went on by itself.

Tests: the expectations of an unreachable engine asserted the fault; they ask for no proof, and for the error that frees the caller. New: TestASilentStreamOfAnUnheardEngineEnds.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -165,7 +165,7 @@
 		found.Connections = c.config.Connections(run.Upstream, run.CallID, run.BrokenAt)
 	}
 	isReplaced := found.Evidence == EvidenceReplaced || c.startedAfter(run, from)
-	found.Proof = twrunend.Facts{At: time.Now(), Replaced: isReplaced}.Proof()
+	found.Proof = twrunend.Facts{Replaced: isReplaced}.Proof()
 	return found
 }
 
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -38,6 +38,10 @@
 // ErrUnproved means that the call's time was over before the end of its run was proved.
 var ErrUnproved = errors.New("nothing shows that the run before has ended")
 
+// ErrUnreachable is wrapped beside ErrUnproved if no connection could be established, and the engine's machine acknowledges nothing on one
+// that is open.
+var ErrUnreachable = errors.New("nothing of the engine's machine is heard")
+
 // ErrAbsent is wrapped beside ErrUnproved if the engine doesn't run the call now, and may run it later.
 var ErrAbsent = errors.New("the engine doesn't run the call now, and may run it later")
 
@@ -106,8 +110,11 @@
 	beganAt time.Time
 	tries   int
 	facts   twrunend.Facts
-	// refusedTries counts the latest attempts in a row for which no process listened.
-	refusedTries int
+	// refusedTries counts the latest attempts in a row for which no process listened, and unconnectedTries those for which no connection
+	// was established in time.
+	refusedTries, unconnectedTries int
+	// connections are the daemon's other connections to the engine, as of the last of these.
+	connections turmericwall.ConnectionStates
 	// absentSince is when the engine first had no such run, and unconnectedSince when the first attempt in a row to connect failed.
 	absentSince, unconnectedSince time.Time
 }
@@ -120,7 +127,7 @@
 // isUnconnected reports whether no connection could be established for as long as that is tried.
 func (p *proving) isUnconnected(now time.Time) bool {
 	span := unconnectedSpan
-	if p.refusedTries > 1 && p.facts.Connections.Open == 0 {
+	if p.refusedTries > 1 && p.connections.Open == 0 {
 		span = refusedSpan
 	}
 	return !p.unconnectedSince.IsZero() && !now.Before(p.unconnectedSince.Add(span))
@@ -154,9 +161,9 @@
 		}
 	}
 	if refused || unconnected {
-		p.facts.Connections = f.connections(p.run)
+		p.connections = f.connections(p.run)
 	}
-	p.facts.At, p.facts.Shared = time.Now(), p.run.IsShared
+	p.facts.Shared = p.run.IsShared
 	return err
 }
 
@@ -172,7 +179,6 @@
 // addAttempt adds an attempt to connect to the series of those before. One that failed since this daemon has lost its own path shows
 // nothing of the engine.
 func (p *proving) addAttempt(at time.Time, refused, unconnected, pathLost bool) {
-	facts := &p.facts
 	switch {
 	case !refused && !unconnected:
 		p.unconnectedSince = time.Time{}
@@ -183,16 +189,18 @@
 	if !refused {
 		p.refusedTries = 0
 	}
-	switch {
-	case !unconnected, pathLost:
-		facts.UnconnectedTries = 0
-	case facts.UnconnectedTries == 0:
-		facts.UnconnectedTries, facts.UnconnectedSince = 1, at
-	default:
-		facts.UnconnectedTries++
+	p.unconnectedTries++
+	if !unconnected || pathLost {
+		p.unconnectedTries = 0
 	}
 }
 
+// isMachineSilent reports whether nothing is heard of the engine's machine, which acknowledges what is sent to it also while the process
+// stands still.
+func (p *proving) isMachineSilent() bool {
+	return p.unconnectedTries > 0 && p.connections.Open > 0 && !p.connections.Heard
+}
+
 // addAbsent adds that the engine has no such run.
 func (p *proving) addAbsent(at time.Time) {
 	p.facts.Order = twrunend.OrderAbsent
@@ -223,20 +231,23 @@
 
 // record records how the end was proved, or that it wasn't, and returns the error then.
 func (f *Fence) record(p *proving, proof twrunend.Proof, cause error) error {
-	run, connections := p.run, p.facts.Connections
+	run, connections := p.run, p.connections
 	entry := f.config.Recorder.Record(turmericwall.EventRunEndProved).Str("request", run.CallID).Str("upstream", run.Engine.ID).
 		Str("proof", string(proof)).Str("order", string(p.facts.Order)).
 		Int("millis", time.Since(p.beganAt).Milliseconds()).Int("tries", int64(p.tries)).
 		Str("begun", strconv.FormatBool(run.HasBegun)).Int("sinceSentMillis", time.Since(run.SentAt).Milliseconds()).
-		Int("refusedTries", int64(p.refusedTries)).Int("unconnectedTries", int64(p.facts.UnconnectedTries)).
+		Int("refusedTries", int64(p.refusedTries)).Int("unconnectedTries", int64(p.unconnectedTries)).
 		Int("open", int64(connections.Open)).Int("broken", int64(connections.Broken)).Int("closed", int64(connections.Closed))
 	if proof != "" {
 		entry.Send()
 		return nil
 	}
 	entry.Err(cause).Send()
-	if p.isAbsent(time.Now()) {
+	switch {
+	case p.isAbsent(time.Now()):
 		return errors.Join(ErrUnproved, ErrAbsent, cause)
+	case p.isMachineSilent():
+		return errors.Join(ErrUnproved, ErrUnreachable, cause)
 	}
 	return errors.Join(ErrUnproved, cause)
 }
--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -161,6 +161,25 @@
 	g.Expect(s.upstreams.prefills).To(Equal(1))
 }
 
+// Guards against a caller that waits for a stream of whose engine nothing is heard, and could take it up elsewhere.
+func TestASilentStreamOfAnUnheardEngineEnds(t *testing.T) {
+	g, beganAt := NewWithT(t), time.Now()
+	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
+	s.found.Store(int64(turmericwall.EndUnknown))
+	s.config.PathLost = func(turmericwall.UpstreamKey) bool { return true }
+	s.upstreams.send = engineAnswers{"d1": func(ctx context.Context, _ turmericwall.OutgoingCall) (*turmericwall.Answer, error) {
+		return &turmericwall.Answer{Status: 200, Length: -1, Header: http.Header{}, Body: newSilentBody(ctx, events(1, 2))}, nil
+	}}.send
+	s.withProofs(func(context.Context, twfence.Run) (twrunend.Proof, error) {
+		return "", errors.Join(twfence.ErrUnproved, twfence.ErrUnreachable)
+	})
+	_, err := s.serveWithin(context.Background(), "/r/x", time.Minute)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(s.log.String()).To(ContainSubstring("nothing of its machine is heard"))
+	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
+	g.Expect(time.Since(beganAt)).To(BeNumerically("<", 5*time.Second))
+}
+
 // Guards against a stream that is lost because its run counts as waiting, although its engine had begun to write the first event.
 func TestARunHasBegunWithTheFirstByteOfItsBody(t *testing.T) {
 	for body, begun := range map[string]bool{"": false, "i": true, events(1, 1): true} {
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -225,6 +225,11 @@
 				head.discard()
 				return nil, &turmericwall.SendError{Sent: true, Err: errSilent}
 			}
+			if run.isUnheard {
+				run.cancel()
+				head.discard()
+				return nil, &turmericwall.SendError{Sent: true, Err: errUnheard}
+			}
 			silence.Reset(run.silenceSpan())
 		}
 	}
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -22,6 +22,7 @@
 
 var (
 	errSilent   = errors.New("the engine was silent, and another one was prepared")
+	errUnheard  = errors.New("the engine was silent, and nothing of its machine is heard")
 	errReleased = errors.New("the send is not needed any more")
 )
 
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -144,6 +144,9 @@
 			if !s.move.isPending() && s.relay.prepareTakeover(ctx, s.attempt, s.run, &s.reader.arrivals) {
 				return errSilent
 			}
+			if s.run.isUnheard {
+				return errUnheard
+			}
 			silence.Reset(s.run.silenceSpan())
 		}
 	}
