--- a/upstreams.go
+++ b/upstreams.go
@@ -32,7 +32,8 @@
 	ResumeAfter int64
 	// Priority orders the engine's queue, 0 to 9; lower numbers go first.
 	Priority int
-	// Repeated is set if the upstream was sent a request with the call's id before.
+	// Repeated is set if the upstream was sent a request with the call's id before. It is for peers of an earlier version, through
+	// which the call may go: the transport itself sends no id twice over a connection.
 	Repeated bool
 }
 
@@ -86,8 +87,8 @@
 	CallID string
 	// ControlID is the id of a control request, which an upstream may repeat in its answer; empty for calls.
 	ControlID string
-	// OwnConnection is set if the request must be the first one on its connection: a later copy of the answer to an earlier
-	// request could be taken for its answer there.
+	// OwnConnection is set if the request must be the first one on its connection. No connection carries an id twice without it;
+	// it is for peers of an earlier version, and for requests to which an answer without an id may be a copy of an earlier one.
 	OwnConnection bool
 }
 
