fix: judge a moved run's next send by the error of the last one alone

What callers saw: a stream that may run once only ran twice (TWICE). An engine that leaves stops a run in order to move it, the next engine refuses it, its source takes it up, works and answers 500, and it is sent to the next engine again.

Cause: the error of each send was joined with those before, and whether the run may be sent again was asked of the whole: with a failure that is no SendError the refusal before was found in it, and without a copy of the memory any error counted as safe. Other joined errors were looked at: they end a stream and decide nothing.

The last error alone decides now, and those before are for the log.

--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -241,32 +241,35 @@
 	run.update.Prefilled = true
 	// The first send was taken from the retry budget before the run was stopped.
 	s.attempt.countedSends++
-	err := errNotCopied
+	// Only the error of the last send tells whether the run may be sent again; those before are for the log.
+	last, before := errNotCopied, error(nil)
 	if result.copied {
-		err = s.sendMoved(ctx, run, result.placement.Decode)
+		last = s.sendMoved(ctx, run, result.placement.Decode)
 	}
-	refusals := 0
-	for until := time.Now().Add(importRetrySpan); err != nil; {
-		if !isSafeToResend(err) {
-			return nil, err
+	refusals, returned := 0, false
+	for until := time.Now().Add(importRetrySpan); last != nil; {
+		if !isSafeToResend(last) {
+			return nil, errors.Join(last, before)
 		}
-		last, engine, delay := err, result.placement.Decode, importRetryDelay
-		if wasSent(err) && result.copied {
+		engine, delay := result.placement.Decode, importRetryDelay
+		if wasSent(last) && result.copied {
 			refusals++
 			delay = refusedImportDelay
 		}
 		switch {
 		case time.Since(s.move.noticedAt) < maxReturnDelay:
-			engine, delay = source, 0
-		case errors.Is(err, errLeaving), !result.copied || refusals > maxRefusedImports || time.Now().After(until):
-			return nil, err
+			engine = source
+			if !returned {
+				returned, delay = true, 0
+			}
+		case errors.Is(last, errLeaving), !result.copied || refusals > maxRefusedImports || time.Now().After(until):
+			return nil, errors.Join(last, before)
 		}
 		if !pause(ctx, delay) || !s.relay.spendSend(s.attempt) {
-			return nil, errors.Join(err, errRetryBudgetUsed)
-		}
-		if err = s.sendMoved(ctx, run, engine); err != nil {
-			err = errors.Join(err, last)
+			return nil, errors.Join(last, before, errRetryBudgetUsed)
 		}
+		before = last
+		last = s.sendMoved(ctx, run, engine)
 	}
 	return run, nil
 }
