fix: charge what was used without a leader against what the quota allowed meanwhile

Cause: a new leader begins with the last level of the one before, doesn't refill it for the time without a leader, as daemons use their shares then, and charges all that they report to have used in it. What the quota had allowed in that time was lost: an account that uses a third of its quota for seven seconds without a leader was charged more than its burst.

Each daemon reports what it used less what its own share was refilled by, as far as its bucket had room. The sum is what is missing of the level, and never less than what is: a burst at the end of the time finds a full share, which isn't refilled, and counts whole. A daemon that has just started still reports all, as before.

--- a/internal/admission/twquota/alone.go
+++ b/internal/admission/twquota/alone.go
@@ -49,7 +49,7 @@
 		}
 		m.localBuckets[account.Name] = b
 	}
-	b.refill(s.now, rate, capacity)
+	m.usageOf(account.Name).refilledAlone += b.refill(s.now, rate, capacity)
 	needed := min(units, max(capacity, b.savingsGoal))
 	if b.level < needed && s.daemons == 0 {
 		return turmericwall.NewProblem(turmericwall.KindNotReady,
--- a/internal/admission/twquota/bucket.go
+++ b/internal/admission/twquota/bucket.go
@@ -33,9 +33,9 @@
 	lastRetryAt time.Time
 }
 
-// refill adds the units that the rate, in units per second, has allowed since the last refill. A raised capacity raises
-// the level at once by the difference; a lowered one limits it.
-func (b *bucket) refill(now time.Time, rate, capacity float64) {
+// refill adds the units that the rate, in units per second, has allowed since the last refill, and returns those that the bucket had
+// room for. A raised capacity raises the level at once by the difference; a lowered one limits it.
+func (b *bucket) refill(now time.Time, rate, capacity float64) (added float64) {
 	if b.refilledAt.IsZero() {
 		b.refilledAt = now
 	}
@@ -43,11 +43,13 @@
 		b.level += capacity - b.capacity
 	}
 	b.capacity = capacity
+	before := b.level
 	if elapsed := now.Sub(b.refilledAt).Seconds(); elapsed > 0 {
 		b.level += elapsed * rate
 		b.refilledAt = now
 	}
 	b.level = min(b.level, max(capacity, b.savingsGoal))
+	return max(b.level-before, 0)
 }
 
 // recordReport charges units that another daemon reported.
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -123,9 +123,11 @@
 	// replied are the units in the last reply to the current leader, and previousReplied those in the reply before it.
 	// The next levels from the leader may not include the last reply yet.
 	replied, previousReplied float64
-	// countedBefore are the units that the previous leader had counted in the last levels that it sent.
-	countedBefore float64
-	lastUsedAt    time.Time
+	// countedBefore are the units that the previous leader had counted in the last levels that it sent, and refilledBefore those that this
+	// daemon's share was refilled by between that leader and the current one. refilledAlone are those since the current leader.
+	countedBefore                 float64
+	refilledBefore, refilledAlone float64
+	lastUsedAt                    time.Time
 }
 
 // New returns a meter that has charged nothing.
@@ -311,13 +313,19 @@
 
 // recordUse adds units to this daemon's use, which is reported to the leader; the lock is held.
 func (m *Meter) recordUse(now time.Time, account string, units float64) {
+	u := m.usageOf(account)
+	u.units += units
+	u.lastUsedAt = now
+}
+
+// usageOf returns what this daemon has used of the account; the lock is held.
+func (m *Meter) usageOf(account string) *usage {
 	u, ok := m.used[account]
 	if !ok {
 		u = &usage{}
 		m.used[account] = u
 	}
-	u.units += units
-	u.lastUsedAt = now
+	return u
 }
 
 // newOverLimit returns the refusal of a call. remaining are the units that are left, and scope says of what and by
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -376,3 +376,38 @@
 	g.Expect(400*admitted).To(BeNumerically("<=", 3*1000+2000), "at most the rate and the burst")
 	g.Expect(admitted).To(BeNumerically(">", 0))
 }
+
+// Guards against a new leader that charges what daemons used without a leader, and not what the quota allowed meanwhile: an account far
+// below its quota would be refused.
+func TestAccountBelowItsQuotaIsAdmittedAfterALongTimeWithoutALeader(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, quota)
+	f.heartbeat()
+	f.leader = -1
+	// A third of the quota: less than the burst at a time, and more than it in all.
+	for range 14 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		for _, m := range f.meters[1:3] {
+			g.Expect(chargeCalls(m, "a", 80, 1)).To(Equal(1))
+		}
+	}
+	f.leader = 3
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[3], "a", 100, 10)).To(Equal(10))
+}
+
+// Guards against a new leader that grants the burst once more after daemons have used it at the end of a time without a leader.
+func TestBurstAtTheEndOfATimeWithoutALeaderIsCharged(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, quota)
+	f.heartbeat()
+	f.leader = -1
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 1)).To(Equal(1))
+	f.now = f.now.Add(7 * time.Second)
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 20)).To(Equal(10), "half of the burst")
+	f.leader = 1
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(BeNumerically("<=", 10))
+}
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -16,7 +16,7 @@
 	for name, u := range m.used {
 		if now.Sub(u.lastUsedAt) < reportRetention {
 			list = append(list, turmericwall.AccountUse{
-				Account: name, Units: int64(u.units), UncountedUnits: int64(u.units - u.countedBefore),
+				Account: name, Units: int64(u.units), UncountedUnits: int64(max(u.units-u.countedBefore-u.refilledBefore, 0)),
 			})
 		}
 	}
@@ -26,7 +26,8 @@
 // RecordUses charges the use that another daemon reported, as the leader. uptime is the time since that daemon's start.
 //
 // Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of a
-// daemon that is not new, the previous leader has counted everything but what the daemon used without a leader.
+// daemon that is not new, the previous leader has counted everything but what the daemon used without a leader. Of that the part counts
+// that was more than its share was refilled by: the bucket isn't refilled for that time either.
 func (m *Meter) RecordUses(incarnation string, uptime time.Duration, uses []turmericwall.AccountUse) {
 	s := m.readState()
 	m.mu.Lock()
@@ -92,6 +93,7 @@
 	if leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter {
 		for _, u := range m.used {
 			u.countedBefore = u.previousReplied
+			u.refilledBefore, u.refilledAlone = u.refilledAlone, 0
 		}
 	}
 	m.leader, m.levelsAt = leader, now
