fix: keep what a share was refilled by beside a leader, or after refunds, from hiding a burst

What a daemon's share was refilled by was kept until the leader changed. It grew while a leader lived, which refills its own bucket in that time, whenever a charge of this daemon wasn't answered; and it grew with each call that was charged, refilled and refunded.

The refill counts from the last heartbeat of a leader on, and what a refund leaves above a full share is taken back. Both tests fail before.

--- a/internal/admission/twquota/bucket.go
+++ b/internal/admission/twquota/bucket.go
@@ -34,7 +34,8 @@
 }
 
 // refill adds the units that the rate, in units per second, has allowed since the last refill, and returns those that the bucket had
-// room for. A raised capacity raises the level at once by the difference; a lowered one limits it.
+// room for: less than none if it was too full before, as after a refund. A raised capacity raises the level at once by the difference; a
+// lowered one limits it.
 func (b *bucket) refill(now time.Time, rate, capacity float64) (added float64) {
 	if b.refilledAt.IsZero() {
 		b.refilledAt = now
@@ -49,7 +50,7 @@
 		b.refilledAt = now
 	}
 	b.level = min(b.level, max(capacity, b.savingsGoal))
-	return max(b.level-before, 0)
+	return b.level - before
 }
 
 // recordReport charges units that another daemon reported.
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -411,3 +411,59 @@
 	f.heartbeat()
 	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(BeNumerically("<=", 10))
 }
+
+// chargeAtOnce charges calls at all daemons until each refuses one, and returns the units that were admitted.
+func (f *fleet) chargeAtOnce(account string, units float64) (admitted float64) {
+	for _, m := range f.meters {
+		admitted += units * float64(chargeCalls(m, account, units, 100))
+	}
+	return admitted
+}
+
+// Guards against a burst without a leader that the next one grants once more, since daemons had charged their shares while a leader lived.
+func TestSharesChargedBesideALeaderHideNoBurst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5, quota)
+	for range 20 {
+		f.heartbeat()
+		for range 2 {
+			for _, m := range f.meters[1:] {
+				g.Expect(m.ChargeLocally("a", 20)).To(Succeed())
+			}
+			f.now = f.now.Add(125 * time.Millisecond)
+		}
+	}
+	f.heartbeat()
+	f.leader = -1
+	used := f.chargeAtOnce("a", 10)
+	f.leader = 4
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(used).To(BeNumerically(">", 1000))
+	g.Expect(used + f.chargeAtOnce("a", 10)).To(BeNumerically("<=", quota.Burst+500))
+}
+
+// Guards against a burst without a leader that the next one grants once more, since calls were refunded before it.
+func TestRefundsWithoutALeaderHideNoBurst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5, quota)
+	f.heartbeat()
+	f.leader = -1
+	for range 20 {
+		for _, m := range f.meters {
+			g.Expect(chargeCalls(m, "a", 100, 1)).To(Equal(1))
+		}
+		f.now = f.now.Add(500 * time.Millisecond)
+		for _, m := range f.meters {
+			g.Expect(chargeCalls(m, "b", 10, 1)).To(Equal(1))
+			g.Expect(chargeCalls(m, "a", 1, 1)).To(Equal(1))
+			m.Refund("a", 101)
+		}
+	}
+	used := f.chargeAtOnce("a", 10)
+	f.leader = 4
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(used).To(BeNumerically(">", 1000))
+	g.Expect(used + f.chargeAtOnce("a", 10)).To(BeNumerically("<=", quota.Burst+500))
+}
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -90,11 +90,13 @@
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter {
-		for _, u := range m.used {
-			u.countedBefore = u.previousReplied
-			u.refilledBefore, u.refilledAlone = u.refilledAlone, 0
+	isNext := leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter
+	for _, u := range m.used {
+		if isNext {
+			u.countedBefore, u.refilledBefore = u.previousReplied, u.refilledAlone
 		}
+		// A leader that lives refills its bucket itself, also while this daemon charges its share.
+		u.refilledAlone = 0
 	}
 	m.leader, m.levelsAt = leader, now
 	for _, u := range m.used {
