--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -376,3 +376,115 @@
 	g.Expect(400*admitted).To(BeNumerically("<=", 3*1000+2000), "at most the rate and the burst")
 	g.Expect(admitted).To(BeNumerically(">", 0))
 }
+
+// Guards against a new leader that charges what daemons used without a leader, and not what the quota allowed meanwhile: an account far
+// below its quota would be refused.
+func TestAccountBelowItsQuotaIsAdmittedAfterALongTimeWithoutALeader(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, quota)
+	f.heartbeat()
+	f.leader = -1
+	// A third of the quota: less than the burst at a time, and more than it in all.
+	for range 14 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		for _, m := range f.meters[1:3] {
+			g.Expect(chargeCalls(m, "a", 80, 1)).To(Equal(1))
+		}
+	}
+	f.leader = 3
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[3], "a", 100, 10)).To(Equal(10))
+}
+
+// Guards against a new leader that grants the burst once more after daemons have used it at the end of a time without a leader.
+func TestBurstAtTheEndOfATimeWithoutALeaderIsCharged(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, quota)
+	f.heartbeat()
+	f.leader = -1
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 1)).To(Equal(1))
+	f.now = f.now.Add(7 * time.Second)
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 20)).To(Equal(10), "half of the burst")
+	f.leader = 1
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(BeNumerically("<=", 10))
+}
+
+// chargeAtOnce charges calls at all daemons until each refuses one, and returns the units that were admitted.
+func (f *fleet) chargeAtOnce(account string, units float64) (admitted float64) {
+	for _, m := range f.meters {
+		admitted += units * float64(chargeCalls(m, account, units, 100))
+	}
+	return admitted
+}
+
+// Guards against a burst without a leader that the next one grants once more, since daemons had charged their shares while a leader lived.
+func TestSharesChargedBesideALeaderHideNoBurst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5, quota)
+	for range 20 {
+		f.heartbeat()
+		for range 2 {
+			for _, m := range f.meters[1:] {
+				g.Expect(m.ChargeLocally("a", 20)).To(Succeed())
+			}
+			f.now = f.now.Add(125 * time.Millisecond)
+		}
+	}
+	f.heartbeat()
+	f.leader = -1
+	used := f.chargeAtOnce("a", 10)
+	f.leader = 4
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(used).To(BeNumerically(">", 1000))
+	g.Expect(used + f.chargeAtOnce("a", 10)).To(BeNumerically("<=", quota.Burst+500))
+}
+
+// Guards against a burst without a leader that the next one grants once more, since calls were refunded before it.
+func TestRefundsWithoutALeaderHideNoBurst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5, quota)
+	f.heartbeat()
+	f.leader = -1
+	for range 20 {
+		for _, m := range f.meters {
+			g.Expect(chargeCalls(m, "a", 100, 1)).To(Equal(1))
+		}
+		f.now = f.now.Add(500 * time.Millisecond)
+		for _, m := range f.meters {
+			g.Expect(chargeCalls(m, "b", 10, 1)).To(Equal(1))
+			g.Expect(chargeCalls(m, "a", 1, 1)).To(Equal(1))
+			m.Refund("a", 101)
+		}
+	}
+	used := f.chargeAtOnce("a", 10)
+	f.leader = 4
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(used).To(BeNumerically(">", 1000))
+	g.Expect(used + f.chargeAtOnce("a", 10)).To(BeNumerically("<=", quota.Burst+500))
+}
+
+// Guards against a new leader that charges all that a daemon has ever used of an account which nobody used as the leader changed.
+func TestUseOfAnIdleAccountIsNotChargedAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newTolerantFleet(3, quota, 0.1, 1000)
+	for range 40 {
+		g.Expect(chargeCalls(f.meters[1], "a", 250, 1)).To(Equal(1))
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.heartbeat()
+	}
+	for range 24 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.heartbeat()
+	}
+	f.leader = 2
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 1)).To(Equal(1))
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[2], "a", 100, 10)).To(Equal(10))
+}
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -16,7 +16,7 @@
 	for name, u := range m.used {
 		if now.Sub(u.lastUsedAt) < reportRetention {
 			list = append(list, turmericwall.AccountUse{
-				Account: name, Units: int64(u.units), UncountedUnits: int64(u.units - u.countedBefore),
+				Account: name, Units: int64(u.units), UncountedUnits: int64(max(u.units-u.countedBefore-u.refilledBefore, 0)),
 			})
 		}
 	}
@@ -25,8 +25,9 @@
 
 // RecordUses charges the use that another daemon reported, as the leader. uptime is the time since that daemon's start.
 //
-// Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of a
-// daemon that is not new, the previous leader has counted everything but what the daemon used without a leader.
+// Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of an account by a
+// daemon that is not new, the previous leader has counted everything but what the daemon used without a leader. Of that the part counts
+// that was more than its share was refilled by: the bucket isn't refilled for that time either.
 func (m *Meter) RecordUses(incarnation string, uptime time.Duration, uses []turmericwall.AccountUse) {
 	s := m.readState()
 	m.mu.Lock()
@@ -35,8 +36,8 @@
 	if !s.isLeader {
 		return
 	}
-	previous, known := m.reported[incarnation]
-	if !known {
+	previous, ok := m.reported[incarnation]
+	if !ok {
 		previous = make(map[string]int64)
 		m.reported[incarnation] = previous
 	}
@@ -45,7 +46,8 @@
 		if !ok || !account.Quota.IsLimited() {
 			continue
 		}
-		recent := u.Units - previous[u.Account]
+		counted, known := previous[u.Account]
+		recent := u.Units - counted
 		if !known && uptime >= maxNewDaemonAge {
 			recent = u.UncountedUnits
 		}
@@ -89,10 +91,13 @@
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter {
-		for _, u := range m.used {
-			u.countedBefore = u.previousReplied
+	isNext := leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter
+	for _, u := range m.used {
+		if isNext {
+			u.countedBefore, u.refilledBefore = u.previousReplied, u.refilledAlone
 		}
+		// A leader that lives refills its bucket itself, also while this daemon charges its share.
+		u.refilledAlone = 0
 	}
 	m.leader, m.levelsAt = leader, now
 	for _, u := range m.used {
