test: have a cut daemon meet a refused query

The case 'nobody answers this daemon' of the end check breaks the query off.

A case with a refused query stands beside it now. With the guard taken out the test fails, as the code is it passes.

--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -66,6 +66,7 @@
 		"resets some connections":              {1, []error{brokenOff, brokenOff, brokenOff, nil}, nil, turmericwall.EndRefuted},
 		"resets connections, then refuses":     {0, []error{brokenOff, brokenOff, refused}, nil, turmericwall.EndProved},
 		"nobody answers this daemon":           {0, []error{brokenOff, brokenOff}, brokenOff, turmericwall.EndUnknown},
+		"refuses, nobody answers this daemon":  {0, []error{refused}, brokenOff, turmericwall.EndUnknown},
 		"answers without end":                  {0, []error{endless}, nil, turmericwall.EndUnknown},
 		"refuses, after a connection was open": {0, []error{brokenOff, refused}, nil, turmericwall.EndProved},
 	} {
