test: ask what proves the end of a run of the check of its engine, too

The tests of the end check look at what it finds as evidence on inputs, and only one at the proof for the run, where an engine states another start.

TestOnlyAnotherIncarnationProvesTheEndOfARun asks for the proof after a refusal, an answer of another upstream and another start.

--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// Guards against a run that counts as ended because nobody listens at its upstream's address, where it may work on.
+func TestOnlyAnotherIncarnationProvesTheEndOfARun(t *testing.T) {
+	for name, test := range map[string]struct {
+		started int64
+		err     error
+		want    twrunend.Proof
+	}{
+		"refuses":                  {0, failed(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(time.Minute)}), ""},
+		"another upstream answers": {0, failed(turmericwall.SendError{Sent: true, Status: 421, IncarnationReplaced: true}), twrunend.ProofReplaced},
+		"states another start":     {2, nil, twrunend.ProofReplaced},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			found := newChecker(func(context.Context) (int64, error) { return test.started, test.err }, nil).Check(context.Background(), broken())
+			g.Expect(found.Result).To(Equal(turmericwall.EndProved), "as evidence on the input")
+			g.Expect(found.Proof).To(Equal(test.want))
+		})
+	}
+}
+
 // Guards against a query for each of the answers that break with their upstream.
 func TestRunsThatBreakTogetherShareACheck(t *testing.T) {
 	g := NewWithT(t)
