test: refuse a connection before the run was sent

The fence compares the time of a refusal with that of the send. What it still decides is for how long the engine is tried: 1.3 s, or 0.3 s for one that refuses now.

TestRefusalBeforeTheSendFreesNobody fails without the comparison, and passes as the code is.

--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -220,6 +220,15 @@
 	g.Expect(time.Since(beganAt)).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<", time.Second)))
 }
 
+// Guards against a stream that is given up early because connections were refused before its run was sent.
+func TestRefusalBeforeTheSendFreesNobody(t *testing.T) {
+	g, beganAt := NewWithT(t), time.Now()
+	before := refused(turmericwall.SendError{ConnectFailed: true, RefusedAt: time.Now().Add(-time.Minute)})
+	_, _, _, err := proveWithin(5*time.Second, fixture{begun: true, states: turmericwall.ConnectionStates{Broken: 3}}, before)
+	g.Expect(err).To(MatchError(twfence.ErrUnproved))
+	g.Expect(time.Since(beganAt)).To(And(BeNumerically(">=", time.Second), BeNumerically("<", 3*time.Second)))
+}
+
 // Guards against a call that waits at its engine, counts as ended there, and runs later.
 func TestCallThatMayStillBeginHasNotEnded(t *testing.T) {
 	absent := refused(turmericwall.SendError{Sent: true, NotRun: true, Status: 404})
