test: hold prompts and moved runs to the mark of repeated sends

A call that is sent to its upstream again needs a connection of its own, for which each sender marks it.

The mark of plain calls has no test: such a call avoids the upstreams that it was sent to, and no sequence in which it meets one again was found.

--- a/internal/delivery/twrelay/fake_test.go
+++ b/internal/delivery/twrelay/fake_test.go
@@ -47,6 +47,7 @@
 	// hangingPrefills are engines that never finish a prefill.
 	hangingPrefills map[string]bool
 	prefills        int
+	prefillCalls    []turmericwall.OutgoingCall
 	full            map[string]bool
 	// unresponsive engines do not answer reservations.
 	unresponsive   map[string]bool
@@ -72,7 +73,7 @@
 }
 
 func (u *fakeUpstreams) Prefill(
-	ctx context.Context, to turmericwall.Upstream, _ turmericwall.OutgoingCall,
+	ctx context.Context, to turmericwall.Upstream, call turmericwall.OutgoingCall,
 ) (turmericwall.EngineExport, error) {
 	if u.hangingPrefills[to.ID] {
 		<-ctx.Done()
@@ -80,6 +81,7 @@
 	}
 	u.mu.Lock()
 	u.prefills++
+	u.prefillCalls = append(u.prefillCalls, call)
 	n := u.prefills
 	u.mu.Unlock()
 	if u.prefill != nil {
