--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The daily commands.
 
-.PHONY: build test race lint format generate golden bench measure demo
+.PHONY: build test race lint format generate golden guards bench measure demo
 
 build: ## Build all programs into bin/.
 	go build -o bin/ ./turmericwalld ./turmericwallctl ./turmericwallstand
@@ -13,7 +13,7 @@
 
 lint: ## Check format and names.
 	go tool gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
-	go tool revive -config revive.toml -exclude ./internal/membership/twpeer/... ./... ./turmericwallctl/... ./turmericwalld/... ./turmericwallstand/... ./platform/...
+	go tool revive -config revive.toml -exclude ./internal/membership/twpeer/... ./... ./turmericwallctl/... ./turmericwalld/... ./turmericwallstand/... ./platform/... ./tools/guards/...
 
 format: ## Rewrite all sources in the house format.
 	go tool gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
@@ -25,6 +25,9 @@
 golden: ## Renew the golden files; read the difference before it is committed.
 	go test ./internal/placement/twscheduler ./turmericwallstand/internal/twsite -update
 
+guards: ## Take each guard of an incident out of a copy, and show that its test fails.
+	go run ./tools/guards
+
 bench: ## Run the benchmarks.
 	go test -run '^$$' -bench . -benchmem ./internal/... ./turmericwallstand/internal/twsite
 
