--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -25,7 +25,7 @@
 
 // RecordUses charges the use that another daemon reported, as the leader. uptime is the time since that daemon's start.
 //
-// Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of an account by a
+// Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of a
 // daemon that is not new, the previous leader has counted everything but what the daemon used without a leader. Of that the part counts
 // that was more than its share was refilled by: the bucket isn't refilled for that time either.
 func (m *Meter) RecordUses(incarnation string, uptime time.Duration, uses []turmericwall.AccountUse) {
@@ -36,8 +36,8 @@
 	if !s.isLeader {
 		return
 	}
-	previous, ok := m.reported[incarnation]
-	if !ok {
+	previous, known := m.reported[incarnation]
+	if !known {
 		previous = make(map[string]int64)
 		m.reported[incarnation] = previous
 	}
@@ -46,8 +46,7 @@
 		if !ok || !account.Quota.IsLimited() {
 			continue
 		}
-		counted, known := previous[u.Account]
-		recent := u.Units - counted
+		recent := u.Units - previous[u.Account]
 		if !known && uptime >= maxNewDaemonAge {
 			recent = u.UncountedUnits
 		}
