fix: take no share that has become smaller for one that was used

A lower capacity limits the level before the refill is counted. TestSharesThatBecomeSmallerAreNotUsed: 0 of 15 calls admitted before, 15 after.

--- a/internal/admission/twquota/bucket.go
+++ b/internal/admission/twquota/bucket.go
@@ -40,8 +40,11 @@
 	if b.refilledAt.IsZero() {
 		b.refilledAt = now
 	}
-	if capacity > b.capacity {
+	switch {
+	case capacity > b.capacity:
 		b.level += capacity - b.capacity
+	case capacity < b.capacity:
+		b.level = min(b.level, max(capacity, b.savingsGoal))
 	}
 	b.capacity = capacity
 	before := b.level
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -467,3 +467,29 @@
 	g.Expect(used).To(BeNumerically(">", 1000))
 	g.Expect(used + f.chargeAtOnce("a", 10)).To(BeNumerically("<=", quota.Burst+500))
 }
+
+// Guards against an account that is refused since its shares had become smaller without a leader, as if the rest had been used.
+func TestSharesThatBecomeSmallerAreNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, quota)
+	f.heartbeat()
+	f.leader = -1
+	g.Expect(f.chargeOnce("a", 1)).To(Equal(4))
+	for range 3 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.daemonsUnknown = !f.daemonsUnknown
+		f.chargeOnce("a", 1)
+	}
+	f.daemonsUnknown, f.leader = false, 3
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[3], "a", 100, 15)).To(Equal(15))
+}
+
+// chargeOnce charges one call at each daemon, and returns how many were admitted.
+func (f *fleet) chargeOnce(account string, units float64) (admitted int) {
+	for _, m := range f.meters {
+		admitted += chargeCalls(m, account, units, 1)
+	}
+	return admitted
+}
