fix: let a moved run return to its source only in time, and forget no target that has left

A run that its source had refused was sent there again after the pause for refusals, up to 0.75 s after the source's leaving was noticed instead of 0.5 s: close to the two seconds after which an engine gets no calls. That the target had left was forgotten with the next error, so that its admission could be given back twice.

--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -246,7 +246,7 @@
 	if result.copied {
 		last = s.sendMoved(ctx, run, result.placement.Decode)
 	}
-	refusals, returned := 0, false
+	refusals, returned, targetLeft := 0, false, false
 	for until := time.Now().Add(importRetrySpan); last != nil; {
 		if !isSafeToResend(last) {
 			return nil, errors.Join(last, before)
@@ -256,13 +256,14 @@
 			refusals++
 			delay = refusedImportDelay
 		}
+		targetLeft = targetLeft || errors.Is(last, errLeaving)
 		switch {
 		case time.Since(s.move.noticedAt) < maxReturnDelay:
-			engine = source
+			engine, delay = source, importRetryDelay
 			if !returned {
 				returned, delay = true, 0
 			}
-		case errors.Is(last, errLeaving), !result.copied || refusals > maxRefusedImports || time.Now().After(until):
+		case targetLeft, !result.copied || refusals > maxRefusedImports || time.Now().After(until):
 			return nil, errors.Join(last, before)
 		}
 		if !pause(ctx, delay) || !s.relay.spendSend(s.attempt) {
