--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -493,3 +493,24 @@
 	}
 	return admitted
 }
+
+// Guards against a new leader that charges all that a daemon has ever used of an account which nobody used as the leader changed.
+func TestUseOfAnIdleAccountIsNotChargedAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newTolerantFleet(3, quota, 0.1, 1000)
+	for range 40 {
+		g.Expect(chargeCalls(f.meters[1], "a", 250, 1)).To(Equal(1))
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.heartbeat()
+	}
+	for range 24 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.heartbeat()
+	}
+	f.leader = 2
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 1)).To(Equal(1))
+	f.heartbeat()
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[2], "a", 100, 10)).To(Equal(10))
+}
