refactor: call an engine whose machine acknowledges nothing unreachable

A newcomer's read: the code said that nothing is 'heard' of it, beside an exported ErrUnreachable for the same state. Names, errors and tests follow that one word now; no behaviour changes.

--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -40,7 +40,7 @@
 
 // ErrUnreachable is wrapped beside ErrUnproved if no connection could be established, and the engine's machine acknowledges nothing on one
 // that is open.
-var ErrUnreachable = errors.New("nothing of the engine's machine is heard")
+var ErrUnreachable = errors.New("the engine's machine acknowledges nothing")
 
 // ErrAbsent is wrapped beside ErrUnproved if the engine doesn't run the call now, and may run it later.
 var ErrAbsent = errors.New("the engine doesn't run the call now, and may run it later")
@@ -195,7 +195,7 @@
 	}
 }
 
-// isMachineSilent reports whether nothing is heard of the engine's machine, which acknowledges what is sent to it also while the process
+// isMachineSilent reports whether the engine's machine acknowledges nothing. It acknowledges what it receives also while the process
 // stands still.
 func (p *proving) isMachineSilent() bool {
 	return p.unconnectedTries > 0 && p.connections.Open > 0 && !p.connections.Heard
--- a/internal/delivery/twfence/fence_test.go
+++ b/internal/delivery/twfence/fence_test.go
@@ -116,9 +116,9 @@
 	}
 }
 
-// Guards against an engine of which nothing is heard that counts as ended, or as unheard because one packet was lost, and against a stream
+// Guards against an engine that is unreachable and counts as ended, or counts as unreachable because one packet was lost, and against a stream
 // that waits for one that stays so.
-func TestEngineIsUnheardOnlyAfterAWhile(t *testing.T) {
+func TestEngineIsUnreachableOnlyAfterAWhile(t *testing.T) {
 	unconnected := refused(turmericwall.SendError{ConnectFailed: true})
 	t.Run("stays so", func(t *testing.T) {
 		g := NewWithT(t)
@@ -187,8 +187,8 @@
 		name   string
 		f      fixture
 		answer stopResult
-		// unheard is set if nothing is heard of the engine's machine.
-		unheard bool
+		// unreachable is set if the engine's machine acknowledges nothing.
+		unreachable bool
 	}{
 		{"refuses, another connection is open", fixture{states: turmericwall.ConnectionStates{Open: 1, Broken: 2}}, refusal, false},
 		{"refuses, all other answers were lost", fixture{states: turmericwall.ConnectionStates{Broken: 9}}, refusal, false},
@@ -206,7 +206,7 @@
 			g, beganAt := NewWithT(t), time.Now()
 			proof, _, _, err := proveWithin(5*time.Second, c.f, c.answer)
 			g.Expect(proof).To(BeEmpty())
-			g.Expect(errors.Is(err, twfence.ErrUnreachable)).To(Equal(c.unheard))
+			g.Expect(errors.Is(err, twfence.ErrUnreachable)).To(Equal(c.unreachable))
 			g.Expect(time.Since(beganAt)).To(BeNumerically("<", 3*time.Second), "its caller can take it up elsewhere")
 		})
 	}
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -129,7 +129,7 @@
 // wasEndedHere reports whether this daemon ended the exchange of a run, and not its upstream.
 func wasEndedHere(cause error) bool {
 	var toCaller *callerError
-	return errors.Is(cause, errSilent) || errors.Is(cause, errUnheard) || errors.Is(cause, net.ErrClosed) || errors.Is(cause, context.Canceled) ||
+	return errors.Is(cause, errSilent) || errors.Is(cause, errUnreachable) || errors.Is(cause, net.ErrClosed) || errors.Is(cause, context.Canceled) ||
 		errors.Is(cause, context.DeadlineExceeded) || errors.As(cause, &toCaller) || isTimeout(cause) ||
 		isUnread(cause)
 }
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -114,7 +114,7 @@
 }
 
 // stopSilent has the engine of a silent run stop it, while the exchange is still open: if the end can't be proved, the run stays
-// there, unless nothing is heard of its machine. It reports whether the run has ended.
+// there, unless its machine acknowledges nothing. It reports whether the run has ended.
 func (r *Relay) stopSilent(ctx context.Context, run *modelRun) bool {
 	if run.endProved || r.config.ProveEnd == nil {
 		return true
@@ -122,6 +122,6 @@
 	ctx, cancel := context.WithTimeout(ctx, stopSilentTimeout)
 	defer cancel()
 	_, err := r.config.ProveEnd(ctx, run.fenced())
-	run.endProved, run.isUnheard = err == nil, errors.Is(err, twfence.ErrUnreachable)
+	run.endProved, run.isUnreachable = err == nil, errors.Is(err, twfence.ErrUnreachable)
 	return run.endProved
 }
--- a/internal/delivery/twrelay/former_test.go
+++ b/internal/delivery/twrelay/former_test.go
@@ -166,8 +166,8 @@
 	g.Expect(s.upstreams.prefills).To(Equal(1))
 }
 
-// Guards against a caller that waits for a stream of whose engine nothing is heard, and could take it up elsewhere.
-func TestASilentStreamOfAnUnheardEngineEnds(t *testing.T) {
+// Guards against a caller that waits for a stream whose engine is unreachable, and could take it up elsewhere.
+func TestASilentStreamOfAnUnreachableEngineEnds(t *testing.T) {
 	g, beganAt := NewWithT(t), time.Now()
 	s := newModelFixture(splitPlacement("d1"), splitPlacement("d2"))
 	s.found.Store(int64(turmericwall.EndUnknown))
@@ -180,7 +180,7 @@
 	})
 	_, err := s.serveWithin(context.Background(), "/r/x", time.Minute)
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(s.log.String()).To(ContainSubstring("nothing of its machine is heard"))
+	g.Expect(s.log.String()).To(ContainSubstring("its machine acknowledges nothing"))
 	g.Expect(s.upstreams.sentTo()).To(Equal([]string{"d1"}))
 	g.Expect(time.Since(beganAt)).To(BeNumerically("<", 5*time.Second))
 }
--- a/internal/delivery/twrelay/model.go
+++ b/internal/delivery/twrelay/model.go
@@ -225,10 +225,10 @@
 				head.discard()
 				return nil, &turmericwall.SendError{Sent: true, Err: errSilent}
 			}
-			if run.isUnheard {
+			if run.isUnreachable {
 				run.cancel()
 				head.discard()
-				return nil, &turmericwall.SendError{Sent: true, Err: errUnheard}
+				return nil, &turmericwall.SendError{Sent: true, Err: errUnreachable}
 			}
 			silence.Reset(run.silenceSpan())
 		}
--- a/internal/delivery/twrelay/resume.go
+++ b/internal/delivery/twrelay/resume.go
@@ -21,9 +21,9 @@
 )
 
 var (
-	errSilent   = errors.New("the engine was silent, and another one was prepared")
-	errUnheard  = errors.New("the engine was silent, and nothing of its machine is heard")
-	errReleased = errors.New("the send is not needed any more")
+	errSilent      = errors.New("the engine was silent, and another one was prepared")
+	errUnreachable = errors.New("the engine was silent, and its machine acknowledges nothing")
+	errReleased    = errors.New("the send is not needed any more")
 )
 
 // continueElsewhere starts the next run of a stream whose run has ended early with the error. It returns the error, with
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -37,8 +37,8 @@
 	isShared bool
 	// endProved is set once it is proved that the run has ended, while its exchange was still open.
 	endProved bool
-	// isUnheard is set once nothing is heard of the engine's machine: the caller can take the call up elsewhere, once its run ends here.
-	isUnheard bool
+	// isUnreachable is set once the engine's machine acknowledges nothing: the caller can take the call up elsewhere, once its run ends here.
+	isUnreachable bool
 	// progressRecorded is set once it was recorded that the engine has written for a while.
 	progressRecorded bool
 	// speedReported is set once the placer got an early report of the run's speed.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -144,8 +144,8 @@
 			if !s.move.isPending() && s.relay.prepareTakeover(ctx, s.attempt, s.run, &s.reader.arrivals) {
 				return errSilent
 			}
-			if s.run.isUnheard {
-				return errUnheard
+			if s.run.isUnreachable {
+				return errUnreachable
 			}
 			silence.Reset(s.run.silenceSpan())
 		}
