fix: send orders to stop a run through any daemon that has a connection to its engine

What callers saw: a stream whose engine lost its connections to some daemons, or closed its port, and worked on, ended after 0.3 s for its caller to take up, although the run could have been stopped and gone on elsewhere.

The first peer that couldn't connect either ended the search for half a second, for all orders, though others could. A path that counts as lost, here or at the peer, kept an order from connections that were open.

Change: an order is marked. Calls are sent as before. A peer of an earlier version ignores the mark.

--- a/internal/delivery/twdetour/peers.go
+++ b/internal/delivery/twdetour/peers.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/turmericwall/turmericwall"
 )
 
 // peers chooses the peer for each detour.
@@ -16,10 +18,21 @@
 	// them that could not be reached may be asked again if there is no other peer.
 	open                  map[string]int
 	leftOutUntil, againAt map[string]time.Time
+	// unconnectedUntil is until when a peer that couldn't connect to an upstream isn't asked to send it another order.
+	unconnectedUntil map[peerPath]time.Time
+}
+
+// peerPath is the network path of a peer to an upstream.
+type peerPath struct {
+	peer     string
+	upstream turmericwall.UpstreamKey
 }
 
 func newPeers() *peers {
-	return &peers{open: make(map[string]int), leftOutUntil: make(map[string]time.Time), againAt: make(map[string]time.Time)}
+	return &peers{
+		open: make(map[string]int), leftOutUntil: make(map[string]time.Time), againAt: make(map[string]time.Time),
+		unconnectedUntil: make(map[peerPath]time.Time),
+	}
 }
 
 func (p *peers) setFetched(list []string) {
@@ -107,6 +120,29 @@
 	p.againAt[peer] = now.Add(unreachableRetryDelay)
 }
 
+// recordUnconnected records that a peer couldn't connect to the upstream.
+func (p *peers) recordUnconnected(now time.Time, peer string, upstream turmericwall.UpstreamKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for path, until := range p.unconnectedUntil {
+		if now.After(until) {
+			delete(p.unconnectedUntil, path)
+		}
+	}
+	p.unconnectedUntil[peerPath{peer: peer, upstream: upstream}] = now.Add(orderInterval)
+}
+
+// addUnconnected adds the peers that couldn't connect to the upstream a moment ago.
+func (p *peers) addUnconnected(list map[string]bool, now time.Time, upstream turmericwall.UpstreamKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for path, until := range p.unconnectedUntil {
+		if path.upstream == upstream && now.Before(until) {
+			list[path.peer] = true
+		}
+	}
+}
+
 // takeBack makes a peer be chosen again, since it has answered.
 func (p *peers) takeBack(peer string) {
 	p.mu.Lock()
--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -14,6 +14,12 @@
 const (
 	// maxPeers is how many peers are asked to send one request, each after one that did not send it.
 	maxPeers = 3
+	// maxOrderPeers is how many peers are asked to send one order, also after some that can't connect, and orderSpan for how long: an
+	// engine may be out of reach for some daemons only.
+	maxOrderPeers = 8
+	orderSpan     = 300 * time.Millisecond
+	// orderInterval is the least time between two orders to an upstream through a peer that couldn't connect to it.
+	orderInterval = 100 * time.Millisecond
 	// maxFailingShare is the largest share of a service's upstreams that may fail at a time. A daemon that lacks the paths
 	// to more of them has lost paths itself.
 	maxFailingShare = 0.34
@@ -44,6 +50,8 @@
 	KnownPeers func() []string
 	// FetchPeers requests the addresses of peers that have paths to upstreams.
 	FetchPeers func(ctx context.Context) ([]string, error)
+	// HasConnections reports whether this daemon has connections to the upstream that are open, on which an order may be answered.
+	HasConnections func(to turmericwall.Upstream) bool
 	// Count counts an event for the metrics.
 	Count func(name string)
 }
@@ -90,7 +98,7 @@
 	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
 ) (*turmericwall.Answer, error) {
 	cause := error(errPathLost)
-	if t.config.Paths.Use(time.Now(), to) {
+	if t.config.Paths.Use(time.Now(), to) || (request.IsOrder && t.config.HasConnections(to)) {
 		answer, err := t.config.Direct.Exchange(ctx, to, request)
 		if !connectFailed(err) || ctx.Err() != nil {
 			return answer, err
@@ -109,21 +117,21 @@
 func (t *Transport) detour(
 	ctx context.Context, to turmericwall.Upstream, request turmericwall.UpstreamRequest, cause error,
 ) (*turmericwall.Answer, error) {
-	if t.config.Paths.IsAtFault(time.Now(), to.Key()) {
-		return nil, &turmericwall.SendError{
-			ConnectFailed: true, RefusedAt: t.config.Paths.RefusedAt(to.Key()),
-			Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault),
-		}
+	if !request.IsOrder && t.config.Paths.IsAtFault(time.Now(), to.Key()) {
+		return nil, t.atFaultError(to)
 	}
 	t.requestRefresh()
 	last := cause
-	asked := &askedPeers{addresses: make(map[string]bool, maxPeers)}
-	for range maxPeers {
+	asked := newAskedPeers(request.IsOrder)
+	if request.IsOrder {
+		t.peers.addUnconnected(asked.addresses, time.Now(), to.Key())
+	}
+	for asked.mayAsk(time.Now()) {
 		peer, ok := t.peers.pick(time.Now(), t.config.KnownPeers(), asked.addresses)
 		if !ok {
 			break
 		}
-		asked.addresses[peer] = true
+		asked.add(peer)
 		answer, err := t.exchangeThrough(ctx, peer, to, request)
 		if err == nil {
 			return answer, nil
@@ -134,6 +142,9 @@
 		last = err
 	}
 	t.config.Count("detours_failed")
+	if request.IsOrder && t.config.Paths.IsAtFault(time.Now(), to.Key()) {
+		return nil, t.atFaultError(to)
+	}
 	lost := len(asked.addresses) > 0 || t.config.Paths.IsCutOff(time.Now(), to.Service)
 	return nil, &turmericwall.SendError{
 		ConnectFailed: true, PathLost: lost, RefusedAt: t.config.Paths.RefusedAt(to.Key()),
@@ -141,11 +152,43 @@
 	}
 }
 
-// askedPeers are the peers that were asked to send one request.
+// atFaultError returns the error of a request to an upstream to which peers can't connect either.
+func (t *Transport) atFaultError(to turmericwall.Upstream) error {
+	return &turmericwall.SendError{
+		ConnectFailed: true, RefusedAt: t.config.Paths.RefusedAt(to.Key()),
+		Err: fmt.Errorf("connect to %s: %w", to.ID, errAtFault),
+	}
+}
+
+// askedPeers are the peers that were asked to send one request, and those that need not be asked.
 type askedPeers struct {
 	addresses map[string]bool
-	// unreachable is how many of them can't connect to the upstream.
-	unreachable int
+	isOrder   bool
+	// n is how many were asked, and unreachable how many of them can't connect to the upstream.
+	n, unreachable int
+	// until is when no other one is asked any more; zero if that isn't bounded.
+	until time.Time
+}
+
+func newAskedPeers(isOrder bool) *askedPeers {
+	a := &askedPeers{addresses: make(map[string]bool, maxPeers), isOrder: isOrder}
+	if isOrder {
+		a.until = time.Now().Add(orderSpan)
+	}
+	return a
+}
+
+// mayAsk reports whether one more peer may be asked.
+func (a *askedPeers) mayAsk(now time.Time) bool {
+	if a.isOrder {
+		return a.n < maxOrderPeers && now.Before(a.until)
+	}
+	return a.n < maxPeers
+}
+
+func (a *askedPeers) add(peer string) {
+	a.addresses[peer] = true
+	a.n++
 }
 
 // exchangeThrough has one peer send the request. The detour is open until the end of the answer's body.
@@ -196,7 +239,13 @@
 		asked.unreachable++
 		if refusal.LostShare <= maxFailingShare || asked.unreachable == maxPeers {
 			t.config.Paths.RecordAtFault(time.Now(), to.Key())
-			return false
+			if !asked.isOrder {
+				return false
+			}
+		}
+		if asked.isOrder {
+			t.peers.recordUnconnected(time.Now(), peer, to.Key())
+			return true
 		}
 	}
 	t.peers.leaveOutRefusing(time.Now(), peer)
--- a/internal/delivery/twdetour/transport_test.go
+++ b/internal/delivery/twdetour/transport_test.go
@@ -24,6 +24,8 @@
 	mu       sync.Mutex
 	exchange exchangeFunc
 	asked    []string
+	// hasConnections is set if connections to the upstream are open.
+	hasConnections bool
 }
 
 func (f *fakeTransports) record(peer string) (*turmericwall.Answer, error) {
@@ -58,9 +60,10 @@
 	fakes, paths := &fakeTransports{exchange: exchange}, twpath.New()
 	return twdetour.New(twdetour.Config{
 		Direct: direct{fakes}, Paths: paths, Peers: peerClient{fakes},
-		KnownPeers: func() []string { return []string{"p1", "p2", "p3", "p4", "p5"} },
-		FetchPeers: func(context.Context) ([]string, error) { return nil, nil },
-		Count:      func(string) {},
+		KnownPeers:     func() []string { return []string{"p1", "p2", "p3", "p4", "p5"} },
+		FetchPeers:     func(context.Context) ([]string, error) { return nil, nil },
+		HasConnections: func(turmericwall.Upstream) bool { return fakes.hasConnections },
+		Count:          func(string) {},
 	}), fakes, paths
 }
 
@@ -218,3 +221,60 @@
 	g.Expect(fakes.asked).To(HaveLen(3))
 	g.Expect(transport.PathLost(target.Key())).To(BeFalse())
 }
+
+// Guards against a run whose end stays unproved since the first peer that is asked can't connect to its engine either, and against peers that
+// are asked again and again.
+func TestOrderGoesThroughAnyPeerThatHasAConnection(t *testing.T) {
+	g := NewWithT(t)
+	order := turmericwall.UpstreamRequest{Head: []byte("POST / HTTP/1.1\r\n\r\n"), Method: "POST", ControlID: "o", IsOrder: true}
+	reaches := "p3"
+	transport, fakes, paths := newTransport(func(peer string) (*turmericwall.Answer, error) {
+		if peer == reaches {
+			return answered()
+		}
+		return nil, refused(turmericwall.EgressUnreachable, 0.1)
+	})
+	paths.RecordLoss(time.Now(), target)
+	paths.RecordAtFault(time.Now(), target.Key())
+	_, err := transport.Exchange(context.Background(), target, order)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	reaches = ""
+	for range 20 {
+		_, err = transport.Exchange(context.Background(), target, order)
+		g.Expect(sendError(err)).To(And(HaveField("ConnectFailed", true), HaveField("PathLost", false)), "peers can't connect either")
+	}
+	g.Expect(len(fakes.asked)).To(BeNumerically("<=", 2*5), "each peer at most once in 100 ms after it couldn't connect")
+	_, err = transport.Exchange(context.Background(), target, request)
+	g.Expect(sendError(err).ConnectFailed).To(BeTrue())
+	g.Expect(len(fakes.asked)).To(BeNumerically("<=", 2*5), "calls ask nobody while the upstream is at fault")
+}
+
+// Guards against an order that isn't sent on an open connection since the path counts as lost.
+func TestOrderTakesOpenConnectionsOfALostPath(t *testing.T) {
+	for name, c := range map[string]struct {
+		hasConnections, isOrder bool
+		want                    []string
+	}{
+		"an order":                      {true, true, []string{""}},
+		"an order without a connection": {false, true, []string{"peer"}},
+		"a call":                        {true, false, []string{"peer"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			transport, fakes, paths := newTransport(func(string) (*turmericwall.Answer, error) { return answered() })
+			fakes.hasConnections = c.hasConnections
+			paths.RecordLoss(time.Now(), target)
+			sent := request
+			sent.IsOrder = c.isOrder
+			_, err := transport.Exchange(context.Background(), target, sent)
+			g.Expect(err).NotTo(HaveOccurred())
+			for i, asked := range fakes.asked {
+				if asked != "" {
+					fakes.asked[i] = "peer"
+				}
+			}
+			g.Expect(fakes.asked).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/delivery/twdirect/transport.go
+++ b/internal/delivery/twdirect/transport.go
@@ -65,6 +65,11 @@
 	return nil, err
 }
 
+// HasConnections reports whether this daemon has connections to the upstream that are open, whatever became of its path.
+func (t *Transport) HasConnections(to turmericwall.Upstream) bool {
+	return t.config.Connections.States(to, "", time.Time{}).Open > 0
+}
+
 // Run checks and probes paths until ctx ends.
 func (t *Transport) Run(ctx context.Context) error {
 	tick := time.NewTicker(probeRoundInterval)
--- a/internal/delivery/twegress/egress.go
+++ b/internal/delivery/twegress/egress.go
@@ -22,6 +22,8 @@
 	Paths  *twpath.Paths
 	// Find returns the upstream with the key as this daemon knows it, and whether it accepts calls.
 	Find func(key turmericwall.UpstreamKey) (upstream turmericwall.Upstream, acceptsCalls, ok bool)
+	// HasConnections reports whether this daemon has connections to the upstream that are open, on which an order may be answered.
+	HasConnections func(to turmericwall.Upstream) bool
 	// Upstreams returns the number of upstreams of a service.
 	Upstreams func(service string) int
 	// BackoffUntil returns the end of the back-off that the upstream asked this daemon for; zero if there is none.
@@ -67,7 +69,7 @@
 	if reason := e.check(to, request); reason != "" {
 		return nil, e.refusal(reason, to.Service)
 	}
-	if !e.config.Paths.Use(time.Now(), to) {
+	if !e.config.Paths.Use(time.Now(), to) && !(request.IsOrder && e.config.HasConnections(to)) {
 		return nil, e.refusal(turmericwall.EgressUnreachable, to.Service)
 	}
 	answer, err := e.config.Direct.Exchange(ctx, to, request)
--- a/internal/delivery/twegress/egress_test.go
+++ b/internal/delivery/twegress/egress_test.go
@@ -37,6 +37,7 @@
 	paths                      *twpath.Paths
 	known                      turmericwall.Upstream
 	leaving, stopping, backOff bool
+	hasConnections             bool
 	answers                    int
 	egress                     *twegress.Egress
 }
@@ -54,7 +55,8 @@
 		Find: func(key turmericwall.UpstreamKey) (turmericwall.Upstream, bool, bool) {
 			return p.known, !p.leaving, key == p.known.Key()
 		},
-		Upstreams: func(string) int { return 4 },
+		HasConnections: func(turmericwall.Upstream) bool { return p.hasConnections },
+		Upstreams:      func(string) int { return 4 },
 		BackoffUntil: func(turmericwall.UpstreamKey) time.Time {
 			if p.backOff {
 				return time.Now().Add(time.Second)
@@ -137,3 +139,16 @@
 	}
 	g.Expect(p.egress.Open()).To(BeZero())
 }
+
+// Guards against a peer's order that isn't sent on an open connection since this daemon's path counts as lost, and against calls that are.
+func TestOrderOfAPeerTakesOpenConnectionsOfALostPath(t *testing.T) {
+	for _, c := range []struct{ hasConnections, isOrder, sent bool }{{true, true, true}, {false, true, false}, {true, false, false}} {
+		g, p := NewWithT(t), newPeer()
+		p.hasConnections = c.hasConnections
+		p.paths.RecordLoss(time.Now(), target)
+		request := release
+		request.IsOrder = c.isOrder
+		_, err := p.egress.Exchange(context.Background(), target, request)
+		g.Expect(err == nil).To(Equal(c.sent))
+	}
+}
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -34,6 +34,8 @@
 	ControlID string `json:"controlId,omitempty"`
 	// OwnConnection is that of the request; a peer of an earlier version doesn't know it.
 	OwnConnection bool `json:"ownConnection,omitempty"`
+	// IsOrder is that of the request; a peer of an earlier version sends it like any other.
+	IsOrder bool `json:"isOrder,omitempty"`
 	// HeadBytes is the length of the request's head.
 	HeadBytes int `json:"headBytes"`
 	// RemainingMillis is the time that is left for the exchange; 0 if it is not limited.
@@ -65,7 +67,7 @@
 func (c *Client) Exchange(
 	ctx context.Context, address string, to turmericwall.Upstream, request turmericwall.UpstreamRequest,
 ) (*turmericwall.Answer, error) {
-	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, ControlID: request.ControlID, OwnConnection: request.OwnConnection, HeadBytes: len(request.Head)}
+	message := wireExchange{To: to, Method: request.Method, CallID: request.CallID, ControlID: request.ControlID, OwnConnection: request.OwnConnection, IsOrder: request.IsOrder, HeadBytes: len(request.Head)}
 	if deadline, ok := ctx.Deadline(); ok {
 		message.RemainingMillis = max(time.Until(deadline).Milliseconds(), 1)
 	}
@@ -227,7 +229,7 @@
 	}
 	return message, turmericwall.UpstreamRequest{
 		Head: rest[:message.HeadBytes:message.HeadBytes], Body: rest[message.HeadBytes:], Method: message.Method, CallID: message.CallID, ControlID: message.ControlID,
-		OwnConnection: message.OwnConnection,
+		OwnConnection: message.OwnConnection, IsOrder: message.IsOrder,
 	}, nil
 }
 
--- a/upstreams.go
+++ b/upstreams.go
@@ -90,6 +90,9 @@
 	// OwnConnection is set if the request must be the first one on its connection. No connection carries an id twice without it;
 	// it is for peers of an earlier version, and for requests to which an answer without an id may be a copy of an earlier one.
 	OwnConnection bool
+	// IsOrder is set if the request orders an upstream to stop a run. Where a new connection is refused, it is sent on a kept one that tells
+	// its answer from others by the id, and through any peer that has a connection.
+	IsOrder bool
 }
 
 // UpstreamTransport exchanges requests with upstreams. It never resends a request.
