--- a/internal/membership/twpeerhttp/exchange_test.go
+++ b/internal/membership/twpeerhttp/exchange_test.go
@@ -36,7 +36,7 @@
 func exchangeRequest() turmericwall.UpstreamRequest {
 	return turmericwall.UpstreamRequest{
 		Head: []byte("POST /x HTTP/1.1\r\nX-Odd: \xff\xfe\r\n\r\n"), Body: bytes.Repeat([]byte("\n\x00b"), 9000),
-		Method: http.MethodPost, CallID: "c", OwnConnection: true,
+		Method: http.MethodPost, CallID: "c", OwnConnection: true, IsOrder: true,
 	}
 }
 
