fix: report the use of idle accounts to a new leader, too

What callers saw: 429 for an account far below its quota, after a change of the leader, if nobody had used it for five seconds at that time: 0 of 10 calls admitted by an account of which nothing was used.

Cause: uses are totals since a daemon's start, and a leader takes the first report of a daemon for what the leader before has counted. An account that was idle is missing from that report, so that its next use was charged with all that the daemon had ever used of it.

Change: for five seconds a daemon reports all accounts to a new leader, as a total with what isn't counted yet. If all reports of the five seconds are lost, the leader charges too much, and never too little.

--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -87,6 +87,8 @@
 	levels   map[string]level
 	levelsAt time.Time
 	leader   string
+	// allReportedUntil is until when the use of all accounts is reported to a leader that is new.
+	allReportedUntil time.Time
 	// used is what this daemon itself charged, by account.
 	used map[string]*usage
 	// reported is the use in the last reply of each other daemon, by incarnation and account.
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -6,15 +6,15 @@
 	"github.com/turmericwall/turmericwall"
 )
 
-// LocalUses returns this daemon's use of the accounts with recent calls. It goes into the reply to the leader's
-// heartbeat.
+// LocalUses returns this daemon's use of the accounts with recent calls, and to a new leader, which knows of no earlier report, that of
+// all accounts. It goes into the reply to the leader's heartbeat.
 func (m *Meter) LocalUses() []turmericwall.AccountUse {
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []turmericwall.AccountUse
 	for name, u := range m.used {
-		if now.Sub(u.lastUsedAt) < reportRetention {
+		if now.Sub(u.lastUsedAt) < reportRetention || now.Before(m.allReportedUntil) {
 			list = append(list, turmericwall.AccountUse{
 				Account: name, Units: int64(u.units), UncountedUnits: int64(max(u.units-u.countedBefore-u.refilledBefore, 0)),
 			})
@@ -90,6 +90,9 @@
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if leader != m.leader {
+		m.allReportedUntil = now.Add(reportRetention)
+	}
 	isNext := leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter
 	for _, u := range m.used {
 		if isNext {
