fix: don't ask a peer again for two seconds that left an order unanswered

Cause: see the test before: nothing was recorded of a peer that took an order and didn't answer within the try.

Change: such a peer is left out of orders to that upstream for two seconds, as one that can't be reached. It is asked for all else, since it may have waited for the upstream.

Each peer that stands still may still hold up one order of a run for the time of a try.

--- a/internal/delivery/twdetour/peers.go
+++ b/internal/delivery/twdetour/peers.go
@@ -18,8 +18,8 @@
 	// them that could not be reached may be asked again if there is no other peer.
 	open                  map[string]int
 	leftOutUntil, againAt map[string]time.Time
-	// unconnectedUntil is until when a peer that couldn't connect to an upstream isn't asked to send it another order.
-	unconnectedUntil map[peerPath]time.Time
+	// noOrderUntil is until when a peer that couldn't connect to an upstream, or didn't answer, isn't asked to send it another order.
+	noOrderUntil map[peerPath]time.Time
 }
 
 // peerPath is the network path of a peer to an upstream.
@@ -31,7 +31,7 @@
 func newPeers() *peers {
 	return &peers{
 		open: make(map[string]int), leftOutUntil: make(map[string]time.Time), againAt: make(map[string]time.Time),
-		unconnectedUntil: make(map[peerPath]time.Time),
+		noOrderUntil: make(map[peerPath]time.Time),
 	}
 }
 
@@ -120,23 +120,23 @@
 	p.againAt[peer] = now.Add(unreachableRetryDelay)
 }
 
-// recordUnconnected records that a peer couldn't connect to the upstream.
-func (p *peers) recordUnconnected(now time.Time, peer string, upstream turmericwall.UpstreamKey) {
+// leaveOutOfOrders makes a peer not be asked for the span to send the upstream an order.
+func (p *peers) leaveOutOfOrders(now time.Time, peer string, upstream turmericwall.UpstreamKey, span time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for path, until := range p.unconnectedUntil {
+	for path, until := range p.noOrderUntil {
 		if now.After(until) {
-			delete(p.unconnectedUntil, path)
+			delete(p.noOrderUntil, path)
 		}
 	}
-	p.unconnectedUntil[peerPath{peer: peer, upstream: upstream}] = now.Add(orderInterval)
+	p.noOrderUntil[peerPath{peer: peer, upstream: upstream}] = now.Add(span)
 }
 
-// addUnconnected adds the peers that couldn't connect to the upstream a moment ago.
-func (p *peers) addUnconnected(list map[string]bool, now time.Time, upstream turmericwall.UpstreamKey) {
+// addLeftOutOfOrders adds the peers that are not asked to send the upstream an order now.
+func (p *peers) addLeftOutOfOrders(list map[string]bool, now time.Time, upstream turmericwall.UpstreamKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for path, until := range p.unconnectedUntil {
+	for path, until := range p.noOrderUntil {
 		if path.upstream == upstream && now.Before(until) {
 			list[path.peer] = true
 		}
--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -23,7 +23,8 @@
 	// maxFailingShare is the largest share of a service's upstreams that may fail at a time. A daemon that lacks the paths
 	// to more of them has lost paths itself.
 	maxFailingShare = 0.34
-	// refusedSpan and unreachableSpan are how long a peer is left out that refused a request, or could not be reached.
+	// refusedSpan and unreachableSpan are how long a peer is left out that refused a request, or could not be reached, or, of orders to one
+	// upstream, didn't answer one.
 	refusedSpan     = time.Second
 	unreachableSpan = 2 * time.Second
 	// unreachableRetryDelay is the pause before a peer that could not be reached is asked again while there is no other one: a daemon that
@@ -124,7 +125,7 @@
 	last := cause
 	asked := newAskedPeers(request.IsOrder)
 	if request.IsOrder {
-		t.peers.addUnconnected(asked.addresses, time.Now(), to.Key())
+		t.peers.addLeftOutOfOrders(asked.addresses, time.Now(), to.Key())
 	}
 	for asked.mayAsk(time.Now()) {
 		peer, ok := t.peers.pick(time.Now(), t.config.KnownPeers(), asked.addresses)
@@ -218,6 +219,10 @@
 	}
 	var sent *turmericwall.SendError
 	if ctx.Err() != nil || (errors.As(err, &sent) && sent.Sent) {
+		if asked.isOrder && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// It may stand still itself, or wait for the upstream: other requests may go through it.
+			t.peers.leaveOutOfOrders(time.Now(), peer, to.Key(), unreachableSpan)
+		}
 		return false
 	}
 	t.peers.leaveOutUnreachable(time.Now(), peer)
@@ -244,7 +249,7 @@
 			}
 		}
 		if asked.isOrder {
-			t.peers.recordUnconnected(time.Now(), peer, to.Key())
+			t.peers.leaveOutOfOrders(time.Now(), peer, to.Key(), orderInterval)
 			return true
 		}
 	}
