fix: report all accounts again to a leader that was missed

Still open: replies alone that are lost, while heartbeats arrive, and a clock that stood still with the daemon.

--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -90,10 +90,11 @@
 	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if leader != m.leader {
+	isNext := leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter
+	if isNext {
+		// The same leader may have discarded the reports before.
 		m.allReportedUntil = now.Add(reportRetention)
 	}
-	isNext := leader != m.leader || now.Sub(m.levelsAt) > leaderMissedAfter
 	for _, u := range m.used {
 		if isNext {
 			u.countedBefore, u.refilledBefore = u.previousReplied, u.refilledAlone
