fix: count no path that was lost under a peer's order for being cut off

Change: a loss that a peer's order brings to light doesn't count when a daemon judges by its losses whether it is cut off. It counts as a lost path otherwise: it is probed, and requests to that upstream are refused. Calls of peers count as before.

A daemon that is really cut off and gets orders of peers first notices it by its own next losses.

--- a/internal/delivery/twegress/egress.go
+++ b/internal/delivery/twegress/egress.go
@@ -72,6 +72,7 @@
 	if !e.config.Paths.Use(time.Now(), to) && !(request.IsOrder && e.config.HasConnections(to)) {
 		return nil, e.refusal(turmericwall.EgressUnreachable, to.Service)
 	}
+	startedAt := time.Now()
 	answer, err := e.config.Direct.Exchange(ctx, to, request)
 	if err == nil {
 		e.config.OnAnswer(to, answer)
@@ -82,6 +83,9 @@
 	case !errors.As(err, &sent) || sent.Sent:
 		return nil, err
 	case sent.ConnectFailed:
+		if request.IsOrder {
+			e.config.Paths.RecordForPeer(startedAt, to.Key())
+		}
 		return nil, e.refusal(turmericwall.EgressUnreachable, to.Service)
 	}
 	return nil, e.refusal(turmericwall.EgressBusy, to.Service)
--- a/internal/delivery/twpath/paths.go
+++ b/internal/delivery/twpath/paths.go
@@ -50,6 +50,8 @@
 	atFaultUntil time.Time
 	// refusedAt is when the last attempt to connect was refused; zero if it was only unanswered.
 	refusedAt time.Time
+	// isForPeer is set if it was lost under a peer's order.
+	isForPeer bool
 }
 
 // New returns paths none of which is lost.
@@ -98,6 +100,16 @@
 	}
 }
 
+// RecordForPeer records that the path was lost since startedAt under a peer's order. Peers ask for upstreams that may have ended, so that it
+// doesn't show that this daemon is cut off.
+func (p *Paths) RecordForPeer(startedAt time.Time, upstream turmericwall.UpstreamKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.lost[upstream]; ok && !l.since.Before(startedAt) {
+		l.isForPeer = true
+	}
+}
+
 // RefusedAt returns when the last attempt to connect on a lost path was refused; zero if it wasn't.
 func (p *Paths) RefusedAt(upstream turmericwall.UpstreamKey) time.Time {
 	p.mu.Lock()
@@ -173,7 +185,7 @@
 func (p *Paths) isCutOff(now time.Time, service string) bool {
 	n := 0
 	for _, l := range p.lost {
-		if l.upstream.Service == service && !l.isAtFault(now) && l.since.After(p.lastReachedAt[service]) {
+		if l.upstream.Service == service && !l.isAtFault(now) && !l.isForPeer && l.since.After(p.lastReachedAt[service]) {
 			n++
 		}
 	}
