test: show that an order leaves a daemon's calls without a peer for a second

Cause: a peer whose share of an engine's connections is in use refuses as busy, and is left out of all detours for a second. An order goes on to the next one, up to eight, and leaves out each.

Evidence: TestOrderThatBusyPeersRefuseLeavesThemToOtherRequests fails: after one order that five busy peers refuse, a call to another upstream finds 'no peer that has one'.

--- a/internal/delivery/twdetour/hanging_test.go
+++ b/internal/delivery/twdetour/hanging_test.go
@@ -61,3 +61,23 @@
 	g.Expect(peers.hung).To(BeNumerically("<=", 1))
 	g.Expect(time.Since(sentAt)).To(BeNumerically("<", 2*time.Second))
 }
+
+// Guards against a daemon whose calls find no peer for a second, since an order has met the full share of an engine's connections at each.
+func TestOrderThatBusyPeersRefuseLeavesThemToOtherRequests(t *testing.T) {
+	g := NewWithT(t)
+	busy := true
+	transport, _, paths := newTransport(func(string) (*turmericwall.Answer, error) {
+		if busy {
+			return nil, refused(turmericwall.EgressBusy, 0)
+		}
+		return answered()
+	})
+	other := turmericwall.Upstream{ID: "v", Service: "s", Address: "v:1"}
+	paths.RecordLoss(time.Now(), target)
+	paths.RecordLoss(time.Now(), other)
+	_, err := transport.Exchange(context.Background(), target, turmericwall.UpstreamRequest{Method: "POST", ControlID: "o", IsOrder: true})
+	g.Expect(err).To(HaveOccurred())
+	busy = false
+	_, err = transport.Exchange(context.Background(), other, request)
+	g.Expect(err).NotTo(HaveOccurred())
+}
