fix: leave peers that refuse an order out of orders only

Change: a peer that refuses an order, unless it stops, is left out of orders to that upstream for 0.1 s, as one that can't connect is, and not of all detours for a second.

Evidence: TestOrderThatBusyPeersRefuseLeavesThemToOtherRequests passes; the tests of twdetour pass three times.

--- a/internal/delivery/twdetour/transport.go
+++ b/internal/delivery/twdetour/transport.go
@@ -248,10 +248,10 @@
 				return false
 			}
 		}
-		if asked.isOrder {
-			t.peers.leaveOutOfOrders(time.Now(), peer, to.Key(), orderInterval)
-			return true
-		}
+	}
+	if asked.isOrder && refusal.Reason != turmericwall.EgressStopping {
+		t.peers.leaveOutOfOrders(time.Now(), peer, to.Key(), orderInterval)
+		return true
 	}
 	t.peers.leaveOutRefusing(time.Now(), peer)
 	return true
