fix: read the plan while calls lack its proof, so that a leader that is behind is told from an outage

Cause: a daemon whose plan isn't proved to be current serves a route that it knows, once its calls have waited for 0.4 s, and at once if its leader says that its own state is stale. That is right in an outage of the store, where no newer plan can be had. The daemon concluded the outage from what it hadn't heard: while its leader is behind, a daemon that isn't a standby doesn't read, so that nothing told it the difference.

Change: as a linearizable read confirms before it answers, calls that find no proof have the plan's row read by this daemon, once for all of them. Calls wait within the 0.4 s that they waited before, and not at all once a read failed or is overdue.

By the code, no read is requested while heartbeats arrive in time.

--- a/internal/routing/twmatcher/matcher.go
+++ b/internal/routing/twmatcher/matcher.go
@@ -2,8 +2,9 @@
 // each call.
 //
 // A daemon that was suspended, or lost its leader, may have a plan that lacks acknowledged routes and has removed ones. While the plan isn't
-// proved to be current, calls wait a moment for a proof. Then a call without a route is refused as not run, since nobody knows whether its
-// route exists; a call with a route is served: in an outage of the store no newer plan can be had, and none comes into force.
+// proved to be current, calls wait a moment for a proof: one from other daemons, or from one read of the store that this daemon makes for all of
+// them. Then a call without a route is refused as not run, since nobody knows whether its route exists; a call with a route is served: in an
+// outage of the store no newer plan can be had.
 package twmatcher
 
 import (
@@ -20,7 +21,7 @@
 
 const (
 	// renewalTimeout is how long calls wait for a proof after the plan was first found unproven: the time for a heartbeat and one
-	// query to a peer.
+	// query to a peer, or for one read of the store.
 	renewalTimeout = 400 * time.Millisecond
 	// noRoutesRetryAfter is the retry time while the daemon knows no routes yet: two reads of the store.
 	noRoutesRetryAfter = 500 * time.Millisecond
@@ -35,8 +36,10 @@
 	// Renew requests a proof from other daemons. It is called without a lock, for each call that waits for one, and must not block; it
 	// may be nil.
 	Renew func()
-	// IsRenewable reports whether a proof may come soon: neither this daemon's reads of the store nor those of its leader fail. It may
-	// be nil.
+	// Read requests a read of the plan in the store by this daemon. It is called without a lock, for each call that finds the plan unproven,
+	// whether it waits or not, and must not block; it may be nil.
+	Read func()
+	// IsRenewable reports whether a proof may come soon: this daemon's last read of the store didn't fail. It may be nil.
 	IsRenewable func() bool
 }
 
@@ -63,6 +66,9 @@
 	if config.Renew == nil {
 		config.Renew = func() {}
 	}
+	if config.Read == nil {
+		config.Read = func() {}
+	}
 	if config.IsRenewable == nil {
 		config.IsRenewable = func() bool { return true }
 	}
@@ -85,6 +91,7 @@
 		if !unproven {
 			return match, notFoundUnless(found)
 		}
+		m.config.Read()
 		if !m.await(ctx, renewed, waitUntil) {
 			return match, m.refuseUnless(found, match)
 		}
--- a/internal/routing/twmatcher/matcher_test.go
+++ b/internal/routing/twmatcher/matcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,12 +30,19 @@
 	// renewed is the number of requests for a proof, and renewable whether one may come.
 	renewed   int
 	renewable bool
+	// read is called for each request of a read of the plan; it may be nil.
+	read func()
 }
 
 func newFixture() *fixture {
 	f := &fixture{routes: twroutes.New(), proof: twproof.New(twproof.Config{InForceWithin: inForceWithin}), renewable: true}
 	f.matcher = twmatcher.New(twmatcher.Config{
 		Routes: f.routes, Proof: f.proof, Renew: func() { f.renewed++ }, IsRenewable: func() bool { return f.renewable },
+		Read: func() {
+			if f.read != nil {
+				f.read()
+			}
+		},
 	})
 	f.apply(1, "/kept/", "/removed/")
 	return f
@@ -144,3 +152,48 @@
 	g.Expect(kindOf(err)).To(Equal(turmericwall.KindNotReady))
 	g.Expect(time.Since(startedAt)).To(BeNumerically("<", 2*atOnce))
 }
+
+// Guards against a route that was moved or removed, and is served by the older plan since the leader is behind: the daemon reads the plan itself.
+func TestUnprovenPlanIsProvedByAReadOfThisDaemon(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		kind       turmericwall.Kind
+		version    int64
+	}{
+		{"route that is kept", "/kept/", "", 2},
+		{"route that was removed", "/removed/", turmericwall.KindNotFound, 2},
+		{"route that was added", "/added/", "", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture()
+			f.proveAged(3 * time.Second)
+			f.read = sync.OnceFunc(f.renewSoon)
+			match, err := f.matcher.Match(context.Background(), "h", c.path)
+			g.Expect(kindOf(err)).To(Equal(c.kind))
+			g.Expect(match.View.Plan().Version).To(Equal(c.version))
+			g.Expect(match.PlanAgeMillis).To(BeNumerically("<", inForceWithin.Milliseconds()))
+		})
+	}
+}
+
+// Guards against a daemon that reads the plan while it is proved, and against one that doesn't read it again once the outage is known.
+func TestReadIsRequestedWhileThePlanIsUnproven(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture()
+	reads := 0
+	f.read = func() { reads++ }
+	f.proveAged(time.Second)
+	match := func() {
+		_, err := f.matcher.Match(context.Background(), "h", "/kept/")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	match()
+	g.Expect(reads).To(BeZero())
+	f = newFixture()
+	f.read, f.renewable = func() { reads++ }, false
+	f.proveAged(3 * time.Second)
+	match()
+	match()
+	g.Expect(reads).To(Equal(2))
+}
