fix: take another start for a replacement only if the run had begun before

A peer that stands still has taken the run. Its engine answers a query of the daemon, ends, and starts again under its id; then the peer goes on and sends the run to the new process. The start that answers next counted as a replacement, since the one before had answered a query after the run was sent.

Cause: the time at which a run was sent was taken for that of its arrival. The dial, the wait for a share of connections and a peer lie between.

Change: the start before must have answered a query that was sent after something of the run's answer was received: then the run is at that start or an earlier one, whatever lay between. For a run that hasn't begun another start proves nothing; its stream may go on at the same engine, as it does for one whose end isn't proved. A run that was moved begins anew at its target.

Evidence: TestRunBelongsToTheIncarnationSeenBeforeIt asks for both; a run that hadn't begun counted as replaced before. The assertion that such a run was replaced is now made of one that had begun, and its opposite of one that hadn't.

--- a/internal/delivery/twendcheck/checker.go
+++ b/internal/delivery/twendcheck/checker.go
@@ -67,6 +67,8 @@
 	CallID string
 	// SentAt is when the run was sent, and BrokenAt when it ended.
 	SentAt, BrokenAt time.Time
+	// BegunAt is when something of its answer was first received; zero before that.
+	BegunAt time.Time
 }
 
 // Finding is what was found out about the upstream of a run.
@@ -169,17 +171,18 @@
 	return found
 }
 
-// startedAfter reports whether the incarnation that answered the check has started after the run was sent: another one answered a query
-// since then. Its entry doesn't tell, since it may state the start before for a while.
+// startedAfter reports whether the incarnation that answered the check has started after the run had begun: another one answered a query
+// since then. A run that hasn't begun may be on its way for longer than an upstream takes to start again. The entry doesn't tell, since it may
+// state the start before for a while.
 func (c *Checker) startedAfter(run Run, answered *check) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.known[endpointOf(run.Upstream)]
-	if known == nil || !answered.answered || answered.startedMillis == 0 {
+	if known == nil || run.BegunAt.IsZero() || !answered.answered || answered.startedMillis == 0 {
 		return false
 	}
 	return slices.ContainsFunc(known.sightings, func(s sighting) bool {
-		return s.startedMillis != answered.startedMillis && s.lastAskedAt.After(run.SentAt)
+		return s.startedMillis != answered.startedMillis && s.lastAskedAt.After(run.BegunAt)
 	})
 }
 
--- a/internal/delivery/twendcheck/checker_test.go
+++ b/internal/delivery/twendcheck/checker_test.go
@@ -151,7 +151,8 @@
 	later := func() twendcheck.Run {
 		return twendcheck.Run{Upstream: upstream, SentAt: time.Now(), BrokenAt: time.Now()}
 	}
-	earlier := later()
+	earlier, onItsWay := later(), later()
+	earlier.BegunAt = time.Now()
 	g.Expect(checker.Check(context.Background(), later()).Result).To(Equal(turmericwall.EndRefuted))
 	started = 3
 	afterSighting := later()
@@ -162,7 +163,9 @@
 	g.Expect(checker.Check(context.Background(), earlier)).To(Equal(twendcheck.Finding{
 		Incarnation: turmericwall.UpstreamKey{ID: "u", StartedMillis: 2}, Result: turmericwall.EndProved, Answered: true, Evidence: twendcheck.EvidenceAnswer,
 		Proof: twrunend.ProofReplaced,
-	}), "the second one answered after the run was sent")
+	}), "the second one answered after the run had begun")
+	onItsWay.BrokenAt = time.Now()
+	g.Expect(checker.Check(context.Background(), onItsWay).Proof).To(BeEmpty(), "the run may have reached the third one only")
 }
 
 // Guards against a check that ends with the call that asked for it, or that takes a silent upstream for a living one.
--- a/internal/delivery/twfence/fence.go
+++ b/internal/delivery/twfence/fence.go
@@ -69,9 +69,10 @@
 type Run struct {
 	Engine turmericwall.Upstream
 	CallID string
-	// SentAt is when the call was sent to the engine, and HasBegun whether the engine was seen to work on it.
+	// SentAt is when the call was sent to the engine, HasBegun whether the engine was seen to work on it, and BegunAt since when.
 	SentAt   time.Time
 	HasBegun bool
+	BegunAt  time.Time
 	// EndedAt is when its exchange ended here; zero if it hasn't.
 	EndedAt time.Time
 	// IsShared is set if the engine may have an earlier run of the call.
@@ -213,7 +214,7 @@
 // by an engine that changes its role, so that the start that it states decides.
 func (f *Fence) isReplaced(ctx context.Context, run Run) bool {
 	now := time.Now()
-	found := f.config.CheckEnd(ctx, twendcheck.Run{Upstream: run.Engine, CallID: run.CallID, SentAt: run.SentAt, BrokenAt: now})
+	found := f.config.CheckEnd(ctx, twendcheck.Run{Upstream: run.Engine, CallID: run.CallID, SentAt: run.SentAt, BegunAt: run.BegunAt, BrokenAt: now})
 	return found.Proof == twrunend.ProofReplaced
 }
 
--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -28,6 +28,8 @@
 	input    turmericwall.Input
 	// sentAt is when the run was sent, and brokenAt when it ended.
 	sentAt, brokenAt time.Time
+	// begunAt is when its answer was first received; zero before that.
+	begunAt time.Time
 	// events is the number of events that were passed on, and sinceFirstMillis the time since the first one; -1 before it.
 	events           int
 	sinceFirstMillis int64
@@ -37,7 +39,7 @@
 // brokenModelRun returns a run of a model call that was broken off now.
 func (a *attempt) brokenModelRun(run *modelRun, cause error) brokenRun {
 	broken := a.brokenRun(run.engine, run.sentAt, cause)
-	broken.events = run.events
+	broken.events, broken.begunAt = run.events, run.begunAt
 	if !run.firstEventAt.IsZero() {
 		broken.sinceFirstMillis = time.Since(run.firstEventAt).Milliseconds()
 	}
@@ -118,7 +120,7 @@
 // the run was ended here: a process that ends closes its connections.
 func (r *Relay) checkEnd(ctx context.Context, broken brokenRun) twendcheck.Finding {
 	found := r.config.CheckEnd(ctx, twendcheck.Run{
-		Upstream: broken.upstream, CallID: broken.callID, SentAt: broken.sentAt, BrokenAt: broken.brokenAt,
+		Upstream: broken.upstream, CallID: broken.callID, SentAt: broken.sentAt, BegunAt: broken.begunAt, BrokenAt: broken.brokenAt,
 	})
 	if found.Result == turmericwall.EndUnknown && found.Answered && wasEndedHere(broken.cause) {
 		found.Result = turmericwall.EndRefuted
--- a/internal/delivery/twrelay/former.go
+++ b/internal/delivery/twrelay/former.go
@@ -94,7 +94,7 @@
 // fenced returns the run whose end is to be proved.
 func (m *modelRun) fenced() twfence.Run {
 	return twfence.Run{
-		Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.hasBegun, EndedAt: m.endedAt, IsShared: m.isShared,
+		Engine: m.engine, CallID: m.out.Call.ID, SentAt: m.sentAt, HasBegun: m.hasBegun, BegunAt: m.begunAt, EndedAt: m.endedAt, IsShared: m.isShared,
 	}
 }
 
--- a/internal/delivery/twrelay/move.go
+++ b/internal/delivery/twrelay/move.go
@@ -300,7 +300,7 @@
 	if err := s.checkTarget(run, engine); err != nil {
 		return err
 	}
-	run.engine, run.sentAt = engine, time.Now()
+	run.engine, run.sentAt, run.begunAt = engine, time.Now(), time.Time{}
 	s.attempt.upstreamID = engine.ID
 	repeats := s.relay.recordSent(s.attempt, run.engine)
 	run.out.Repeated = repeats > 0
--- a/internal/delivery/twrelay/run.go
+++ b/internal/delivery/twrelay/run.go
@@ -29,8 +29,10 @@
 	events       int
 	// received counts the events that arrived, also those that the caller has already.
 	received int
-	// hasBegun is set once a byte of the answer's body was received: an engine that has only sent the head may not have begun.
+	// hasBegun is set once a byte of the answer's body was received: an engine that has only sent the head may not have begun. begunAt is when
+	// that was at its present engine; zero before that.
 	hasBegun bool
+	begunAt  time.Time
 	// endedAt is when its exchange ended here; zero before that.
 	endedAt time.Time
 	// isShared is set if its engine may still have an earlier run of the call, so that an order to the engine may concern that one.
--- a/internal/delivery/twrelay/stream.go
+++ b/internal/delivery/twrelay/stream.go
@@ -154,7 +154,9 @@
 
 // passChunkOn passes the complete events on, with the bytes that were left of the chunk before.
 func (s *answerStream) passChunkOn(ctx context.Context, c chunk) error {
-	s.run.hasBegun = s.run.hasBegun || len(c.bytes) > 0
+	if s.run.begunAt.IsZero() && len(c.bytes) > 0 {
+		s.run.hasBegun, s.run.begunAt = true, time.Now()
+	}
 	if !s.body.IsEventStream() {
 		return s.writeUnsplit(c.bytes)
 	}
