fix: take the end of a prefill engine for no end of the run before

Cause: a stream that may go on at one engine only has its prompt read by a prefill engine first. If that one broke off and was found replaced, its proof cleared the run before, at the decode engine, as if it were about that one. Then nothing bound the stream any more.

Change: a proof clears the run before only if it is about that run's engine.

--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -147,8 +147,9 @@
 	}
 	if a != nil {
 		a.upstreamEnds.Add(1)
-		// The sends of a plain call, which may end at the same time, leave no run behind.
-		if found.Proof != "" {
+		// The sends of a plain call, which may end at the same time, leave no run behind. The end of an engine that was to read the prompt
+		// proves none at the engine of the run before.
+		if found.Proof != "" && a.former != nil && a.former.engine.Key() == broken.upstream.Key() {
 			a.former = nil
 		}
 	}
