fix: share an account's debt among the daemons without a leader

What was seen: an account with a debt at the leader used the quota again as soon as the leader was lost: 10 calls of 100 two seconds after a call that used 3,000 units more than was left, at one of two daemons, where none may be.

Cause: a daemon's share began at no less than nothing, so that every loss of the leader forgave the debt.

Change: the share begins with its part of the debt.

Evidence: TestDebtOfAnAccountIsSharedWithoutALeader failed before and passes; all tests of the package pass.

--- a/internal/admission/twquota/alone.go
+++ b/internal/admission/twquota/alone.go
@@ -80,11 +80,12 @@
 	return nil
 }
 
-// remainingFraction returns the fraction of the account's capacity that was left in the last heartbeat.
+// remainingFraction returns the fraction of the account's capacity that was left in the last heartbeat; it is negative after
+// a debt.
 func (m *Meter) remainingFraction(account turmericwall.ClientAccount) float64 {
 	known, listed := m.levels[account.Name]
 	if !listed {
 		return 1
 	}
-	return min(max(known.units/m.capacity(account.Quota), 0), 1)
+	return min(known.units/m.capacity(account.Quota), 1)
 }
--- a/internal/admission/twquota/leaders_test.go
+++ b/internal/admission/twquota/leaders_test.go
@@ -48,3 +48,16 @@
 	f.leader = -1
 	g.Expect(chargeCalls(f.meters[0], "a", 100, 5) + chargeCalls(f.meters[1], "a", 100, 5)).To(BeZero())
 }
+
+// Guards against daemons that forget an account's debt as the leader is lost.
+func TestDebtOfAnAccountIsSharedWithoutALeader(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, quota)
+	g.Expect(chargeCalls(f.meters[0], "a", 5000, 1)).To(Equal(1))
+	f.heartbeat()
+	f.leader = -1
+	f.now = f.now.Add(2 * time.Second)
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(BeZero(), "half of a debt of 3000 less half of the rate")
+	f.now = f.now.Add(2 * time.Second)
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(Equal(5))
+}
