fix: let a leader that leads again charge what was used meanwhile against what the quota allowed

What callers saw: 429 for an account that uses a third of its quota, after a time without a leader at whose end the same daemon leads again: 0 of 10 calls admitted. And 20 calls of an account of which nothing was left, by a former leader that leads again after another one.

Cause: such a leader kept its buckets and refilled them for the time without it at once. A full bucket has no room for that, and then all that daemons had used of their shares was charged. Its first heartbeat stated what the quota had allowed as left, before any daemon had reported. A former leader that charged nothing while another one led didn't notice that it had stopped to lead, and kept its old buckets. No leader charged what it had itself used without one, and its own share began with levels of the time before it led.

Change: a daemon reports by how much its share was refilled without a leader in all, beside what it used (a field that daemons of an earlier version ignore; from these all use is charged, as before). A leader that leads again after a time in which daemons missed it doesn't refill its buckets for it, and charges what was used less that refill, at most each daemon's part of the quota for that time. As totals, both survive lost replies. A leader charges its own use in the same way, and takes what is left at the end of its term as its last levels. The levels of another leader end a daemon's term.

Ruled out: refilling the buckets for the time and charging less by what they had no room for.

--- a/clients.go
+++ b/clients.go
@@ -52,6 +52,8 @@
 type AccountUse struct {
 	Account string `json:"account"`
 	Units   int64  `json:"units"`
+	// RefilledUnits are the units by which the daemon's share of the quota was refilled without a leader since its start.
+	RefilledUnits int64 `json:"refilled,omitempty"`
 	// UncountedUnits are those of the units that the previous leader can't have counted, less what the daemon's share of the quota was
 	// refilled by without a leader.
 	UncountedUnits int64 `json:"alone,omitempty"`
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -91,14 +91,17 @@
 	allReportedUntil time.Time
 	// used is what this daemon itself charged, by account.
 	used map[string]*usage
-	// reported is the use in the last reply of each other daemon, by incarnation and account.
-	reported map[string]map[string]int64
+	// reported is what each daemon reported to this one as the leader, by incarnation; this daemon's own use is in ownReport.
+	reported  map[string]map[string]report
+	ownReport map[string]report
 	// refusals are the leader's last refusals by account. leaderFailedUntil is until when no charge is requested from a
 	// leader that did not answer one.
 	refusals          map[string]refusal
 	leaderFailedUntil time.Time
-	// ledUntil is when this daemon last stopped being the leader.
-	ledUntil time.Time
+	// ledLast is set after this daemon's term as long as it received no levels of another leader.
+	ledLast bool
+	// skippedSeconds is the time between this daemon's terms, with no other leader in between, for which no bucket was refilled.
+	skippedSeconds float64
 	// lastState is the state at the last charge, refund, report or list of levels.
 	lastState clusterState
 }
@@ -150,7 +153,7 @@
 func New(config Config) *Meter {
 	return &Meter{
 		config: config, clusterBuckets: make(map[string]*bucket), localBuckets: make(map[string]*bucket),
-		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]map[string]int64),
+		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]map[string]report),
 		refusals: make(map[string]refusal),
 	}
 }
@@ -236,13 +239,33 @@
 // discards the buckets and reports of that term; the lock is held.
 func (m *Meter) updateState(s clusterState) {
 	if m.lastState.isLeader && !s.isLeader {
-		m.ledUntil = s.now
+		m.applyOwnLevels(s.now)
 	}
-	if s.isLeader && !m.lastState.isLeader && !m.levelsAt.Before(m.ledUntil) {
+	elected := s.isLeader && !m.lastState.isLeader
+	m.lastState = s
+	switch {
+	case elected && m.ledLast:
+		m.skipTimeWithoutLeader(s.now)
+	case elected:
 		m.clusterBuckets = make(map[string]*bucket)
-		m.reported = make(map[string]map[string]int64)
+		m.reported, m.ownReport = make(map[string]map[string]report), nil
+	}
+	if elected {
+		m.recordOwnUses(s)
+	}
+}
+
+// skipTimeWithoutLeader lets the time since this daemon's last term pass without a refill of the buckets of all daemons, which used
+// their shares if they missed the leader; the lock is held.
+func (m *Meter) skipTimeWithoutLeader(now time.Time) {
+	elapsed := now.Sub(m.levelsAt)
+	if elapsed <= leaderMissedAfter {
+		return
+	}
+	m.skippedSeconds += elapsed.Seconds()
+	for _, b := range m.clusterBuckets {
+		b.refilledAt = now
 	}
-	m.lastState = s
 }
 
 // chargeClusterBucket charges units as the leader; the lock is held.
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -16,13 +16,20 @@
 	for name, u := range m.used {
 		if now.Sub(u.lastUsedAt) < reportRetention || now.Before(m.allReportedUntil) {
 			list = append(list, turmericwall.AccountUse{
-				Account: name, Units: int64(u.units), UncountedUnits: int64(u.uncounted(u.countedBefore)),
+				Account: name, Units: int64(u.units), RefilledUnits: int64(u.refilled),
+				UncountedUnits: int64(u.uncounted(u.countedBefore)),
 			})
 		}
 	}
 	return list
 }
 
+// report is a daemon's last report of its use of an account. skippedSeconds is the meter's at that time.
+type report struct {
+	counted
+	skippedSeconds float64
+}
+
 // RecordUses charges the use that another daemon reported, as the leader. uptime is the time since that daemon's start.
 //
 // Uses are totals since the daemon's start, so that a lost or repeated report does no harm. In the first report of a
@@ -38,7 +45,7 @@
 	}
 	previous, known := m.reported[incarnation]
 	if !known {
-		previous = make(map[string]int64)
+		previous = make(map[string]report)
 		m.reported[incarnation] = previous
 	}
 	for _, u := range uses {
@@ -46,12 +53,67 @@
 		if !ok || !account.Quota.IsLimited() {
 			continue
 		}
-		recent := u.Units - previous[u.Account]
+		recent := m.recentUse(s, account, previous, u)
 		if !known && uptime >= maxNewDaemonAge {
-			recent = u.UncountedUnits
+			recent = float64(u.UncountedUnits)
+		}
+		m.clusterBucket(s, account).recordReport(s.now, recent)
+		previous[u.Account] = m.newReport(u)
+	}
+}
+
+func (m *Meter) newReport(u turmericwall.AccountUse) report {
+	return report{
+		counted: counted{units: float64(u.Units), refilled: float64(u.RefilledUnits)}, skippedSeconds: m.skippedSeconds,
+	}
+}
+
+// recentUse returns what a daemon used since its last report, less what its share was refilled by without a leader meanwhile if the
+// account's bucket wasn't refilled by the same part, as this daemon didn't lead. The lock is held.
+func (m *Meter) recentUse(
+	s clusterState, account turmericwall.ClientAccount, previous map[string]report, u turmericwall.AccountUse,
+) float64 {
+	last := previous[u.Account]
+	used, refilled := float64(u.Units)-last.units, float64(u.RefilledUnits)-last.refilled
+	seconds := m.skippedSeconds - last.skippedSeconds
+	part := account.Quota.PerSecond / float64(max(s.daemons, 1)+s.unresponsive)
+	return used - max(min(used, refilled, seconds*part), 0)
+}
+
+// recordOwnUses charges what this daemon used itself since it last led, or since the last levels; the lock is held.
+func (m *Meter) recordOwnUses(s clusterState) {
+	known := m.ownReport != nil
+	if !known {
+		m.ownReport = make(map[string]report)
+	}
+	for name, u := range m.used {
+		account, ok := m.config.Account(name)
+		if !ok || !account.Quota.IsLimited() {
+			continue
+		}
+		if s.now.Sub(m.levelsAt) > leaderMissedAfter {
+			u.refilled += u.refilledAlone
+		}
+		u.refilledAlone = 0
+		use := turmericwall.AccountUse{Account: name, Units: int64(u.units), RefilledUnits: int64(u.refilled)}
+		recent := u.uncounted(u.previousReplied)
+		if known {
+			recent = m.recentUse(s, account, m.ownReport, use)
+		}
+		m.clusterBucket(s, account).level -= recent
+		m.ownReport[name] = m.newReport(use)
+		u.replied, u.previousReplied = u.count(), u.count()
+	}
+}
+
+// applyOwnLevels makes what is left of the accounts at the end of this daemon's term its last levels; the lock is held.
+func (m *Meter) applyOwnLevels(now time.Time) {
+	m.levelsAt, m.ledLast = now, true
+	clear(m.levels)
+	for name, b := range m.clusterBuckets {
+		if available := b.available(now); available < listedLevelFraction*b.capacity {
+			m.levels[name] = level{units: available, at: now}
 		}
-		m.clusterBucket(s, account).recordReport(s.now, float64(recent))
-		previous[u.Account] = u.Units
 	}
 }
 
@@ -103,6 +165,7 @@
 		u.refilledAlone = 0
 	}
 	m.leader, m.levelsAt = leader, now
+	m.ledLast, m.lastState.isLeader = false, false
 	for _, u := range m.used {
 		u.previousReplied, u.replied = u.replied, u.count()
 	}
