fix: keep the reports of a daemon that no longer answers

What callers saw: 429 for an account far below its quota after the replies of a daemon were lost for 0.7 s, though it received every heartbeat: in a test, 10,000 units that it had used in 20 s were charged at once.

Cause: a leader that lost a daemon forgot its reports, and took the next one for its first: that counts what the leader before can't have counted, which is all that the daemon used in this leader's whole term.

Change: the reports are kept for 12 s, as long as such a daemon counts as unresponsive. What it used is charged by the difference of the totals, less what its share was refilled by, at most its part of the quota since it was lost: the leader didn't refill its bucket for that part.

Evidence: TestUseIsNotChargedAgainAfterLostReplies failed before and passes; all tests of the package pass, those of the upper bound unchanged.

--- a/internal/admission/twquota/leaders_test.go
+++ b/internal/admission/twquota/leaders_test.go
@@ -147,3 +147,45 @@
 	f.now = f.now.Add(2 * time.Second)
 	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(Equal(5))
 }
+
+// Guards against a leader that loses a daemon whose replies are lost, and charges all that it used in the leader's term once more.
+func TestUseIsNotChargedAgainAfterLostReplies(t *testing.T) {
+	g := NewWithT(t)
+	f := newTolerantFleet(3, quota, 0.1, 1000)
+	for range 40 {
+		g.Expect(chargeCalls(f.meters[1], "a", 250, 1)).To(Equal(1))
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.heartbeat()
+	}
+	f.meters[0].RemoveDaemon(f.incarnation(1))
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 1)).To(Equal(1))
+	f.heartbeat()
+	g.Expect(f.meters[0].Levels()).To(BeEmpty())
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 10)).To(Equal(10))
+}
+
+// Guards against a leader that doesn't charge what a lost daemon used beside it.
+func TestUseOfALostDaemonIsCharged(t *testing.T) {
+	g := NewWithT(t)
+	f := newTolerantFleet(3, quota, 0, 6000)
+	f.heartbeat()
+	f.meters[0].RemoveDaemon(f.incarnation(1))
+	g.Expect(chargeCalls(f.meters[1], "a", 100, 10)).To(Equal(10))
+	f.heartbeat()
+	g.Expect(chargeCalls(f.meters[0], "a", 100, 60)).To(BeNumerically("<=", 40), "of 5000")
+}
+
+// Guards against a leader that charges all that a lost daemon used of its share.
+func TestAccountBelowItsQuotaIsAdmittedAsALostDaemonIsBack(t *testing.T) {
+	f := newFleet(4, quota)
+	f.heartbeat()
+	for _, i := range []int{1, 2} {
+		f.partitioned[i] = true
+		f.meters[0].RemoveDaemon(f.incarnation(i))
+	}
+	f.chargeThird(t, 1, 2)
+	clear(f.partitioned)
+	f.heartbeat()
+	f.heartbeat()
+	NewWithT(t).Expect(chargeCalls(f.meters[0], "a", 100, 10)).To(Equal(10))
+}
--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -30,6 +30,8 @@
 	maxNewDaemonAge = 8 * time.Second
 	// reportRetention is how long an account's use is reported after its last call, because replies may be lost.
 	reportRetention = 5 * time.Second
+	// lostReportRetention is how long the reports of a daemon that no longer answers are kept.
+	lostReportRetention = 12 * time.Second
 	// leaderToleranceFraction is the fraction of the tolerance that the leader grants to an account. The rest is for
 	// the use that the leader cannot know of in time.
 	leaderToleranceFraction = 0.5
@@ -92,8 +94,8 @@
 	// used is what this daemon itself charged, by account.
 	used map[string]*usage
 	// reported is what each daemon reported to this one as the leader, by incarnation; this daemon's own use is in ownReport.
-	reported  map[string]map[string]report
-	ownReport map[string]report
+	reported  map[string]*reports
+	ownReport *reports
 	// refusals are the leader's last refusals by account. leaderFailedUntil is until when no charge is requested from a
 	// leader that did not answer one.
 	refusals          map[string]refusal
@@ -153,7 +155,7 @@
 func New(config Config) *Meter {
 	return &Meter{
 		config: config, clusterBuckets: make(map[string]*bucket), localBuckets: make(map[string]*bucket),
-		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]map[string]report),
+		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]*reports),
 		refusals: make(map[string]refusal),
 	}
 }
@@ -248,7 +250,7 @@
 		m.skipTimeWithoutLeader(s.now)
 	case elected:
 		m.clusterBuckets = make(map[string]*bucket)
-		m.reported, m.ownReport = make(map[string]map[string]report), nil
+		m.reported, m.ownReport = make(map[string]*reports), nil
 	}
 	if elected {
 		m.recordOwnUses(s)
--- a/internal/admission/twquota/meter_test.go
+++ b/internal/admission/twquota/meter_test.go
@@ -127,11 +127,14 @@
 	for i, m := range f.meters {
 		if i != f.leader && !f.partitioned[i] {
 			m.ApplyLevels(string(rune('A'+f.leader)), levels)
-			f.meters[f.leader].RecordUses(fmt.Sprint(i, f.startedAt[i]), f.uptime(i), m.LocalUses())
+			f.meters[f.leader].RecordUses(f.incarnation(i), f.uptime(i), m.LocalUses())
 		}
 	}
 }
 
+// incarnation returns the incarnation of a daemon.
+func (f *fleet) incarnation(i int) string { return fmt.Sprint(i, f.startedAt[i]) }
+
 // chargeCalls charges a number of calls and returns how many were admitted.
 func chargeCalls(m *twquota.Meter, account string, units float64, calls int) (admitted int) {
 	for range calls {
--- a/internal/admission/twquota/reports.go
+++ b/internal/admission/twquota/reports.go
@@ -24,6 +24,13 @@
 	return list
 }
 
+// reports is what a daemon reported to the leader.
+type reports struct {
+	accounts map[string]report
+	// lostAt is when the daemon was lost; it is zero while it replies.
+	lostAt time.Time
+}
+
 // report is a daemon's last report of its use of an account. skippedSeconds is the meter's at that time.
 type report struct {
 	counted
@@ -45,7 +52,7 @@
 	}
 	previous, known := m.reported[incarnation]
 	if !known {
-		previous = make(map[string]report)
+		previous = &reports{accounts: make(map[string]report)}
 		m.reported[incarnation] = previous
 	}
 	for _, u := range uses {
@@ -58,8 +65,9 @@
 			recent = float64(u.UncountedUnits)
 		}
 		m.clusterBucket(s, account).recordReport(s.now, recent)
-		previous[u.Account] = m.newReport(u)
+		previous.accounts[u.Account] = m.newReport(u)
 	}
+	previous.lostAt = time.Time{}
 }
 
 func (m *Meter) newReport(u turmericwall.AccountUse) report {
@@ -69,13 +77,16 @@
 }
 
 // recentUse returns what a daemon used since its last report, less what its share was refilled by without a leader meanwhile if the
-// account's bucket wasn't refilled by the same part, as this daemon didn't lead. The lock is held.
+// account's bucket wasn't refilled by the same part: this daemon didn't lead, or the other one was lost. The lock is held.
 func (m *Meter) recentUse(
-	s clusterState, account turmericwall.ClientAccount, previous map[string]report, u turmericwall.AccountUse,
+	s clusterState, account turmericwall.ClientAccount, previous *reports, u turmericwall.AccountUse,
 ) float64 {
-	last := previous[u.Account]
+	last := previous.accounts[u.Account]
 	used, refilled := float64(u.Units)-last.units, float64(u.RefilledUnits)-last.refilled
 	seconds := m.skippedSeconds - last.skippedSeconds
+	if !previous.lostAt.IsZero() {
+		seconds += s.now.Sub(previous.lostAt).Seconds()
+	}
 	part := account.Quota.PerSecond / float64(max(s.daemons, 1)+s.unresponsive)
 	return used - max(min(used, refilled, seconds*part), 0)
 }
@@ -84,7 +95,7 @@
 func (m *Meter) recordOwnUses(s clusterState) {
 	known := m.ownReport != nil
 	if !known {
-		m.ownReport = make(map[string]report)
+		m.ownReport = &reports{accounts: make(map[string]report)}
 	}
 	for name, u := range m.used {
 		account, ok := m.config.Account(name)
@@ -101,7 +112,7 @@
 			recent = m.recentUse(s, account, m.ownReport, use)
 		}
 		m.clusterBucket(s, account).level -= recent
-		m.ownReport[name] = m.newReport(use)
+		m.ownReport.accounts[name] = m.newReport(use)
 		u.replied, u.previousReplied = u.count(), u.count()
 	}
 }
@@ -117,11 +128,19 @@
 	}
 }
 
-// RemoveDaemon discards the reports of a daemon that no longer answers.
+// RemoveDaemon notes that a daemon no longer answers. Its reports are kept for a time: it may have received all heartbeats.
 func (m *Meter) RemoveDaemon(incarnation string) {
+	now := m.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.reported, incarnation)
+	for other, r := range m.reported {
+		if !r.lostAt.IsZero() && now.Sub(r.lostAt) > lostReportRetention {
+			delete(m.reported, other)
+		}
+	}
+	if r, ok := m.reported[incarnation]; ok {
+		r.lostAt = now
+	}
 }
 
 // Levels returns the accounts whose available units are below listedLevelFraction of their capacity. It goes into the
