--- a/internal/admission/twquota/leaders_test.go
+++ b/internal/admission/twquota/leaders_test.go
@@ -127,6 +127,7 @@
 	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(Equal(5), "a quarter of the burst")
 	f.leader = 1
 	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(Equal(15))
+	f.now = f.now.Add(10 * time.Millisecond)
 	f.leader = -1
 	g.Expect(chargeCalls(f.meters[1], "a", 100, 20)).To(BeZero(), "its share begins with what it knows as left")
 	f.now = f.now.Add(2 * time.Second)
