--- a/internal/admission/twquota/meter.go
+++ b/internal/admission/twquota/meter.go
@@ -30,6 +30,8 @@
 	maxNewDaemonAge = 8 * time.Second
 	// reportRetention is how long an account's use is reported after its last call, because replies may be lost.
 	reportRetention = 5 * time.Second
+	// lostReportRetention is how long the reports of a daemon that no longer answers are kept.
+	lostReportRetention = 12 * time.Second
 	// leaderToleranceFraction is the fraction of the tolerance that the leader grants to an account. The rest is for
 	// the use that the leader cannot know of in time.
 	leaderToleranceFraction = 0.5
@@ -91,14 +93,17 @@
 	allReportedUntil time.Time
 	// used is what this daemon itself charged, by account.
 	used map[string]*usage
-	// reported is the use in the last reply of each other daemon, by incarnation and account.
-	reported map[string]map[string]int64
+	// reported is what each daemon reported to this one as the leader, by incarnation; this daemon's own use is in ownReport.
+	reported  map[string]*reports
+	ownReport *reports
 	// refusals are the leader's last refusals by account. leaderFailedUntil is until when no charge is requested from a
 	// leader that did not answer one.
 	refusals          map[string]refusal
 	leaderFailedUntil time.Time
-	// ledUntil is when this daemon last stopped being the leader.
-	ledUntil time.Time
+	// ledLast is set after this daemon's term as long as it received no levels of another leader.
+	ledLast bool
+	// skippedSeconds is the time between this daemon's terms, with no other leader in between, for which no bucket was refilled.
+	skippedSeconds float64
 	// lastState is the state at the last charge, refund, report or list of levels.
 	lastState clusterState
 }
@@ -122,21 +127,35 @@
 
 type usage struct {
 	units float64
-	// replied are the units in the last reply to the current leader, and previousReplied those in the reply before it.
+	// refilled are the units that this daemon's share was refilled by in times without a leader. refilledAlone are those since the
+	// last heartbeat.
+	refilled, refilledAlone float64
+	// replied is the use in the last reply to the current leader, and previousReplied that in the reply before it.
 	// The next levels from the leader may not include the last reply yet.
-	replied, previousReplied float64
-	// countedBefore are the units that the previous leader had counted in the last levels that it sent, and refilledBefore those that this
-	// daemon's share was refilled by between that leader and the current one. refilledAlone are those since the current leader.
-	countedBefore                 float64
-	refilledBefore, refilledAlone float64
-	lastUsedAt                    time.Time
+	replied, previousReplied counted
+	// countedBefore is the use that the previous leader had counted in the last levels that it sent.
+	countedBefore counted
+	lastUsedAt    time.Time
+}
+
+// counted is a daemon's use of an account since its start, as it was counted at some time.
+type counted struct {
+	units, refilled float64
+}
+
+// count returns the use up to now.
+func (u *usage) count() counted { return counted{units: u.units, refilled: u.refilled} }
+
+// uncounted returns what was used since the count, less what the daemon's share was refilled by.
+func (u *usage) uncounted(since counted) float64 {
+	return max(u.units-since.units-(u.refilled-since.refilled), 0)
 }
 
 // New returns a meter that has charged nothing.
 func New(config Config) *Meter {
 	return &Meter{
 		config: config, clusterBuckets: make(map[string]*bucket), localBuckets: make(map[string]*bucket),
-		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]map[string]int64),
+		levels: make(map[string]level), used: make(map[string]*usage), reported: make(map[string]*reports),
 		refusals: make(map[string]refusal),
 	}
 }
@@ -222,13 +241,33 @@
 // discards the buckets and reports of that term; the lock is held.
 func (m *Meter) updateState(s clusterState) {
 	if m.lastState.isLeader && !s.isLeader {
-		m.ledUntil = s.now
+		m.applyOwnLevels(s.now)
 	}
-	if s.isLeader && !m.lastState.isLeader && !m.levelsAt.Before(m.ledUntil) {
+	elected := s.isLeader && !m.lastState.isLeader
+	m.lastState = s
+	switch {
+	case elected && m.ledLast:
+		m.skipTimeWithoutLeader(s.now)
+	case elected:
 		m.clusterBuckets = make(map[string]*bucket)
-		m.reported = make(map[string]map[string]int64)
+		m.reported, m.ownReport = make(map[string]*reports), nil
+	}
+	if elected {
+		m.recordOwnUses(s)
+	}
+}
+
+// skipTimeWithoutLeader lets the time since this daemon's last term pass without a refill of the buckets of all daemons, which used
+// their shares if they missed the leader; the lock is held.
+func (m *Meter) skipTimeWithoutLeader(now time.Time) {
+	elapsed := now.Sub(m.levelsAt)
+	if elapsed <= leaderMissedAfter {
+		return
+	}
+	m.skippedSeconds += elapsed.Seconds()
+	for _, b := range m.clusterBuckets {
+		b.refilledAt = now
 	}
-	m.lastState = s
 }
 
 // chargeClusterBucket charges units as the leader; the lock is held.
@@ -310,7 +349,7 @@
 	if !ok {
 		return 0
 	}
-	return max(u.units-u.previousReplied, 0)
+	return max(u.units-u.previousReplied.units, 0)
 }
 
 // recordUse adds units to this daemon's use, which is reported to the leader; the lock is held.
