--- a/review/second/twserver/process.go
+++ b/review/second/twserver/process.go
@@ -25,6 +25,7 @@
 	log                        io.Writer
 	mu                         sync.Mutex
 	command                    *exec.Cmd
+	isDraining                 bool
 	seenAt                     time.Time
 	stop                       chan struct{}
 	stopped                    chan struct{}
@@ -68,6 +69,26 @@
 // ID returns the id of the server.
 func (p *Process) ID() string { return p.id }
 
+// Signal sends a signal to the process: SIGUSR1 makes it slow, SIGUSR2 makes its handles lapse.
+func (p *Process) Signal(signal syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Signal(signal)
+}
+
+// Drain writes that the server leaves, and returns when the store has accepted it.
+func (p *Process) Drain() (acceptedAt time.Time, err error) {
+	report, err := p.Report()
+	if err != nil {
+		return acceptedAt, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isDraining = true
+	p.store.Put("servers", p.id, p.entry(report, time.Now().UnixMilli()))
+	return time.Now(), nil
+}
+
 // Kill ends the process as a crash does.
 func (p *Process) Kill() {
 	p.mu.Lock()
@@ -81,6 +102,7 @@
 	close(p.stop)
 	<-p.stopped
 	p.Kill()
+	p.store.Remove("servers", p.id)
 }
 
 // Report returns what the process says of itself.
@@ -104,7 +126,9 @@
 		case err == nil:
 			beats++
 			p.seenAt = time.Now()
+			p.mu.Lock()
 			p.store.Put("servers", p.id, p.entry(report, beats))
+			p.mu.Unlock()
 		case time.Since(p.seenAt) > 3*heartbeat:
 			p.store.Remove("servers", p.id)
 		}
@@ -120,7 +144,11 @@
 	}
 }
 
+// entry returns the server's entry; the lock is held.
 func (p *Process) entry(report Report, beats int64) map[string]any {
+	if p.isDraining {
+		report.State = "draining"
+	}
 	entry := map[string]any{
 		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 16, "state": report.State,
 		"coldRemainingMs": 0, "seq": beats, "born": report.Born,
--- a/review/second/twserver/server.go
+++ b/review/second/twserver/server.go
@@ -28,6 +28,8 @@
 	Unframed bool
 	// Switch is how long a change of the stage takes.
 	Switch time.Duration
+	// First is how much longer the first event of a stream takes.
+	First time.Duration
 	// Log gets a line for each run.
 	Log io.Writer
 }
@@ -42,6 +44,9 @@
 	orders  int64
 	handles int
 	runs    map[string]*run
+	// factor is how many times as long the engine works, and lapses is set while its handles lapse at once.
+	factor time.Duration
+	lapses bool
 }
 
 type run struct {
@@ -66,7 +71,36 @@
 
 // New returns a server that has run nothing.
 func New(config Config) *Server {
-	return &Server{config: config, born: time.Now().UnixMilli(), phase: config.Phase, runs: make(map[string]*run)}
+	return &Server{config: config, born: time.Now().UnixMilli(), phase: config.Phase, factor: 1, runs: make(map[string]*run)}
+}
+
+// SetFactor makes the engine work so many times as long from the next event on.
+func (s *Server) SetFactor(factor int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.factor = time.Duration(factor)
+}
+
+// pause returns the time before the next event.
+func (s *Server) pause(isFirst bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isFirst {
+		return s.factor * (s.config.First + s.config.Gap)
+	}
+	return s.factor * s.config.Gap
+}
+
+// SetLapses makes the engine's handles lapse at once.
+func (s *Server) SetLapses() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapses = true
+}
+
+// log writes a line with the time in Unix milliseconds.
+func (s *Server) log(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.config.Log, "%d %s %s\n", time.Now().UnixMilli(), s.config.ID, fmt.Sprintf(format, arguments...))
 }
 
 // Piece returns one event of the stream of a request.
@@ -120,6 +154,8 @@
 		s.move(w, request)
 	case request.URL.Path == "/-/order":
 		s.order(w, request)
+	case request.URL.Path == pathHandle:
+		s.checkHandle(w)
 	case request.Method == http.MethodDelete:
 		w.WriteHeader(http.StatusOK)
 	default:
@@ -166,6 +202,7 @@
 		close(found.stopped)
 	}
 	s.mu.Unlock()
+	s.log("moves %s last %v known %v", order.ID, order.Last, ok)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -203,6 +240,29 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// pathHandle is where engines ask each other whether a handle can be fetched.
+const pathHandle = "/-/stand-in/handle"
+
+func (s *Server) checkHandle(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lapses {
+		w.WriteHeader(http.StatusGone)
+	}
+}
+
+// canFetch reports whether the memory at IP:PORT/HANDLE can be fetched.
+func canFetch(source string) bool {
+	address, _, _ := strings.Cut(source, "/")
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + address + pathHandle)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 func (s *Server) isChanging() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -229,11 +289,14 @@
 
 // stream makes the events after the one that the caller has.
 func (s *Server) stream(w http.ResponseWriter, request *http.Request, id string) {
-	if s.isChanging() {
+	source := request.Header.Get("X-Kv-Source")
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	s.log("gets %s after %d source %q", id, after, source)
+	if s.isChanging() || (source != "" && !canFetch(source)) {
+		s.log("rejects %s", id)
 		reject(w, http.StatusServiceUnavailable)
 		return
 	}
-	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	present := &run{made: after, stopped: make(chan struct{})}
 	s.mu.Lock()
 	s.runs[id] = present
@@ -245,11 +308,11 @@
 		}
 		s.mu.Unlock()
 	}()
-	_, _ = fmt.Fprintf(s.config.Log, "%s runs %s after %d\n", s.config.ID, id, after)
+	s.log("runs %s", id)
 	out := s.begin(w, id, "text/event-stream")
 	for number := after + 1; number <= s.config.Pieces; number++ {
 		select {
-		case <-time.After(s.config.Gap):
+		case <-time.After(s.pause(number == 1)):
 		case <-present.stopped:
 			out.breakOff()
 			return
@@ -264,12 +327,12 @@
 		s.mu.Unlock()
 	}
 	out.end()
-	_, _ = fmt.Fprintf(s.config.Log, "%s ends %s\n", s.config.ID, id)
+	s.log("ends %s", id)
 }
 
 // answer is the answer of a plain service, in two parts.
 func (s *Server) answer(w http.ResponseWriter, request *http.Request, id string) {
-	_, _ = fmt.Fprintf(s.config.Log, "%s runs %s %s\n", s.config.ID, request.Method, id)
+	s.log("runs %s %s", request.Method, id)
 	time.Sleep(s.config.Work / 2)
 	body := Body(id)
 	out := s.begin(w, id, "application/octet-stream")
--- a/review/second/twstage/stage.go
+++ b/review/second/twstage/stage.go
@@ -54,6 +54,7 @@
 	Servers []*twserver.Process
 	Daemons []*twdaemons.Daemon
 	closing sync.Once
+	log     *os.File
 }
 
 // Main runs a case as a program: with the flags --directory, --record and --trouble, and the exit status 1 if the rule was broken, 0 if it
@@ -107,26 +108,35 @@
 		return err
 	}
 	go func() { _ = http.Serve(listener, s.Store) }()
-	log, err := os.Create(filepath.Join(s.Directory, "servers.log"))
-	if err != nil {
+	if s.log, err = os.Create(s.LogPath()); err != nil {
 		return err
 	}
 	for _, server := range s.Config.Servers {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		started, err := twserver.Start(twserver.ProcessConfig{
-			ID: server.ID, Service: server.Service, Address: address, Zone: "bern-a", Arguments: server.Arguments, Store: s.Store, Log: log,
-		})
-		if err != nil {
+		if _, err := s.StartServer(server); err != nil {
 			return err
 		}
-		s.Servers = append(s.Servers, started)
 	}
 	return s.startDaemons(listener.Addr().String())
 }
 
+// LogPath returns the path of the log of all servers.
+func (s *Stage) LogPath() string { return filepath.Join(s.Directory, "servers.log") }
+
+// StartServer starts one more server.
+func (s *Stage) StartServer(server Server) (*twserver.Process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	started, err := twserver.Start(twserver.ProcessConfig{
+		ID: server.ID, Service: server.Service, Address: address, Zone: "bern-a", Arguments: server.Arguments, Store: s.Store, Log: s.log,
+	})
+	if err == nil {
+		s.Servers = append(s.Servers, started)
+	}
+	return started, err
+}
+
 func (s *Stage) startDaemons(store string) error {
 	addresses, err := twdaemons.FreeAddresses(s.Machines)
 	if err != nil {
