fix: don't take a peer's reset during an exchange for its end

What callers could see: a part of an answer as the whole one, where a daemon without a path sends a long call through a peer, and what listens at the peer's address answers at once without a length and resets the connection.

Cause: that of the reset during an upload to an upstream. net/http's transport writes a request and reads its answer in two goroutines as well; the write takes the error, and the read ends a body without a length at the end of file, unless the write's goroutine closes the connection first.

A daemon answers in chunks, whose end can't be taken for one; this is for one in trouble, and for an address that is another's now.

Why this works: the connections to peers are checked at their end of file like those to upstreams.

--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/operations/twbody"
+	"github.com/turmericwall/turmericwall/internal/operations/twconnend"
 	"github.com/turmericwall/turmericwall/internal/operations/twmeter"
 	"github.com/turmericwall/turmericwall/internal/operations/twsocket"
 )
@@ -51,7 +52,7 @@
 	liveness := Liveness()
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: liveness.Control, KeepAliveConfig: liveness.KeepAlive()}
 	return &Client{bodies: twbody.New(twbody.Config{MaxBytes: maxMessageBytes}), http: &http.Client{Transport: &http.Transport{
-		DialContext: meter.Dial(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
+		DialContext: twconnend.Dial(meter.Dial(dialer.DialContext)), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
--- a/internal/operations/twconnend/conn.go
+++ b/internal/operations/twconnend/conn.go
@@ -2,6 +2,7 @@
 package twconnend
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -26,6 +27,19 @@
 // New returns the connection with the ends of its reads checked. Nothing else may take the errors of its socket.
 func New(connection net.Conn) *Conn { return &Conn{Conn: connection} }
 
+// Dial returns the function with the ends of its connections checked.
+func Dial(
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(connection), nil
+	}
+}
+
 // Read reads from the connection. Its error is that of a write if the write took the error with which the connection ended.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
