fix: don't take a plain service's reset during a call for its end

What callers of the older interface could see: a part of an answer as the whole one, also recorded as the answer to a call that may run once, where the upstream answered a long call at once without a length and reset the connection.

Cause: as for exchanges through peers: net/http's transport writes and reads in two goroutines.

Why this works: the connection of each call is checked at its end of file. The other clients of the older interface need no change: answers of its engines are complete only with a finish reason and [DONE], those of the platform's service are decoded or come to reads without a body.

The edge answers such a call as one whose outcome is unknown, as before for answers that break off.

--- a/internal/once/twforward/forwarder.go
+++ b/internal/once/twforward/forwarder.go
@@ -18,6 +18,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
+	"github.com/turmericwall/turmericwall/internal/operations/twconnend"
 )
 
 const (
@@ -101,7 +102,7 @@
 		dialer := net.Dialer{Timeout: dialTimeout}
 		connection, err := dialer.DialContext(ctx, "tcp", vm.Address)
 		if err == nil {
-			return connection, vm, nil
+			return twconnend.New(connection), vm, nil
 		}
 		lastErr = err
 		f.eject(vm.Name, f.clock.Now().Add(ejectionTime))
