fix: believe "nothing was sent" of a peer's own refusals only

Cause: each status but 200 counted as the peer's statement that it sent nothing, so that the call could be sent again through another peer. The status of the upstream's answer, which comes as a number in the reply, was not looked at.

Why this works: a daemon refuses an exchange unread with 400, 404, 413 and 503 only. Everything else may come after the send, and says so; an answer without a status is an error of the upstream.

--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -112,9 +112,8 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		// The peer could not read the request, or does not know the path: it sent nothing.
 		return fail(&turmericwall.SendError{
-			PathLost: true, Err: fmt.Errorf("%w: status %d for %s", errStatus, response.StatusCode, pathExchange),
+			Sent: !refusesExchange(response.StatusCode), PathLost: true, Err: fmt.Errorf("%w: status %d for %s", errStatus, response.StatusCode, pathExchange),
 		})
 	}
 	reader := bufio.NewReaderSize(response.Body, exchangeBufferBytes)
@@ -138,6 +137,8 @@
 		)})
 	case reply.Error != "":
 		return fail(&turmericwall.SendError{Sent: true, Err: errors.New(reply.Error)})
+	case reply.Status < http.StatusOK:
+		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: malformed answer: status %d", to.ID, reply.Status)})
 	}
 	return &turmericwall.Answer{
 		Status: reply.Status, Header: reply.Header, Length: reply.Length, NotRun: reply.NotRun, SentAt: sentAt,
@@ -146,6 +147,16 @@
 	}, nil
 }
 
+// refusesExchange reports whether a peer answers with the status if it has sent nothing: it could not read the request, has no memory for
+// it, or does not know the path.
+func refusesExchange(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // exchangeBody is the body of an upstream's answer that came through a peer.
 type exchangeBody struct {
 	reader *bufio.Reader
