fix: an answer without a status is a failure of the older interface too

What callers could see: from a plain service that answers 000 no answer at all, and none later either, as 000 was recorded as the answer to a call that may run once; from an engine that does, a lasting refusal of the request. An engine's memory counted as freed by a cancel that was answered so, and a request to the platform's service as carried out.

Cause: as for the daemon of the new machines: net/http's parser takes each number for a status, and the clients compare it with 300, 400 or 500 only.

Why this works: the clients read answers through a transport that returns an error in place of a malformed one, with the same check as for upstreams of the new machines; each treats it as an answer that it didn't get.

--- a/internal/delivery/twengine/engine.go
+++ b/internal/delivery/twengine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/operations/twbody"
+	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 )
 
 // Limits of the calls to engines.
@@ -52,8 +53,8 @@
 	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerEngine, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	fresh := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Engines{
-		pooled:   &http.Client{Transport: pooled},
-		fresh:    &http.Client{Transport: fresh},
+		pooled:   &http.Client{Transport: twresponse.New(pooled)},
+		fresh:    &http.Client{Transport: twresponse.New(fresh)},
 		bodies:   twbody.New(twbody.Config{MaxBytes: maxReplyBytes}),
 		bytesIn:  metrics.GetOrRegisterCounter("control.engines.bytesIn", config.Registry),
 		messages: metrics.GetOrRegisterCounter("control.engines.messages", config.Registry),
--- a/internal/once/twforward/forwarder.go
+++ b/internal/once/twforward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
 	"github.com/turmericwall/turmericwall/internal/operations/twconnend"
+	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 )
 
 const (
@@ -133,7 +134,7 @@
 		request.Body = http.NoBody
 	}
 	request.Header = call.Header.Clone()
-	return transport.RoundTrip(request)
+	return twresponse.New(transport).RoundTrip(request)
 }
 
 var errConnectionUsed = errors.New("the call's only connection was used")
--- a/internal/once/twforward/reset_test.go
+++ b/internal/once/twforward/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,19 @@
 	}
 	NewWithT(t).Expect(complete).To(BeZero(), "of %d answers", uploadTries)
 }
+
+// Guards against a malformed answer that is recorded as the answer to a call.
+func TestMalformedAnswerIsNoAnswer(t *testing.T) {
+	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
+	for _, head := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble"} {
+		t.Run(head, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := newForwarder(rawUpstream(t, head+rest)).Forward(t.Context(), turmericwall.ServiceCall{
+				Service: "s", Method: http.MethodGet, Path: "/", Header: http.Header{},
+			}, func() error { return nil })
+			var problem *turmericwall.Problem
+			g.Expect(errors.As(err, &problem)).To(BeTrue())
+			g.Expect(problem.Kind()).To(Equal(turmericwall.KindOutcomeUnknown))
+		})
+	}
+}
--- a/internal/platform/twhttp/client.go
+++ b/internal/platform/twhttp/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/operations/twbody"
+	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 )
 
 // Limits of one call to the platform.
@@ -52,7 +53,7 @@
 	}
 	return &Client{
 		address:  strings.TrimSuffix(config.Address, "/"),
-		http:     &http.Client{Transport: transport},
+		http:     &http.Client{Transport: twresponse.New(transport)},
 		bodies:   twbody.New(twbody.Config{MaxBytes: maxBodyBytes}),
 		bytesIn:  metrics.GetOrRegisterCounter("control.platform.bytesIn", config.Registry),
 		messages: metrics.GetOrRegisterCounter("control.platform.messages", config.Registry),
