fix: an answer with a malformed field name is a failure

What callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer: with "X Foo: a" or "X-Foo : a" a 200, or a 500 with the upstream's signature, without that line; with "Content-Length : 2" all that came until the connection ended; with "Transfer-Encoding : chunked" a body with the sizes of its chunks in it.

Cause: net/http's parser accepts blanks in names, also before the colon, and leaves such a field as it is under a name that nobody reads. Control bytes, tabs, DEL, bytes from 128 on, empty names and lines without a colon are its errors; these rows passed before and keep their tests.

In the older interface such answers were recorded as answers, and counted as cancels.

--- a/internal/delivery/twengine/malformed_test.go
+++ b/internal/delivery/twengine/malformed_test.go
@@ -34,7 +34,10 @@
 // Guards against a malformed answer that counts as a cancel, as a lasting refusal, or as a report.
 func TestMalformedAnswerIsAFailureOfTheEngine(t *testing.T) {
 	const rest = "\r\nContent-Length: 2\r\n\r\n{}"
-	for _, head := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 200 OK\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-Foo : a",
+		"HTTP/1.1 404 Not Found\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-\x01Foo: a",
+	} {
 		t.Run(head, func(t *testing.T) {
 			g := NewWithT(t)
 			engine := newRawEngine(t, head+rest)
--- a/internal/once/twforward/reset_test.go
+++ b/internal/once/twforward/reset_test.go
@@ -84,7 +84,10 @@
 // Guards against a malformed answer that is recorded as the answer to a call.
 func TestMalformedAnswerIsNoAnswer(t *testing.T) {
 	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
-	for _, head := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 200 OK\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-Foo : a",
+		"HTTP/1.1 404 Not Found\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-\x01Foo: a",
+	} {
 		t.Run(head, func(t *testing.T) {
 			g := NewWithT(t)
 			_, err := newForwarder(rawUpstream(t, head+rest)).Forward(t.Context(), turmericwall.ServiceCall{
--- a/internal/platform/twhttp/client_test.go
+++ b/internal/platform/twhttp/client_test.go
@@ -17,7 +17,10 @@
 // Guards against a malformed reply of the platform that is taken for a statement about a request.
 func TestMalformedReplyIsNoReply(t *testing.T) {
 	const rest = "\r\nContent-Length: 2\r\n\r\n{}"
-	for _, head := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 200 OK\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-Foo : a",
+		"HTTP/1.1 404 Not Found\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-\x01Foo: a",
+	} {
 		t.Run(head, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				connection, _, err := w.(http.Hijacker).Hijack()
