fix: a malformed field name of a peer's answer is a failure

What callers could see: an answer of a peer in trouble, or of what listens at its address, as that to an exchange; with 404 and a malformed head its statement that nothing was sent, so that a call ran twice; and what a peer of an earlier version passes on of an upstream's malformed head, an X-Not-Executed too.

Evidence: TestMalformedAnswerOfAPeerIsNoAnswer failed before in the rows with a blank, TestMalformedFieldNameDoesNotPassThroughAPeer in all of them.

Why this works: both are checked like the head of an upstream's answer. An answer of a peer that is none may come after the send; a head that a peer passes on is the upstream's fault, and states nothing.

After: both pass with the race detector, and each fails without its guard.

--- a/internal/membership/twpeerhttp/client.go
+++ b/internal/membership/twpeerhttp/client.go
@@ -14,6 +14,7 @@
 	"github.com/turmericwall/turmericwall/internal/operations/twbody"
 	"github.com/turmericwall/turmericwall/internal/operations/twconnend"
 	"github.com/turmericwall/turmericwall/internal/operations/twmeter"
+	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 	"github.com/turmericwall/turmericwall/internal/operations/twsocket"
 )
 
@@ -51,10 +52,13 @@
 func NewClient(meter *twmeter.Meter) *Client {
 	liveness := Liveness()
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: liveness.Control, KeepAliveConfig: liveness.KeepAlive()}
-	return &Client{bodies: twbody.New(twbody.Config{MaxBytes: maxMessageBytes}), http: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: twconnend.Dial(meter.Dial(dialer.DialContext)), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	}
+	return &Client{
+		bodies: twbody.New(twbody.Config{MaxBytes: maxMessageBytes}), http: &http.Client{Transport: twresponse.New(transport)},
+	}
 }
 
 // Heartbeat sends the leader's heartbeat and returns the daemon's reply. Its time limit is that of ctx.
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/turmericwall/turmericwall"
+	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 )
 
 const (
@@ -140,6 +141,9 @@
 	case reply.Status < http.StatusOK:
 		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: malformed answer: status %d", to.ID, reply.Status)})
 	}
+	if err := twresponse.CheckFields(reply.Header); err != nil {
+		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: %w", to.ID, err)})
+	}
 	return &turmericwall.Answer{
 		Status: reply.Status, Header: reply.Header, Length: reply.Length, NotRun: reply.NotRun, SentAt: sentAt,
 		Framing: reply.Framing, Reused: reply.Reused,
--- a/internal/membership/twpeerhttp/malformed_test.go
+++ b/internal/membership/twpeerhttp/malformed_test.go
@@ -76,3 +76,38 @@
 		g.Expect([]bool{asSendError(err).Sent, asSendError(err).NotRun, asSendError(err).PathLost}).To(Equal([]bool{true, false, false}))
 	}
 }
+
+// Guards against a malformed answer of a peer that counts as one, or as the statement that nothing was sent.
+func TestMalformedAnswerOfAPeerIsNoAnswer(t *testing.T) {
+	const line = `{"status":200,"length":4,"framing":"length"}` + "\n"
+	for _, status := range []string{"200 OK", "404 Not Found"} {
+		for _, fields := range []string{
+			"X Foo: a\r\nContent-Length: 49\r\n", "X-Foo : a\r\nContent-Length: 49\r\n", "Content-Length : 49\r\n", "X-\x01Foo: a\r\nContent-Length: 49\r\n",
+		} {
+			t.Run(status+" "+fields[:9], func(t *testing.T) {
+				g := NewWithT(t)
+				address := rawPeer(t, "HTTP/1.1 "+status+"\r\n"+fields+"\r\n"+line+"body")
+				_, err := twpeerhttp.NewClient(nil).Exchange(t.Context(), address, exchangeTarget, exchangeRequest())
+				g.Expect(asSendError(err)).NotTo(BeNil())
+				g.Expect([]bool{asSendError(err).Sent, asSendError(err).NotRun, asSendError(err).PathLost}).To(Equal([]bool{true, false, true}))
+				_, err = twpeerhttp.NewClient(nil).Heartbeat(t.Context(), address, turmericwall.Heartbeat{})
+				g.Expect(err).To(HaveOccurred())
+			})
+		}
+	}
+}
+
+// Guards against a malformed field of an upstream's answer that a peer of an earlier version passes on.
+func TestMalformedFieldNameDoesNotPassThroughAPeer(t *testing.T) {
+	for _, name := range []string{"X Foo", "X-Foo ", "Content-Length ", ""} {
+		g := NewWithT(t)
+		address := newPeer(t, func(
+			context.Context, turmericwall.Upstream, turmericwall.UpstreamRequest,
+		) (*turmericwall.Answer, error) {
+			return &turmericwall.Answer{Status: 503, NotRun: true, Header: http.Header{name: {"1"}}, Body: http.NoBody}, nil
+		})
+		_, err := twpeerhttp.NewClient(nil).Exchange(t.Context(), address, exchangeTarget, exchangeRequest())
+		g.Expect(asSendError(err)).NotTo(BeNil(), "%q", name)
+		g.Expect([]bool{asSendError(err).Sent, asSendError(err).NotRun, asSendError(err).PathLost}).To(Equal([]bool{true, false, false}))
+	}
+}
--- a/internal/operations/twresponse/transport.go
+++ b/internal/operations/twresponse/transport.go
@@ -19,7 +19,7 @@
 // New returns a transport that sends requests with the next one.
 func New(next http.RoundTripper) *Transport { return &Transport{next: next} }
 
-// RoundTrip sends a request. After a malformed response the connection is closed.
+// RoundTrip sends a request. The body of a malformed response is closed unread.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(request)
 	if err != nil {
