fix: chunks in a version that has none are a failure

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" came as a 200 with the sizes of its chunks as part of the body.

Cause: net/http's parser removes the field from an answer of HTTP/1.0 and reads the body until the connection ends. Nothing is left by which its reader could tell.

Why this works: each head from an upstream passes through twhead before the parser has it, which follows its lines already. The store's and the peers' answers are JSON, for which such a body is none. Plain services of the older interface are read by net/http alone, and keep this fault.

--- a/internal/operations/twhead/head.go
+++ b/internal/operations/twhead/head.go
@@ -20,6 +20,9 @@
 	// bytesPerLine is the memory for a header beside its text: its entry in the map, the slice of its values, and the
 	// name.
 	bytesPerLine = 256
+	// earlierVersion begins the head of an answer whose body can't be in chunks, and chunksField the field that says that it is.
+	earlierVersion = "http/1.0 "
+	chunksField    = "transfer-encoding:"
 	// freeBytes is the memory of heads that are always read: 4 KiB in 32 lines, or 2 KiB in 64.
 	freeBytes = 24 << 10
 )
@@ -50,6 +53,10 @@
 	spaces      int
 	lastIsSpace bool
 	class       byte
+	// isEarlier is set if the message's first line begins with earlierVersion, and isMisframed if it has the field chunksField too. matched is
+	// how much of either the present line begins with.
+	isEarlier, isMisframed bool
+	matched                int64
 	// held is the memory that is taken for the head.
 	held int64
 	// failed is set once the head has exceeded a limit. A bufio.Reader drops the error of a read that follows a part of a
@@ -74,6 +81,10 @@
 // Err returns the error of a head that has exceeded a limit. The parser may have another one, for the part that it read.
 func (h *Head) Err() error { return h.failed }
 
+// IsMisframed reports whether the last message has the field Transfer-Encoding, though its version, HTTP/1.0, has no chunks. The parser
+// ignores the field, and the body is faulty (RFC 9112, section 6.1).
+func (h *Head) IsMisframed() bool { return h.isMisframed }
+
 // End ends the head, whatever is missing of it.
 func (h *Head) End() { h.isOpen = false }
 
@@ -110,8 +121,14 @@
 	h.lineBytes++
 	h.lastIsCR = b == '\r'
 	if !h.isFirstLine {
+		if h.isEarlier && h.matches(b, chunksField) {
+			h.isMisframed = true
+		}
 		return
 	}
+	if h.lineBytes <= int64(len(earlierVersion)) && h.matches(b, earlierVersion) {
+		h.isEarlier = true
+	}
 	switch {
 	case b != ' ' && h.lastIsSpace && h.spaces == 1:
 		h.class = b
@@ -121,10 +138,27 @@
 	h.lastIsSpace = b == ' '
 }
 
+// matches reports whether the present line begins with the text, of which b is the last byte.
+func (h *Head) matches(b byte, text string) bool {
+	if h.matched != h.lineBytes-1 || h.matched == int64(len(text)) || lower(b) != text[h.matched] {
+		return false
+	}
+	h.matched++
+	return h.matched == int64(len(text))
+}
+
+// lower returns the lower case of a letter, and any other byte as it is.
+func lower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
 // endLine ends a line, and with an empty one the message.
 func (h *Head) endLine() error {
 	isEmpty := h.lineBytes == 0 || (h.lineBytes == 1 && h.lastIsCR)
-	h.lineBytes, h.lastIsCR = 0, false
+	h.lineBytes, h.lastIsCR, h.matched = 0, false, 0
 	switch {
 	case isEmpty && h.isFirstLine && h.config.Request:
 		// Servers skip an empty line before a request.
@@ -148,7 +182,8 @@
 
 // beginMessage begins the head's first message, or the one after an interim response.
 func (h *Head) beginMessage() {
-	h.lineBytes, h.lastIsCR = 0, false
+	h.lineBytes, h.lastIsCR, h.matched = 0, false, 0
+	h.isEarlier, h.isMisframed = false, false
 	h.isFirstLine, h.spaces, h.lastIsSpace, h.class = true, 0, false, 0
 }
 
--- a/internal/operations/twhead/head_test.go
+++ b/internal/operations/twhead/head_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -131,3 +132,28 @@
 		}
 	}
 }
+
+// Guards against chunks in a version that has none, which the parser reads as a body that ends with its connection.
+func TestChunksOfAnEarlierVersionAreSeenHoweverTheyArrive(t *testing.T) {
+	const fields = "X-Foo: Transfer-Encoding: a\r\n Transfer-Encoding: b\r\n"
+	for text, want := range map[string]bool{
+		"HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n":                        true,
+		"HTTP/1.0 200 OK\n" + fields + "TRANSFER-encoding:chunked\n\n":                               true,
+		"HTTP/1.1 103 E\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                true,
+		"HTTP/1.0 103 E\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.0 200 OK\r\n" + fields + "\r\n":  false,
+		"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n":                        false,
+		"HTTP/1.0 200 OK\r\n" + fields + "X-Transfer-Encoding: chunked\r\nTransfer: a\r\n\r\n":       false,
+		"HTTP/1.0 200 OK\r\n" + fields + "\r\nTransfer-Encoding: chunked\r\n":                        false,
+		"HTTP/1.1 200 HTTP/1.0 \r\nHTTP/1.0 : a\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n": false,
+	} {
+		for size := 1; size <= len(text); size++ {
+			g := NewWithT(t)
+			head := twhead.New(twhead.Config{MaxBytes: int64(len(text)), MaxLines: 9})
+			g.Expect(head.Begin(nil)).To(Succeed())
+			for part := range slices.Chunk([]byte(text), size) {
+				g.Expect(head.Scan(part)).To(Succeed())
+			}
+			g.Expect(head.IsMisframed()).To(Equal(want), "%q", text)
+		}
+	}
+}
