fix: chunks in a version that has none are a failure of the older interface too

Cause: the same parser; these calls are read by net/http's transport.

Evidence: the row of HTTP/1.0 in TestMalformedAnswerIsNoAnswer failed before.

Why this works: the head of each answer is followed on the call's own connection, as those of upstreams of the new machines are.

After: all rows pass with the race detector.

--- a/internal/once/twforward/reset_test.go
+++ b/internal/once/twforward/broken_test.go
@@ -86,7 +86,7 @@
 	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
 	for _, head := range []string{
 		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 200 OK\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-Foo : a",
-		"HTTP/1.1 404 Not Found\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-\x01Foo: a",
+		"HTTP/1.1 404 Not Found\r\nX Foo: a", "HTTP/1.1 200 OK\r\nX-\x01Foo: a", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
 	} {
 		t.Run(head, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/once/twforward/forwarder.go
+++ b/internal/once/twforward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/turmericwall/turmericwall"
 	"github.com/turmericwall/turmericwall/internal/delivery/twbackoff"
 	"github.com/turmericwall/turmericwall/internal/operations/twconnend"
+	"github.com/turmericwall/turmericwall/internal/operations/twhead"
 	"github.com/turmericwall/turmericwall/internal/operations/twresponse"
 )
 
@@ -116,9 +117,16 @@
 func (f *Forwarder) send(
 	ctx context.Context, call turmericwall.ServiceCall, vm turmericwall.VM, connection net.Conn,
 ) (*http.Response, error) {
+	followed := &followedConn{
+		Conn: connection, head: twhead.New(twhead.Config{MaxBytes: twhead.MaxBytes, MaxLines: twhead.MaxLines}),
+	}
+	if err := followed.head.Begin(nil); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
 	transport := &http.Transport{
 		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-		DialContext: dialOnce(connection),
+		DialContext: dialOnce(followed),
 	}
 	target := "http://" + vm.Address + call.Path
 	if call.Query != "" {
@@ -134,10 +142,33 @@
 		request.Body = http.NoBody
 	}
 	request.Header = call.Header.Clone()
-	return twresponse.New(transport).RoundTrip(request)
+	response, err := twresponse.New(transport).RoundTrip(request)
+	if err == nil && followed.head.IsMisframed() {
+		_ = response.Body.Close()
+		return nil, errMisframed
+	}
+	return response, err
 }
 
-var errConnectionUsed = errors.New("the call's only connection was used")
+// followedConn is the connection of one call, whose answer's head is followed.
+type followedConn struct {
+	net.Conn
+	head *twhead.Head
+}
+
+// Read reads from the connection. It fails once the head exceeds its limits.
+func (c *followedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if limitErr := c.head.Scan(b[:n]); limitErr != nil {
+		return 0, limitErr
+	}
+	return n, err
+}
+
+var (
+	errConnectionUsed = errors.New("the call's only connection was used")
+	errMisframed      = errors.New("malformed response: chunks in a version that has none")
+)
 
 // dialOnce returns a dial function that returns the connection to the first dial and fails any other, so that the
 // transport can't send the call a second time.
