fix: an upstream that answers malformed lives

What callers would see: requests that others ask for too, refused as quarantined, while upstreams in trouble answer everything malformed.

Cause: a head that the parser, or the new check, rejects was an error like a cut connection: an end of the upstream that isn't settled. The check whether it has ended got a malformed answer too, and took it for a reset.

Why this works: a head that came whole and is malformed has a limit of its own, as a switch of protocols has, which passes through a peer. It shows that the upstream lived, also as the answer to the check. The run is checked all the same, as a process may send garbage as it ends, and an end that is proved is recorded. A head during whose read the connection ended is cut, not malformed: the parser calls a part of a line malformed as well.

Operators see such answers as reads refused by the limit "malformed".

--- a/internal/delivery/twrelay/ends.go
+++ b/internal/delivery/twrelay/ends.go
@@ -65,6 +65,8 @@
 ) {
 	switch {
 	case r.config.Quarantine == nil, r.config.CheckEnd == nil, !mayHaveBegun(broken.cause):
+	case isMalformed(broken.cause):
+		update.Ended = r.settleMalformed(ctx, a, broken)
 	case hasAnswered(broken.cause):
 		r.logBroken(broken, "no", twendcheck.Finding{})
 	case isUnread(broken.cause):
@@ -98,6 +100,17 @@
 	return nil
 }
 
+// settleMalformed settles a run that its upstream answered with a malformed head: it lived then. Only an upstream that has certainly ended since is
+// recorded.
+func (r *Relay) settleMalformed(ctx context.Context, a *attempt, broken brokenRun) *turmericwall.UpstreamKey {
+	found := r.checkEnd(ctx, broken)
+	if found.Result == turmericwall.EndProved {
+		return r.recordEnd(ctx, a, broken, found)
+	}
+	r.logBroken(broken, "no", found)
+	return nil
+}
+
 // isListed reports whether upstreams ended, or may have, under the input's request.
 func (r *Relay) isListed(input turmericwall.Input) bool {
 	ends, sound := r.config.Quarantine.Ends(input)
@@ -182,6 +195,12 @@
 	return errors.Is(cause, errOtherVersion) || errors.Is(cause, errEngineFailed) || errors.As(cause, &limit)
 }
 
+// isMalformed reports whether the upstream answered a run that ended with the error with a malformed head.
+func isMalformed(cause error) bool {
+	var limit *turmericwall.LimitError
+	return errors.As(cause, &limit) && limit.Limit == turmericwall.LimitMalformed
+}
+
 // hasLeft reports whether the run ended because its caller has left or its time is over.
 func hasLeft(ctx context.Context, cause error) bool {
 	var toCaller *callerError
--- a/internal/membership/twpeerhttp/exchange.go
+++ b/internal/membership/twpeerhttp/exchange.go
@@ -139,10 +139,10 @@
 	case reply.Error != "":
 		return fail(&turmericwall.SendError{Sent: true, Err: errors.New(reply.Error)})
 	case reply.Status < http.StatusOK:
-		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: malformed answer: status %d", to.ID, reply.Status)})
+		return fail(malformedError(to, fmt.Errorf("status %d", reply.Status)))
 	}
 	if err := twresponse.CheckFields(reply.Header); err != nil {
-		return fail(&turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: %w", to.ID, err)})
+		return fail(malformedError(to, err))
 	}
 	return &turmericwall.Answer{
 		Status: reply.Status, Header: reply.Header, Length: reply.Length, NotRun: reply.NotRun, SentAt: sentAt,
@@ -151,6 +151,12 @@
 	}, nil
 }
 
+// malformedError returns the error of an upstream's malformed answer that a peer of an earlier version has passed on.
+func malformedError(to turmericwall.Upstream, cause error) error {
+	limit := &turmericwall.LimitError{Limit: turmericwall.LimitMalformed}
+	return &turmericwall.SendError{Sent: true, Err: fmt.Errorf("have a peer call %s: %w: %w", to.ID, limit, cause)}
+}
+
 // refusesExchange reports whether a peer answers with the status if it has sent nothing: it could not read the request, has no memory for
 // it, or does not know the path.
 func refusesExchange(status int) bool {
--- a/internal/membership/twpeerhttp/malformed_test.go
+++ b/internal/membership/twpeerhttp/malformed_test.go
@@ -74,6 +74,7 @@
 		_, err := twpeerhttp.NewClient(nil).Exchange(t.Context(), address, exchangeTarget, exchangeRequest())
 		g.Expect(asSendError(err)).NotTo(BeNil(), "%d", status)
 		g.Expect([]bool{asSendError(err).Sent, asSendError(err).NotRun, asSendError(err).PathLost}).To(Equal([]bool{true, false, false}))
+		g.Expect(err).To(MatchError(ContainSubstring(string(turmericwall.LimitMalformed))))
 	}
 }
 
@@ -109,5 +110,6 @@
 		_, err := twpeerhttp.NewClient(nil).Exchange(t.Context(), address, exchangeTarget, exchangeRequest())
 		g.Expect(asSendError(err)).NotTo(BeNil(), "%q", name)
 		g.Expect([]bool{asSendError(err).Sent, asSendError(err).NotRun, asSendError(err).PathLost}).To(Equal([]bool{true, false, false}))
+		g.Expect(err).To(MatchError(ContainSubstring(string(turmericwall.LimitMalformed))))
 	}
 }
--- a/limits.go
+++ b/limits.go
@@ -15,6 +15,8 @@
 	LimitHeadMemory Limit = "headMemory"
 	// LimitUpgrade means that an upstream answered 101, although the router requests no upgrade.
 	LimitUpgrade Limit = "upgrade"
+	// LimitMalformed means that the head of an answer came whole and is none of HTTP/1.
+	LimitMalformed Limit = "malformed"
 	// LimitBodyBytes bounds a body that is read completely before it is used.
 	LimitBodyBytes Limit = "bodyBytes"
 	// LimitEventBytes bounds one event of a stream.
@@ -42,6 +44,8 @@
 		return fmt.Sprintf("other large heads take the %d bytes of memory for them (limit %s)", e.Max, e.Limit)
 	case LimitUpgrade:
 		return fmt.Sprintf("the answer switches protocols, which was not requested (limit %s)", e.Limit)
+	case LimitMalformed:
+		return fmt.Sprintf("the answer's head is malformed (limit %s)", e.Limit)
 	case LimitEventBytes:
 		return fmt.Sprintf("an event has more than %d bytes (limit %s)", e.Max, e.Limit)
 	case LimitBufferMemory:
