--- a/internal/membership/twpeerhttp/malformed_test.go
+++ b/internal/membership/twpeerhttp/malformed_test.go
@@ -17,6 +17,15 @@
 
 // rawPeer answers each message, once it has read it, with the text.
 func rawPeer(t *testing.T, answer string) string {
+	t.Helper()
+	return barePeer(t, func(connection *net.TCPConn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(connection, answer)
+	})
+}
+
+// barePeer answers each message over its bare connection, which ends then.
+func barePeer(t *testing.T, answer func(connection *net.TCPConn, request *http.Request)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -31,12 +40,10 @@
 			}
 			go func() {
 				defer func() { _ = connection.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(connection))
-				if err != nil {
-					return
+				_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10)
+				if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					answer(connection.(*net.TCPConn), request)
 				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(connection, answer)
 			}()
 		}
 	}()
--- a/internal/membership/twpeerhttp/reset_test.go
+++ b/internal/membership/twpeerhttp/reset_test.go
@@ -1,7 +1,6 @@
 package twpeerhttp_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -21,39 +20,13 @@
 	uploadTries = 60
 )
 
-// resettingPeer answers each exchange, once it has read its head, with a part of an answer that ends with the connection, and resets it.
-func resettingPeer(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = connection.Close() }()
-				tcp := connection.(*net.TCPConn)
-				_ = tcp.SetReadBuffer(4 << 10)
-				if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n"+`{"status":200,"length":-1,"framing":"chunks"}`+"\npart")
-				time.Sleep(30 * time.Millisecond)
-				_ = tcp.SetLinger(0)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against a part of an answer that counts as the whole one, since the write of an exchange took the error of its connection's reset.
 func TestAnswerThatAPeerResetsDuringTheUploadIsNotComplete(t *testing.T) {
-	address := resettingPeer(t)
+	address := barePeer(t, func(connection *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n"+`{"status":200,"length":-1,"framing":"chunks"}`+"\npart")
+		time.Sleep(30 * time.Millisecond)
+		_ = connection.SetLinger(0)
+	})
 	complete := 0
 	for range uploadTries {
 		answer, err := twpeerhttp.NewClient(nil).Exchange(t.Context(), address, exchangeTarget, turmericwall.UpstreamRequest{
