--- a/internal/operations/twconnend/conn_test.go
+++ b/internal/operations/twconnend/conn_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// Guards against a read that waits for a write that isn't over, and against an end that is no end since the write fails later.
+// Guards against a read that waits for a write that isn't over, and against an orderly close that isn't believed since that write fails later.
 func TestOrderlyCloseDuringAWriteIsReadAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	near, far := connect(g)
